--- /dev/null
+++ b/chuteaction/effect.go
@@ -0,0 +1,156 @@
+package chuteaction
+
+import (
+	"time"
+
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteresult"
+	"monsoonchute.example/monsoonchute/chuterun"
+)
+
+// Effect is a request to the outside: one of the types below.
+//
+//sumtype:decl
+type Effect interface{ sealedEffect() }
+
+// AnswerCall answers a call of a client.
+type AnswerCall struct {
+	ID         CallID
+	Result     chuteresult.Result
+	RetryAfter time.Duration // when the client may come back; 0 to tell nothing
+	Body       AnswerBody    // nil for none
+}
+
+// AnswerBody is what an answer carries: one of the types below.
+//
+//sumtype:decl
+type AnswerBody interface{ sealedAnswerBody() }
+
+// JobState is the state of a job.
+type JobState struct{ Phase chuterun.Phase }
+
+// QueueDepth is the number of a queue's jobs of which no task has started.
+type QueueDepth struct{ Pending int }
+
+func (JobState) sealedAnswerBody()   {}
+func (QueueDepth) sealedAnswerBody() {}
+
+// Condition is the version that a row must have for a transaction to take effect.
+type Condition struct {
+	RowKey
+	Version RowVersion
+}
+
+// WriteRows is a transaction: all of it takes effect or nothing.
+type WriteRows struct {
+	Token      Token
+	Conditions []Condition
+	Put        []Row
+	Drop       []RowKey
+}
+
+// ReadRows reads the rows of a part whose keys are at least From and less than To; an empty To sets no end.
+type ReadRows struct {
+	Token Token
+	Table Table
+	Part  string
+	From  string
+	To    string
+}
+
+// FollowTable asks for the rows of a table and for all changes from then on.
+type FollowTable struct {
+	Table Table
+	Pause time.Duration // least time between two questions
+	Wait  time.Duration // how long the store may wait for a change
+}
+
+// UnfollowTable ends the news about a table.
+type UnfollowTable struct{ Table Table }
+
+// WorkerTarget tells where an order goes and under whose authority.
+type WorkerTarget struct {
+	Worker  chuterun.WorkerID
+	Address string
+	Epoch   int64
+}
+
+// StartRun orders a worker to start a run.
+type StartRun struct {
+	WorkerTarget
+	Run        chutegraph.RunID
+	Payload    string
+	LeaseEnd   time.Duration // on the worker's clock
+	Checkpoint string
+	Ticket     string
+}
+
+// StopRun orders a worker to stop a run.
+type StopRun struct {
+	WorkerTarget
+	Run chutegraph.RunID
+}
+
+// RenewLease lets everything on a worker run on, and asks what runs there and what has ended.
+type RenewLease struct {
+	WorkerTarget
+	LeaseEnd  time.Duration // on the worker's clock; 0 to ask only
+	Forget    int64         // number of the latest end that the worker may forget
+	Wait      time.Duration // how long the worker may wait for an end
+	AnyWorker bool          // whoever answers at the address
+}
+
+// ForgetWorker closes the connections to a worker.
+type ForgetWorker struct{ Worker chuterun.WorkerID }
+
+// AskApproval asks which workers may run a step.
+type AskApproval struct {
+	Step    chutegraph.StepID
+	Workers []chuterun.WorkerID
+}
+
+// Count adds one to a counter.
+type Count struct {
+	Counter string
+	Reason  string
+}
+
+// Observe enters a duration into a histogram.
+type Observe struct {
+	Histogram string
+	Kind      string
+	Took      time.Duration
+}
+
+// LogLine is one line of the log.
+type LogLine struct {
+	Part    string // of the program
+	Text    string
+	Warning bool
+	Job     chutegraph.JobID // empty if the line is about none
+	Fields  []Field
+}
+
+// Field is a named input or outcome of a decision.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// Stopped tells that the planned stop is complete.
+type Stopped struct{}
+
+func (AnswerCall) sealedEffect()    {}
+func (WriteRows) sealedEffect()     {}
+func (ReadRows) sealedEffect()      {}
+func (FollowTable) sealedEffect()   {}
+func (UnfollowTable) sealedEffect() {}
+func (StartRun) sealedEffect()      {}
+func (StopRun) sealedEffect()       {}
+func (RenewLease) sealedEffect()    {}
+func (ForgetWorker) sealedEffect()  {}
+func (AskApproval) sealedEffect()   {}
+func (Count) sealedEffect()         {}
+func (Observe) sealedEffect()       {}
+func (LogLine) sealedEffect()       {}
+func (Stopped) sealedEffect()       {}
--- /dev/null
+++ b/chutedaemon/daemon.go
@@ -0,0 +1,273 @@
+package chutedaemon
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chuteduty"
+	"monsoonchute.example/monsoonchute/chuteentry"
+	"monsoonchute.example/monsoonchute/chutemetric"
+	"monsoonchute.example/monsoonchute/chutering"
+	"monsoonchute.example/monsoonchute/chuterun"
+)
+
+const (
+	// tickInterval is the time between two ticks of the core.
+	tickInterval = 50 * time.Millisecond
+	// eventRingSize is the number of events that may wait for the core.
+	eventRingSize = 4096
+	// storeRingSize is the number of requests that may wait for the store.
+	storeRingSize = 1024
+	// storeDuties is the number of requests to the store that may be on the way at once.
+	storeDuties = 16
+	// orderRingSize is the number of orders that may wait to be sent to workers.
+	orderRingSize = 8192
+	// orderDuties is the number of orders that may be on the way at once.
+	orderDuties = 64
+)
+
+// Store is the platform's store.
+type Store interface {
+	// Write carries out a transaction.
+	Write(ctx context.Context, write chuteaction.WriteRows) chuteaction.RowsWritten
+	// Read reads a range of rows.
+	Read(ctx context.Context, read chuteaction.ReadRows) chuteaction.RowsRead
+	// List reads all rows of a table, and returns the version from which changes follow.
+	List(ctx context.Context, table chuteaction.Table) ([]chuteaction.Row, chuteaction.RowVersion, error)
+	// Changes waits for changes after the version. ErrHistoryGone tells that the table must be listed anew.
+	Changes(ctx context.Context, table chuteaction.Table, after chuteaction.RowVersion, wait time.Duration) ([]chuteaction.Row, chuteaction.RowVersion, error)
+}
+
+// Workers carries orders to workers.
+type Workers interface {
+	// Start orders a worker to start a run.
+	Start(ctx context.Context, order chuteaction.StartRun) chuteaction.RunStarted
+	// Stop orders a worker to stop a run.
+	Stop(ctx context.Context, order chuteaction.StopRun) chuteaction.RunStopped
+	// Renew renews a lease and asks what runs.
+	Renew(ctx context.Context, order chuteaction.RenewLease) chuteaction.LeaseRenewed
+	// Forget closes the connections to a worker.
+	Forget(worker chuterun.WorkerID)
+}
+
+// Daemon is a running entry host.
+type Daemon struct {
+	events    chutering.EntryEvents
+	exchange  *exchange
+	store     chutering.EntryEffects
+	orders    chutering.EntryEffects
+	followers *followers
+	renewers  *renewers
+	workers   Workers
+	metrics   *chutemetric.Metrics
+	log       *slog.Logger
+	logs      *logWriter
+	refused   []chuteaction.Event // events of effects that found a full ring, for the core's next turns
+	serving   atomic.Bool
+	stopped   chan struct{}
+}
+
+// New starts the duties of an entry host, and returns a clean-up function that stops it as planned, within the limit.
+func New(settings chuteentry.Settings, store Store, workers Workers, metrics *chutemetric.Metrics, log *slog.Logger, stopLimit time.Duration) (*Daemon, func()) {
+	group, endDuties := chuteduty.New(log)
+	d := &Daemon{
+		events: chutering.NewEntryEvents("core", eventRingSize), exchange: newExchange(),
+		store: chutering.NewEntryEffects("store", storeRingSize), orders: chutering.NewEntryEffects("orders", orderRingSize),
+		workers: workers, metrics: metrics, log: log, stopped: make(chan struct{}),
+	}
+	d.followers = newFollowers(group, store, d.events, log)
+	d.renewers = newRenewers(group, workers, d.events)
+	d.logs = newLogWriter(log, metrics)
+	group.Go("log", d.logs.run)
+	for range storeDuties {
+		group.Go("store", func(ctx context.Context) { d.runStore(ctx, store) })
+	}
+	for range orderDuties {
+		group.Go("orders", d.runOrders)
+	}
+	group.Go("core", func(ctx context.Context) { d.runCore(ctx, chuteentry.New(settings)) })
+	group.Go("ticks", d.runTicks)
+	return d, func() {
+		d.Leave()
+		timer := time.NewTimer(stopLimit)
+		defer timer.Stop()
+		select {
+		case <-d.stopped:
+		case <-timer.C:
+			log.Warn("daemon: the planned stop took too long and is cut short")
+		}
+		endDuties()
+	}
+}
+
+// Leave begins a planned stop: the host reports that it is not serving and gives up its leadership, but goes on to
+// answer calls until the clean-up function runs.
+func (d *Daemon) Leave() {
+	d.events.Offer(chuteaction.StopWanted{})
+}
+
+// Serving reports whether the host should get new connections.
+func (d *Daemon) Serving() bool {
+	return d.serving.Load()
+}
+
+// runCore steps the core with each event, and hands its effects on. An effect whose ring is full comes back at once
+// as the event of its failure.
+func (d *Daemon) runCore(ctx context.Context, state chuteentry.State) {
+	for {
+		event, ok := d.events.Take(ctx)
+		if !ok {
+			return
+		}
+		state = d.step(state, event)
+		for len(d.refused) > 0 {
+			next := d.refused[0]
+			d.refused = d.refused[1:]
+			state = d.step(state, next)
+		}
+	}
+}
+
+func (d *Daemon) step(state chuteentry.State, event chuteaction.Event) chuteentry.State {
+	now := time.Now()
+	state, effects := chuteentry.Step(state, chuteaction.Timed{At: now, Event: event})
+	for _, effect := range effects {
+		d.carry(effect)
+	}
+	d.serving.Store(state.Serving(now))
+	return state
+}
+
+// carry hands one effect to its duty.
+func (d *Daemon) carry(effect chuteaction.Effect) {
+	switch f := effect.(type) {
+	case chuteaction.AnswerCall:
+		if !d.exchange.answer(f) {
+			d.metrics.Count("answer-dropped", "nobody-waits")
+		}
+	case chuteaction.WriteRows:
+		d.carryStore(f, chuteaction.RowsWritten{Token: f.Token, Outcome: chuteaction.StoreRefused})
+	case chuteaction.ReadRows:
+		d.carryStore(f, chuteaction.RowsRead{Token: f.Token, Outcome: chuteaction.StoreRefused})
+	case chuteaction.FollowTable:
+		d.followers.follow(f)
+	case chuteaction.UnfollowTable:
+		d.followers.unfollow(f.Table)
+	case chuteaction.StartRun:
+		d.carryOrder(f, chuteaction.RunStarted{
+			Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnhealthy,
+		})
+	case chuteaction.StopRun:
+		d.carryOrder(f, chuteaction.RunStopped{
+			Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnhealthy,
+		})
+	case chuteaction.RenewLease:
+		d.carryRenewal(f)
+	case chuteaction.ForgetWorker:
+		d.renewers.forget(f.Worker)
+		d.workers.Forget(f.Worker)
+	case chuteaction.AskApproval:
+	case chuteaction.Count:
+		d.metrics.Count(f.Counter, f.Reason)
+	case chuteaction.Observe:
+		d.metrics.ObserveKind(f.Histogram, f.Kind, f.Took)
+	case chuteaction.LogLine:
+		d.logs.offer(f)
+	case chuteaction.Stopped:
+		close(d.stopped)
+	}
+}
+
+func (d *Daemon) carryStore(effect chuteaction.Effect, refusal chuteaction.Event) {
+	if !d.store.Offer(effect) {
+		d.metrics.Count("store-refused", "ring-full")
+		d.refused = append(d.refused, refusal)
+	}
+}
+
+func (d *Daemon) carryOrder(effect chuteaction.Effect, refusal chuteaction.Event) {
+	if !d.orders.Offer(effect) {
+		d.metrics.Count("order-refused", "ring-full")
+		d.refused = append(d.refused, refusal)
+	}
+}
+
+// carryRenewal hands a renewal that waits to the worker's own duty, and any other to the duties of orders.
+func (d *Daemon) carryRenewal(f chuteaction.RenewLease) {
+	refusal := chuteaction.LeaseRenewed{Epoch: f.Epoch, Worker: f.Worker, SentAt: time.Now(), Outcome: chuteaction.OrderUnhealthy}
+	if f.Wait == 0 {
+		d.carryOrder(f, refusal)
+		return
+	}
+	if !d.renewers.renew(f) {
+		d.metrics.Count("order-refused", "renewal-ring-full")
+		d.refused = append(d.refused, refusal)
+	}
+}
+
+func (d *Daemon) runStore(ctx context.Context, store Store) {
+	for {
+		effect, ok := d.store.Take(ctx)
+		if !ok {
+			return
+		}
+		switch f := effect.(type) {
+		case chuteaction.WriteRows:
+			start := time.Now()
+			written := store.Write(ctx, f)
+			d.metrics.ObserveKind("store-write", outcomeNames[written.Outcome], time.Since(start))
+			d.events.Put(ctx, written)
+		case chuteaction.ReadRows:
+			start := time.Now()
+			read := store.Read(ctx, f)
+			d.metrics.ObserveKind("store-read", outcomeNames[read.Outcome], time.Since(start))
+			d.events.Put(ctx, read)
+		default:
+			d.log.Error("daemon: an effect is not for the store", "type", effect)
+		}
+	}
+}
+
+var outcomeNames = map[chuteaction.StoreOutcome]string{
+	chuteaction.StoreDone: "done", chuteaction.StoreConflict: "conflict",
+	chuteaction.StoreRefused: "refused", chuteaction.StoreUnknown: "no-answer",
+}
+
+func (d *Daemon) runOrders(ctx context.Context) {
+	for {
+		effect, ok := d.orders.Take(ctx)
+		if !ok {
+			return
+		}
+		switch f := effect.(type) {
+		case chuteaction.StartRun:
+			d.events.Put(ctx, d.workers.Start(ctx, f))
+		case chuteaction.StopRun:
+			d.events.Put(ctx, d.workers.Stop(ctx, f))
+		case chuteaction.RenewLease:
+			d.events.Put(ctx, d.workers.Renew(ctx, f))
+		default:
+			d.log.Error("daemon: an effect is not for workers", "type", effect)
+		}
+	}
+}
+
+// runTicks offers a tick at each interval and reports how full the rings are.
+func (d *Daemon) runTicks(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		d.events.Offer(chuteaction.Tick{})
+		for _, g := range []chutering.Gauge{d.events.Gauge(), d.store.Gauge(), d.orders.Gauge()} {
+			d.metrics.Gauge(g)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/chuteentry/doc.go
@@ -0,0 +1,2 @@
+// Package chuteentry is the core of an entry host: Step takes an event and returns the next state and its effects.
+package chuteentry
--- /dev/null
+++ b/chuteentry/state.go
@@ -0,0 +1,91 @@
+package chuteentry
+
+import (
+	"time"
+
+	"github.com/benbjohnson/immutable"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutecatalog"
+	"monsoonchute.example/monsoonchute/chuteintake"
+	"monsoonchute.example/monsoonchute/chuteleader"
+	"monsoonchute.example/monsoonchute/chutescheduler"
+)
+
+const (
+	// contactLimit is the age of the store's latest answer over which calls that need it are refused.
+	contactLimit = 2500 * time.Millisecond
+	// operatorWait is how long the store may wait for a change by the operators.
+	operatorWait = 1500 * time.Millisecond
+	// leaderPause is the least time between two questions about the leader's row.
+	leaderPause = 400 * time.Millisecond
+	// leaderWait is how long the store may wait for a change of the leader's row.
+	leaderWait = 600 * time.Millisecond
+	// maxBatchRows is the number of rows of one write of the scheduler, beside the leader's own.
+	maxBatchRows = 95
+	part         = "entry"
+)
+
+// Settings are what the core is told at its start.
+type Settings struct {
+	Host    string
+	Process string        // new at each start
+	Jitter  time.Duration // more patience of this host before it takes over
+	Bounds  chutescheduler.Bounds
+}
+
+// State is the immutable state of an entry host.
+type State struct {
+	settings  Settings
+	token     chuteaction.Token
+	started   bool
+	catalog   chutecatalog.Catalog
+	zonesOut  *immutable.SortedMap[string, chuteaction.RowVersion]
+	contactAt time.Time // of the store's latest answer
+	leader    chuteleader.State
+	intake    chuteintake.State
+	scheduler *chutescheduler.State // nil unless this host leads
+	stopping  bool
+	releasing bool // the leadership is being given up
+	stopped   bool
+}
+
+// New returns the state of a host that has read nothing.
+func New(settings Settings) State {
+	return State{
+		settings: settings, zonesOut: immutable.NewSortedMap[string, chuteaction.RowVersion](nil),
+		leader: chuteleader.New(settings.Host, settings.Process, settings.Jitter), intake: chuteintake.New(),
+	}
+}
+
+// Serving reports whether the host should get new connections: it has a configuration, reaches the store and is not
+// stopping.
+func (s State) Serving(now time.Time) bool {
+	return s.catalog.Known() && !s.stopping && s.inContact(now)
+}
+
+// Leads reports whether this host is the scheduler.
+func (s State) Leads() bool {
+	return s.scheduler != nil
+}
+
+func (s State) inContact(now time.Time) bool {
+	return !s.contactAt.IsZero() && now.Sub(s.contactAt) <= contactLimit
+}
+
+func (s State) environment() chutescheduler.Environment {
+	out := make(map[string]bool)
+	for i := s.zonesOut.Iterator(); !i.Done(); {
+		zone, _, _ := i.Next()
+		out[zone] = true
+	}
+	return chutescheduler.Environment{Catalog: s.catalog, ZonesOut: out}
+}
+
+func (s State) intakeView(now time.Time) chuteintake.View {
+	pending := s.leader.Row().Pending
+	if s.scheduler != nil && s.scheduler.Ready() {
+		pending = s.scheduler.Pending()
+	}
+	return chuteintake.View{Catalog: s.catalog, Pending: pending, Contact: s.inContact(now)}
+}
--- /dev/null
+++ b/chuteentry/step.go
@@ -0,0 +1,251 @@
+package chuteentry
+
+import (
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chuteleader"
+	"monsoonchute.example/monsoonchute/chutescheduler"
+)
+
+// Step handles one event: it returns the next state and what is asked of the outside.
+func Step(s State, timed chuteaction.Timed) (State, []chuteaction.Effect) {
+	t := &turn{Turn: chuteaction.NewTurn(timed.At, s.token), state: s}
+	t.start()
+	switch e := timed.Event.(type) {
+	case chuteaction.Tick:
+		t.tick()
+	case chuteaction.CallArrived:
+		t.state.intake = t.state.intake.Arrive(t.Turn, t.state.intakeView(t.Now), e)
+	case chuteaction.CallLeft:
+		t.state.intake = t.state.intake.Leave(e.ID)
+	case chuteaction.RowsWritten:
+		t.written(e)
+	case chuteaction.RowsRead:
+		t.read(e)
+	case chuteaction.TableChanged:
+		t.changed(e)
+	case chuteaction.TableSilent:
+		t.Count("feed-silent", e.Table.String())
+	case chuteaction.RunStarted:
+		t.ordered(func(c chutescheduler.State) (chutescheduler.State, bool) {
+			return c.Started(t.Turn, t.state.environment(), e)
+		})
+	case chuteaction.RunStopped:
+		t.ordered(func(c chutescheduler.State) (chutescheduler.State, bool) {
+			return c.Stopped(t.Turn, t.state.environment(), e)
+		})
+	case chuteaction.LeaseRenewed:
+		t.ordered(func(c chutescheduler.State) (chutescheduler.State, bool) {
+			return c.Renewed(t.Turn, t.state.environment(), e)
+		})
+	case chuteaction.StepApproved:
+	case chuteaction.StopWanted:
+		t.stop()
+	}
+	t.finish()
+	t.state.token = t.LastToken()
+	return t.state, t.Effects
+}
+
+// turn is the handling of one event.
+type turn struct {
+	*chuteaction.Turn
+	state State
+}
+
+// start asks for what every host follows, once.
+func (t *turn) start() {
+	if t.state.started {
+		return
+	}
+	t.state.started = true
+	t.Emit(chuteaction.FollowTable{Table: chuteaction.TableOperator, Wait: operatorWait})
+	t.Emit(chuteaction.FollowTable{Table: chuteaction.TableLeaders, Pause: leaderPause, Wait: leaderWait})
+}
+
+func (t *turn) tick() {
+	t.state.intake = t.state.intake.Tick(t.Turn)
+	if t.state.stopping && t.state.scheduler == nil && t.state.leader.Role() == chuteleader.RoleFollower {
+		return
+	}
+	leader, verdict := t.state.leader.Tick(t.Turn)
+	t.state.leader = leader
+	t.heed(verdict)
+	if t.state.scheduler != nil {
+		t.setScheduler(t.state.scheduler.Tick(t.Turn, t.state.environment()))
+	}
+}
+
+func (t *turn) setScheduler(c chutescheduler.State) {
+	t.state.scheduler = &c
+}
+
+// ordered lets the scheduler handle the end of an order; a worker that has seen a higher epoch deposes this host.
+func (t *turn) ordered(handle func(chutescheduler.State) (chutescheduler.State, bool)) {
+	if t.state.scheduler == nil {
+		return
+	}
+	next, fenced := handle(*t.state.scheduler)
+	t.setScheduler(next)
+	if fenced {
+		t.Warn(part, "a worker has seen a higher epoch", "", "epoch", next.Epoch())
+		t.state.leader = t.state.leader.Depose(t.Now)
+		t.heed(chuteleader.VerdictDeposed)
+	}
+}
+
+func (t *turn) written(e chuteaction.RowsWritten) {
+	if e.Outcome == chuteaction.StoreDone || e.Outcome == chuteaction.StoreConflict {
+		t.state.contactAt = t.Now
+	}
+	if t.state.leader.Owns(e.Token) {
+		leader, verdict := t.state.leader.Written(t.Turn, e)
+		t.state.leader = leader
+		t.heed(verdict)
+		return
+	}
+	t.state.intake = t.state.intake.Written(t.Turn, e)
+}
+
+// heed draws the consequence of a leader's write.
+func (t *turn) heed(verdict chuteleader.Verdict) {
+	switch verdict {
+	case chuteleader.VerdictNone:
+	case chuteleader.VerdictElected:
+		t.setScheduler(chutescheduler.New(t.Turn, t.state.leader.Epoch(), t.state.settings.Bounds))
+		t.Emit(chuteaction.UnfollowTable{Table: chuteaction.TableLeaders})
+	case chuteleader.VerdictCommitted:
+		if t.state.leader.Row().Released {
+			t.endScheduler()
+			return
+		}
+		if t.state.scheduler != nil {
+			t.setScheduler(t.state.scheduler.Committed(t.Turn, t.state.environment()))
+		}
+	case chuteleader.VerdictDeposed:
+		t.endScheduler()
+	}
+}
+
+func (t *turn) endScheduler() {
+	if t.state.scheduler == nil {
+		return
+	}
+	t.Log(part, "this host leads no longer", "", "epoch", t.state.scheduler.Epoch())
+	t.state.scheduler.End(t.Turn)
+	t.state.scheduler = nil
+	t.state.leader = t.state.leader.Depose(t.Now)
+	t.Emit(chuteaction.FollowTable{Table: chuteaction.TableLeaders, Pause: leaderPause, Wait: leaderWait})
+}
+
+func (t *turn) read(e chuteaction.RowsRead) {
+	if e.Outcome == chuteaction.StoreDone {
+		t.state.contactAt = t.Now
+	}
+	if t.state.scheduler != nil && t.state.scheduler.Owns(e.Token) {
+		t.setScheduler(t.state.scheduler.Progress(t.Turn, t.state.environment(), e))
+		return
+	}
+	t.state.intake = t.state.intake.Read(t.Turn, e)
+}
+
+func (t *turn) changed(e chuteaction.TableChanged) {
+	t.state.contactAt = t.Now
+	switch e.Table {
+	case chuteaction.TableOperator:
+		t.operatorChanged(e)
+	case chuteaction.TableLeaders:
+		t.state.leader = t.state.leader.WithNews(t.Turn, e.Rows)
+	case chuteaction.TableJobs:
+		if t.state.scheduler != nil {
+			t.setScheduler(t.state.scheduler.Submissions(t.Turn, t.state.environment(), e))
+		}
+	case chuteaction.TableWorkers:
+		if t.state.scheduler != nil {
+			t.setScheduler(t.state.scheduler.Workers(t.Turn, t.state.environment(), e))
+		}
+	case chuteaction.TableProgress, chuteaction.TableWaves:
+	}
+}
+
+// operatorChanged adopts newer configurations and the zones in which nothing may start.
+func (t *turn) operatorChanged(e chuteaction.TableChanged) {
+	present := make(map[string]bool)
+	for _, r := range e.Rows {
+		switch row := r.Value.(type) {
+		case chuteaction.CatalogRow:
+			if row.Version > t.state.catalog.Version {
+				t.Log(part, "configuration in force", "", "version", row.Version, "former", t.state.catalog.Version,
+					"queues", len(row.Queues), "workspaces", len(row.Workspaces))
+				t.state.catalog = row.Catalog
+			}
+		case chuteaction.EvacuationRow:
+			if row.Back {
+				t.zoneBack(row.Zone, r.Version)
+				continue
+			}
+			present[row.Zone] = true
+			t.zoneOut(row.Zone, r.Version)
+		}
+	}
+	if !e.Whole {
+		return
+	}
+	for zone := range t.state.environment().ZonesOut {
+		if !present[zone] {
+			t.zoneBack(zone, 0)
+		}
+	}
+}
+
+func (t *turn) zoneOut(zone string, version chuteaction.RowVersion) {
+	if _, known := t.state.zonesOut.Get(zone); !known {
+		t.Log(part, "zone is out", "", "zone", zone, "version", version)
+	}
+	t.state.zonesOut = t.state.zonesOut.Set(zone, version)
+}
+
+func (t *turn) zoneBack(zone string, version chuteaction.RowVersion) {
+	if _, out := t.state.zonesOut.Get(zone); out {
+		t.Log(part, "zone is back", "", "zone", zone, "version", version)
+		t.state.zonesOut = t.state.zonesOut.Delete(zone)
+	}
+}
+
+// stop begins a planned stop: the leadership is given up and calls in progress are answered.
+func (t *turn) stop() {
+	if t.state.stopping {
+		return
+	}
+	t.state.stopping = true
+	t.Log(part, "planned stop", "", "calls", t.state.intake.Len(), "leads", t.state.Leads())
+}
+
+// finish sends what has become due by the event: records, the heartbeat, the end of a planned stop.
+func (t *turn) finish() {
+	if t.state.scheduler != nil {
+		t.setScheduler(t.state.scheduler.Advance(t.Turn, t.state.environment()))
+		t.record()
+	}
+	if t.state.stopping && !t.state.stopped && t.state.scheduler == nil && t.state.intake.Len() == 0 {
+		t.state.stopped = true
+		t.Emit(chuteaction.Stopped{})
+	}
+}
+
+// record writes what the scheduler must record, or a heartbeat if one is due.
+func (t *turn) record() {
+	if t.state.leader.Busy() || t.state.releasing {
+		return
+	}
+	scheduler, rows := t.state.scheduler.Flush(maxBatchRows)
+	t.setScheduler(scheduler)
+	switch {
+	case len(rows) > 0:
+		t.state.leader = t.state.leader.Write(t.Turn, rows, nil, scheduler.Pending())
+	case t.state.stopping:
+		t.state.releasing = true
+		t.state.leader = t.state.leader.Release(t.Turn)
+	case t.Now.Sub(t.state.leader.ProvedAt()) >= chuteleader.HeartbeatInterval:
+		t.state.leader = t.state.leader.Write(t.Turn, nil, nil, scheduler.Pending())
+	}
+}
--- /dev/null
+++ b/chutegraph/check.go
@@ -0,0 +1,75 @@
+package chutegraph
+
+import (
+	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chuteresult"
+)
+
+// Limits of a submitted job.
+const (
+	MaxPayloadBytes = 4000
+	MaxSteps        = 100
+	MaxTasks        = 2000    // of all steps of one occurrence
+	MaxOccurrences  = 10_000  // of one job
+	maxAmount       = 1 << 30 // of one resource of one task
+	maxTextBytes    = 200     // of a label, a rack or an image
+)
+
+// Check returns an error that names the field at fault, or nil.
+func (s Spec) Check() error {
+	switch {
+	case len(s.Payload) > MaxPayloadBytes:
+		return malformed("payload: has %d bytes, the limit is %d", len(s.Payload), MaxPayloadBytes)
+	case len(s.Steps) == 0 || len(s.Steps) > MaxSteps:
+		return malformed("steps: must be 1 to %d", MaxSteps)
+	case s.Recurrence.Count < 0 || s.Recurrence.Count > MaxOccurrences:
+		return malformed("recurrence: must be 0 to %d times", MaxOccurrences)
+	case s.Recurrence.Interval < 0 || s.Recurrence.Start < 0:
+		return malformed("recurrence: times must not be negative")
+	}
+	tasks := 0
+	for i, step := range s.Steps {
+		if err := step.check(i); err != nil {
+			return err
+		}
+		tasks += step.Count
+	}
+	if tasks > MaxTasks {
+		return malformed("steps: have %d tasks together, the limit is %d", tasks, MaxTasks)
+	}
+	return nil
+}
+
+func (s Step) check(number int) error {
+	switch {
+	case s.Count <= 0 || s.Count > MaxTasks:
+		return malformed("step %d: count must be 1 to %d", number, MaxTasks)
+	case !inRange(s.Request):
+		return malformed("step %d: its request must not be negative or over %d", number, maxAmount)
+	case s.Estimate < 0 || s.TailLimit < 0:
+		return malformed("step %d: durations must not be negative", number)
+	case s.AntiAffinity < 0 || s.Unavailable < 0:
+		return malformed("step %d: limits must not be negative", number)
+	case len(s.Label) > maxTextBytes || len(s.DataRack) > maxTextBytes || len(s.Image) > maxTextBytes:
+		return malformed("step %d: labels, racks and images have at most %d bytes", number, maxTextBytes)
+	}
+	for _, earlier := range s.After {
+		if earlier < 0 || earlier >= number {
+			return malformed("step %d: may only come after earlier steps, not %d", number, earlier)
+		}
+	}
+	return nil
+}
+
+func inRange(a chutecapacity.Amount) bool {
+	for _, n := range []int{a.Processor, a.Memory, a.Accelerators} {
+		if n < 0 || n > maxAmount {
+			return false
+		}
+	}
+	return true
+}
+
+func malformed(format string, arguments ...any) error {
+	return chuteresult.New(chuteresult.Malformed, format, arguments...)
+}
--- /dev/null
+++ b/chuteintake/arrive.go
@@ -0,0 +1,90 @@
+package chuteintake
+
+import (
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutecatalog"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteresult"
+	"monsoonchute.example/monsoonchute/chuterun"
+)
+
+// Arrive takes a call: it answers what needs no store and asks the store for the rest.
+func (s State) Arrive(t *chuteaction.Turn, view View, e chuteaction.CallArrived) State {
+	c := call{id: e.ID, arrived: t.Now, deadline: e.Deadline}
+	if !view.Catalog.Known() {
+		return s.answer(t, c, chuteresult.New(chuteresult.NotReady, "no configuration has been read yet"), comeBack, nil)
+	}
+	queue, rest, ok := view.Catalog.Match(e.Host, e.Path)
+	if !ok {
+		return s.answer(t, c, chuteresult.New(chuteresult.UnknownQueue, "no queue for host %q and path %q", e.Host, e.Path), 0, nil)
+	}
+	c.queue = queue.Name
+	owner, known := view.Catalog.KeyOwner(e.Key)
+	if !known && !queue.Public {
+		return s.answer(t, c, chuteresult.New(chuteresult.UnknownKey, "version %d has no such key", view.Catalog.Version), 0, nil)
+	}
+	if _, show := e.Call.(chuteaction.ShowJob); show && rest == "" {
+		return s.answer(t, c, chuteresult.Result{Code: chuteresult.Done}, 0, chuteaction.QueueDepth{Pending: view.Pending[queue.Name]})
+	}
+	c.job = chutegraph.JobID(rest)
+	if !c.job.Valid() {
+		return s.answer(t, c, chuteresult.New(chuteresult.Malformed, "job id: must be %d hexadecimal digits", chutegraph.JobIDLength), 0, nil)
+	}
+	if !view.Contact {
+		return s.answer(t, c, chuteresult.New(chuteresult.StoreUnavailable, "the store does not answer this host"), comeBack, nil)
+	}
+	switch arrived := e.Call.(type) {
+	case chuteaction.SubmitJob:
+		return s.submit(t, c, submission(c.job, queue, owner, arrived.Spec), arrived.Fault)
+	case chuteaction.ShowJob:
+		return s.readProgress(t, c)
+	case chuteaction.CancelJob:
+		return s.readSubmission(t, c.withStage(stageCancelLookup))
+	}
+	return s
+}
+
+func submission(id chutegraph.JobID, q chutecatalog.Queue, owner chutecatalog.Workspace, spec chutegraph.Spec) chuterun.Submission {
+	return chuterun.Submission{
+		ID: id, Queue: q.Name, Workspace: owner.Name, Service: q.Service, Priority: q.Priority, Attempts: q.Attempts,
+		Stretch: q.Stretch, Target: q.Target, Spec: spec,
+	}
+}
+
+func (s State) submit(t *chuteaction.Turn, c call, sub chuterun.Submission, fault string) State {
+	if fault != "" {
+		return s.answer(t, c, chuteresult.New(chuteresult.Malformed, "body: %s", fault), 0, nil)
+	}
+	if err := sub.Spec.Check(); err != nil {
+		return s.answer(t, c, chuteresult.From(err), 0, nil)
+	}
+	key := chuteaction.SubmissionKey(sub.ID)
+	return s.send(t, c.withStage(stageRecord).withWrite(chuteaction.WriteRows{
+		Conditions: []chuteaction.Condition{{RowKey: key}},
+		Put:        []chuteaction.Row{{RowKey: key, Value: chuteaction.SubmissionRow{Submission: sub}}},
+	}))
+}
+
+func (s State) send(t *chuteaction.Turn, c call) State {
+	c.write.Token = t.Token()
+	t.Emit(c.write)
+	s.tokens = s.tokens.Set(c.write.Token, c.id)
+	return s.with(c)
+}
+
+func (s State) readProgress(t *chuteaction.Turn, c call) State {
+	return s.read(t, c.withStage(stageProgress), chuteaction.ProgressKey(c.job), string(c.job)+"\x00")
+}
+
+func (s State) readSubmission(t *chuteaction.Turn, c call) State {
+	key := chuteaction.SubmissionKey(c.job)
+	key.Key = string(c.job) + "."
+	return s.read(t, c, key, string(c.job)+"/")
+}
+
+func (s State) read(t *chuteaction.Turn, c call, from chuteaction.RowKey, to string) State {
+	token := t.Token()
+	t.Emit(chuteaction.ReadRows{Token: token, Table: from.Table, Part: from.Part, From: from.Key, To: to})
+	s.tokens = s.tokens.Set(token, c.id)
+	return s.with(c)
+}
--- /dev/null
+++ b/chuteintake/doc.go
@@ -0,0 +1,2 @@
+// Package chuteintake answers the calls of clients: it records jobs and cancellations and tells their states.
+package chuteintake
--- a/chutemetric/metric.go
+++ b/chutemetric/metric.go
@@ -70,6 +70,11 @@
 	m.scope.Histogram(underscored(name), durationBuckets).RecordDuration(took)
 }
 
+// ObserveKind enters a duration into the histogram of the name, for one kind.
+func (m *Metrics) ObserveKind(name, kind string, took time.Duration) {
+	m.scope.Tagged(map[string]string{"kind": kind}).Histogram(underscored(name), durationBuckets).RecordDuration(took)
+}
+
 var durationBuckets = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 18)
 
 // Gauge sets the depth and the refusals of a ring.
--- /dev/null
+++ b/chuteplacement/room.go
@@ -0,0 +1,211 @@
+package chuteplacement
+
+import (
+	"cmp"
+	"slices"
+
+	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuterun"
+)
+
+// pass is the working state of one planning pass.
+type pass struct {
+	rooms     []room
+	index     map[chuterun.WorkerID]int
+	racks     []rack
+	groups    []Group
+	gone      []bool // by group: it is being stopped by this pass
+	onWorker  map[chuterun.WorkerID][]int
+	placedOn  map[chutegraph.StepID][]int
+	full      []fullRequest
+	decisions []Decision
+}
+
+// room is what a worker has left during the pass.
+type room struct {
+	Worker
+	now   chutecapacity.Amount // free at this moment
+	later chutecapacity.Amount // free once all that is being stopped has ended
+}
+
+type rack struct {
+	name    string
+	workers []int
+}
+
+type fullRequest struct {
+	service string
+	request chutecapacity.Amount
+}
+
+// horizon tells which room counts.
+type horizon int
+
+const (
+	roomNow horizon = iota
+	roomLater
+	roomEmpty // as if nothing ran
+)
+
+func newPass(view View) *pass {
+	p := &pass{
+		index: make(map[chuterun.WorkerID]int), groups: view.Groups, gone: make([]bool, len(view.Groups)),
+		onWorker: make(map[chuterun.WorkerID][]int), placedOn: make(map[chutegraph.StepID][]int),
+	}
+	byRack := make(map[string]int)
+	for i, w := range view.Workers {
+		p.rooms = append(p.rooms, room{Worker: w, now: w.Free, later: w.Free.Plus(w.Freeing)})
+		p.index[w.ID] = i
+		at, ok := byRack[w.Rack]
+		if !ok {
+			at = len(p.racks)
+			byRack[w.Rack] = at
+			p.racks = append(p.racks, rack{name: w.Rack})
+		}
+		p.racks[at].workers = append(p.racks[at].workers, i)
+	}
+	for i, g := range view.Groups {
+		for _, m := range g.Members {
+			p.onWorker[m.Worker] = append(p.onWorker[m.Worker], i)
+		}
+	}
+	return p
+}
+
+func (r room) at(h horizon) chutecapacity.Amount {
+	switch h {
+	case roomNow:
+		return r.now
+	case roomLater:
+		return r.later
+	case roomEmpty:
+		return r.Capacity
+	}
+	return chutecapacity.Amount{}
+}
+
+// place returns a worker for each waiting task of the demand, and false if not all of them fit.
+func (p *pass) place(d Demand, h horizon) ([]int, bool) {
+	for _, workers := range p.scopes(d) {
+		if placed, ok := p.placeWithin(d, workers, h); ok {
+			return placed, true
+		}
+	}
+	return nil, false
+}
+
+// scopes returns the sets of workers to try for the demand, best first. Tasks that must share a rack, and those whose
+// data lies in one, are only tried elsewhere if the rack could not hold them even when empty.
+func (p *pass) scopes(d Demand) [][]int {
+	all := p.eligible(d, nil)
+	switch {
+	case d.Step.DataRack != "":
+		return p.orElsewhere(d, p.rackScopes(d, d.Step.DataRack), all)
+	case d.Step.SameRack && len(d.Indexes) > 1:
+		return p.orElsewhere(d, p.rackScopes(d, ""), all)
+	}
+	return [][]int{all}
+}
+
+func (p *pass) orElsewhere(d Demand, racks [][]int, all []int) [][]int {
+	for _, workers := range racks {
+		if _, ok := p.placeWithin(d, workers, roomEmpty); ok {
+			return racks
+		}
+	}
+	return append(racks, all)
+}
+
+// rackScopes returns the eligible workers by rack, the rack with the least free accelerators first; a name selects one.
+func (p *pass) rackScopes(d Demand, name string) [][]int {
+	type scope struct {
+		workers []int
+		free    int
+	}
+	var scopes []scope
+	for _, r := range p.racks {
+		if name != "" && r.name != name {
+			continue
+		}
+		s := scope{workers: p.eligible(d, r.workers)}
+		for _, w := range s.workers {
+			s.free += p.rooms[w].now.Accelerators
+		}
+		if len(s.workers) > 0 {
+			scopes = append(scopes, s)
+		}
+	}
+	slices.SortStableFunc(scopes, func(a, b scope) int { return cmp.Compare(a.free, b.free) })
+	sets := make([][]int, len(scopes))
+	for i, s := range scopes {
+		sets[i] = s.workers
+	}
+	return sets
+}
+
+// eligible returns the workers, of those given or of all, that may run the demand at all.
+func (p *pass) eligible(d Demand, of []int) []int {
+	var workers []int
+	consider := func(i int) {
+		w := p.rooms[i]
+		if w.Service == d.Service && !d.Avoid[w.ID] && (d.Step.Label == "" || slices.Contains(w.Labels, d.Step.Label)) {
+			workers = append(workers, i)
+		}
+	}
+	if of != nil {
+		for _, i := range of {
+			consider(i)
+		}
+		return workers
+	}
+	for i := range p.rooms {
+		consider(i)
+	}
+	return workers
+}
+
+// placeWithin finds room for all waiting tasks among the workers; each task goes where the least is left over.
+func (p *pass) placeWithin(d Demand, workers []int, h horizon) ([]int, bool) {
+	need := d.Step.Reserved()
+	taken := make(map[int]int, len(d.Indexes))
+	placed := make([]int, 0, len(d.Indexes))
+	for range d.Indexes {
+		best, bestScore := -1, 0.0
+		for _, i := range workers {
+			left := p.rooms[i].at(h).Minus(need.Times(taken[i]))
+			if !need.Fits(left) || !p.affinityAllows(d, i, taken[i]) {
+				continue
+			}
+			score := leftover(left.Minus(need), p.rooms[i].Capacity) + p.rooms[i].Penalty
+			if best < 0 || score < bestScore {
+				best, bestScore = i, score
+			}
+		}
+		if best < 0 {
+			return nil, false
+		}
+		taken[best]++
+		placed = append(placed, best)
+	}
+	return placed, true
+}
+
+func (p *pass) affinityAllows(d Demand, worker, taken int) bool {
+	return d.Step.AntiAffinity == 0 || d.Present[p.rooms[worker].ID]+taken < d.Step.AntiAffinity
+}
+
+// processorShare weighs the processor beside the accelerators when leftovers are compared.
+const processorShare = 0.1
+
+// leftover tells how much of a worker stays unused, from 0 to about 1.
+func leftover(left, capacity chutecapacity.Amount) float64 {
+	return share(left.Accelerators, capacity.Accelerators) + processorShare*share(left.Processor, capacity.Processor)
+}
+
+func share(part, whole int) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/chutepool/run.go
@@ -0,0 +1,101 @@
+package chutepool
+
+import (
+	"time"
+
+	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutegraph"
+)
+
+// RunPhase is the stage of a run on its worker.
+type RunPhase int
+
+// The phases of a run.
+const (
+	RunPlanned  RunPhase = iota + 1 // holds room, is not recorded yet
+	RunWriting                      // its record is on the way to the store
+	RunOrdered                      // recorded; a start order may have reached the worker
+	RunWorking                      // the worker confirmed it
+	RunStopping                     // a stop order is out, or is to be repeated
+)
+
+// Run is the immutable state of one run of a task on a worker. It holds room until its end is certain.
+type Run struct {
+	ID          chutegraph.RunID
+	Reserved    chutecapacity.Amount
+	Priority    int
+	Phase       RunPhase
+	Since       time.Time // when the phase began
+	Orders      int       // start or stop orders of this phase that were sent
+	Outstanding bool      // the answer to an order is awaited
+	Unanswered  bool      // a start order got no answer, so that it may be carried out late
+	StoppedAt   time.Time // when the worker answered a stop order; zero before
+	Working     time.Time // when it was first confirmed; zero before
+	Saved       time.Time // when its checkpoint last changed, or when it began
+	Checkpoint  string
+	Percent     int
+	Advanced    time.Time // when its progress last changed
+	Ticket      string    // that approves the worker, where the queue asks for one
+}
+
+// WithPhase returns the run in the phase from the moment on.
+func (r Run) WithPhase(phase RunPhase, now time.Time) Run {
+	r.Phase = phase
+	r.Since = now
+	r.Orders = 0
+	if phase == RunWorking && r.Working.IsZero() {
+		r.Working, r.Saved, r.Advanced = now, now, now
+	}
+	return r
+}
+
+// WithOrder returns the run after one more order of its phase.
+func (r Run) WithOrder() Run {
+	r.Orders++
+	return r
+}
+
+// WithOutstanding returns the run with the answer to an order awaited or not.
+func (r Run) WithOutstanding(outstanding bool) Run {
+	r.Outstanding = outstanding
+	return r
+}
+
+// WithUnanswered returns the run with a start order that got no answer.
+func (r Run) WithUnanswered() Run {
+	r.Unanswered = true
+	return r
+}
+
+// WithStopped returns the run with its stop order answered at the moment.
+func (r Run) WithStopped(now time.Time) Run {
+	r.StoppedAt = now
+	return r
+}
+
+// WithTicket returns the run with the ticket that approves its worker.
+func (r Run) WithTicket(ticket string) Run {
+	r.Ticket = ticket
+	return r
+}
+
+// WithReport returns the run with what its worker says of it at the moment.
+func (r Run) WithReport(checkpoint string, percent int, now time.Time) Run {
+	if checkpoint != r.Checkpoint {
+		r.Checkpoint = checkpoint
+		r.Saved = now
+	}
+	if percent != r.Percent {
+		r.Percent = percent
+		r.Advanced = now
+	}
+	return r
+}
+
+// Unsaved returns the core-seconds of work that a stop at the moment would waste.
+func (r Run) Unsaved(now time.Time) float64 {
+	if r.Working.IsZero() {
+		return 0
+	}
+	return r.Reserved.Cores() * now.Sub(r.Saved).Seconds()
+}
--- /dev/null
+++ b/chutepool/worker.go
@@ -0,0 +1,171 @@
+package chutepool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/benbjohnson/immutable"
+
+	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuterun"
+)
+
+// Listing is what the list of workers says of a worker.
+type Listing struct {
+	ID       chuterun.WorkerID
+	Service  string
+	Address  string // host:port
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity chutecapacity.Amount
+	Draining bool
+	Remains  time.Duration // least time until a draining worker leaves
+	Cold     time.Duration // how much longer it is slow after its start
+	Life     int64         // start of its process in milliseconds since 1970; differs between lives under one id
+}
+
+// Worker is the immutable state of one worker.
+type Worker struct {
+	Listing
+	Listed     bool // the list names it
+	Greeted    bool // it has answered this scheduler in its present life, so that what it runs is known
+	Lost       bool // it did not answer until its lease had run out
+	Clock      Clock
+	Holding    bool      // a renewal is on the way
+	HeldAt     time.Time // when the latest renewal was sent
+	LookAgain  bool      // what it runs must be asked at once
+	HoldAfter  time.Time // no renewal is sent before this moment
+	Misses     int       // renewals without an answer since the latest answer
+	LeaseUntil time.Time // nothing runs there after this moment, unless the lease is renewed
+	Handled    int64     // number of the latest end that was handled
+	Durable    int64     // number of the latest end whose consequence is recorded
+	Told       int64     // number of the latest end that the worker was told to forget
+	Strikes    int       // runs of different jobs in a row that failed there
+	StruckBy   chutegraph.JobID
+	RestUntil  time.Time // nothing is started there before this moment
+	ColdUntil  time.Time
+	runs       *immutable.SortedMap[chutegraph.RunID, Run]
+	reserved   chutecapacity.Amount
+}
+
+// Clock relates a worker's clock to this process's.
+type Clock struct {
+	Reading time.Duration // of the worker's clock
+	At      time.Time     // when the answer with the reading arrived
+}
+
+// Now returns the reading of the worker's clock at the moment, at least.
+func (c Clock) Now(now time.Time) time.Duration {
+	return c.Reading + now.Sub(c.At)
+}
+
+type runOrder struct{}
+
+// Compare orders runs by their ids.
+func (runOrder) Compare(a, b chutegraph.RunID) int {
+	return a.Compare(b)
+}
+
+// NewWorker returns a worker that has not been greeted.
+func NewWorker(listing Listing, now time.Time) Worker {
+	w := Worker{runs: immutable.NewSortedMap[chutegraph.RunID, Run](runOrder{})}
+	return w.WithListing(listing, now)
+}
+
+// WithListing returns the worker as the list describes it at the moment.
+func (w Worker) WithListing(listing Listing, now time.Time) Worker {
+	if listing.Draining && w.Draining {
+		listing.Remains = w.Remains
+	}
+	w.Listing = listing
+	w.Listed = true
+	if listing.Cold > 0 {
+		w.ColdUntil = now.Add(listing.Cold)
+	}
+	return w
+}
+
+// WithUnlisted returns the worker as one that the list no longer names.
+func (w Worker) WithUnlisted() Worker {
+	w.Listed = false
+	return w
+}
+
+// WithNewLife returns the worker as one that was started anew: nothing is known of what it runs.
+func (w Worker) WithNewLife(life int64) Worker {
+	w.Life = life
+	w.Greeted, w.Lost = false, false
+	w.Handled, w.Durable, w.Told = 0, 0, 0
+	w.Strikes = 0
+	w.Draining = false
+	return w
+}
+
+// Free returns the capacity that no run takes.
+func (w Worker) Free() chutecapacity.Amount {
+	return w.Capacity.Minus(w.reserved)
+}
+
+// Run returns the run, and false if the worker has none of the id.
+func (w Worker) Run(id chutegraph.RunID) (Run, bool) {
+	return w.runs.Get(id)
+}
+
+// Runs returns all runs in the order of their ids.
+func (w Worker) Runs() []Run {
+	runs := make([]Run, 0, w.runs.Len())
+	for i := w.runs.Iterator(); !i.Done(); {
+		_, r, _ := i.Next()
+		runs = append(runs, r)
+	}
+	return runs
+}
+
+// RunCount returns how many runs the worker has.
+func (w Worker) RunCount() int {
+	return w.runs.Len()
+}
+
+// WithRun returns the worker with the run added or changed.
+func (w Worker) WithRun(run Run) Worker {
+	if old, ok := w.runs.Get(run.ID); ok {
+		w.reserved = w.reserved.Minus(old.Reserved)
+	}
+	w.reserved = w.reserved.Plus(run.Reserved)
+	w.runs = w.runs.Set(run.ID, run)
+	return w
+}
+
+// WithoutRun returns the worker without the run.
+func (w Worker) WithoutRun(id chutegraph.RunID) Worker {
+	old, ok := w.runs.Get(id)
+	if !ok {
+		return w
+	}
+	w.reserved = w.reserved.Minus(old.Reserved)
+	w.runs = w.runs.Delete(id)
+	return w
+}
+
+// Working reports whether any run may be at work there, so that its lease must be renewed.
+func (w Worker) Working() bool {
+	for i := w.runs.Iterator(); !i.Done(); {
+		_, r, _ := i.Next()
+		if r.Phase >= RunOrdered {
+			return true
+		}
+	}
+	return false
+}
+
+// Usable reports whether new runs may be placed there at the moment.
+func (w Worker) Usable(now time.Time) bool {
+	return w.Listed && w.Greeted && !w.Draining && w.Misses == 0 && !now.Before(w.RestUntil)
+}
+
+// HasLabel reports whether the worker has the label.
+func (w Worker) HasLabel(label string) bool {
+	return label == "" || slices.Contains(w.Labels, label)
+}
--- a/chuteresult/result.go
+++ b/chuteresult/result.go
@@ -60,6 +60,9 @@
 	Forbidden          Code = 220
 	AlreadyEnded       Code = 221
 	BackendUnreachable Code = 222
+	UnknownKey         Code = 223
+	UnknownQueue       Code = 224
+	UnknownJob         Code = 225
 	AnswerLost         Code = 300
 	ConnectionBroken   Code = 301
 	ConnectionSilent   Code = 302
@@ -108,6 +111,9 @@
 	{Forbidden, "forbidden", 403, "The section belongs to another team."},
 	{AlreadyEnded, "already-ended", 409, "The job has ended; nothing is left to cancel."},
 	{BackendUnreachable, "backend-unreachable", 503, "No connection to the backend server could be made; nothing was sent."},
+	{UnknownKey, "unknown-key", 401, "The configuration in force has no such key."},
+	{UnknownQueue, "unknown-queue", 404, "The configuration in force has no queue for the call."},
+	{UnknownJob, "unknown-job", 410, "The store has no job of this id."},
 	{AnswerLost, "answer-lost", 504, "No answer arrived before the deadline."},
 	{ConnectionBroken, "connection-broken", 502, "The connection broke after bytes of the request had left."},
 	{ConnectionSilent, "connection-silent", 504, "The connection made no progress within its limit."},
--- a/chutering/ring.go
+++ b/chutering/ring.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 
+	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chuteevent"
 )
 
@@ -130,3 +131,64 @@
 func (e Effects) Gauge() Gauge {
 	return e.ring.gauge()
 }
+
+// EntryEvents carries events towards the core of an entry host.
+type EntryEvents struct{ ring *ring }
+
+// NewEntryEvents returns an empty ring for the number of events.
+func NewEntryEvents(name string, size int) EntryEvents {
+	return EntryEvents{ring: newRing(name, size)}
+}
+
+// Offer adds the event and reports whether there was room; it never waits.
+func (e EntryEvents) Offer(event chuteaction.Event) bool {
+	return e.ring.offer(event)
+}
+
+// Put adds the event, waits for room, and reports false if the context ended first.
+func (e EntryEvents) Put(ctx context.Context, event chuteaction.Event) bool {
+	return e.ring.put(ctx, event)
+}
+
+// Take removes the oldest event, waits for one, and reports false if the context ended first.
+func (e EntryEvents) Take(ctx context.Context) (chuteaction.Event, bool) {
+	item, ok := e.ring.take(ctx)
+	if !ok {
+		return nil, false
+	}
+	event, ok := item.(chuteaction.Event)
+	return event, ok
+}
+
+// Gauge tells how full the ring is.
+func (e EntryEvents) Gauge() Gauge {
+	return e.ring.gauge()
+}
+
+// EntryEffects carries effects from the core of an entry host to one or several duties.
+type EntryEffects struct{ ring *ring }
+
+// NewEntryEffects returns an empty ring for the number of effects.
+func NewEntryEffects(name string, size int) EntryEffects {
+	return EntryEffects{ring: newRing(name, size)}
+}
+
+// Offer adds the effect and reports whether there was room; it never waits.
+func (e EntryEffects) Offer(effect chuteaction.Effect) bool {
+	return e.ring.offer(effect)
+}
+
+// Take removes the oldest effect, waits for one, and reports false if the context ended first.
+func (e EntryEffects) Take(ctx context.Context) (chuteaction.Effect, bool) {
+	item, ok := e.ring.take(ctx)
+	if !ok {
+		return nil, false
+	}
+	effect, ok := item.(chuteaction.Effect)
+	return effect, ok
+}
+
+// Gauge tells how full the ring is.
+func (e EntryEffects) Gauge() Gauge {
+	return e.ring.gauge()
+}
--- /dev/null
+++ b/chuterow/row.go
@@ -0,0 +1,127 @@
+package chuterow
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuterun"
+)
+
+// form is the encoded form of a row: exactly one field is set.
+type form struct {
+	Submission *chuterun.Submission      `cbor:"1,keyasint,omitempty"`
+	Cancel     *chutegraph.JobID         `cbor:"2,keyasint,omitempty"`
+	Progress   *progressForm             `cbor:"3,keyasint,omitempty"`
+	Leader     *leaderForm               `cbor:"4,keyasint,omitempty"`
+	WaveState  *chuteaction.WaveStateRow `cbor:"5,keyasint,omitempty"`
+}
+
+type progressForm struct {
+	_           struct{} `cbor:",toarray"`
+	Job         chutegraph.JobID
+	Phase       chuterun.Phase
+	Occurrences [][][]taskForm
+	Finished    []bool
+}
+
+type taskForm struct {
+	_          struct{} `cbor:",toarray"`
+	Phase      chuterun.TaskPhase
+	Run        int
+	Worker     chuterun.WorkerID
+	Checkpoint string
+	Failures   int
+}
+
+type leaderForm struct {
+	_        struct{} `cbor:",toarray"`
+	Epoch    int64
+	Host     string
+	Process  string
+	Sequence int64
+	Released bool
+	Pending  map[string]int
+}
+
+// Encode returns the encoded form of a row that entry hosts write, or an error for any other.
+func Encode(value chuteaction.RowValue) ([]byte, error) {
+	var f form
+	switch v := value.(type) {
+	case chuteaction.SubmissionRow:
+		f.Submission = &v.Submission
+	case chuteaction.CancelRow:
+		f.Cancel = &v.Job
+	case chuteaction.ProgressRow:
+		f.Progress = newProgressForm(v)
+	case chuteaction.LeaderRow:
+		f.Leader = &leaderForm{
+			Epoch: v.Epoch, Host: v.Host, Process: v.Process, Sequence: v.Sequence, Released: v.Released, Pending: v.Pending,
+		}
+	case chuteaction.WaveStateRow:
+		f.WaveState = &v
+	case chuteaction.CatalogRow, chuteaction.EvacuationRow, chuteaction.WaveRow, chuteaction.WorkerRow:
+		return nil, errors.Errorf("row of type %T is not written by entry hosts", value)
+	}
+	body, err := cbor.Marshal(f)
+	return body, errors.Wrap(err, "row")
+}
+
+// Decode returns the row of an encoded form, or an error if it cannot be read.
+func Decode(body []byte) (chuteaction.RowValue, error) {
+	var f form
+	if err := cbor.Unmarshal(body, &f); err != nil {
+		return nil, errors.Wrap(err, "row")
+	}
+	switch {
+	case f.Submission != nil:
+		return chuteaction.SubmissionRow{Submission: *f.Submission}, nil
+	case f.Cancel != nil:
+		return chuteaction.CancelRow{Job: *f.Cancel}, nil
+	case f.Progress != nil:
+		return f.Progress.row(), nil
+	case f.Leader != nil:
+		l := f.Leader
+		return chuteaction.LeaderRow{
+			Epoch: l.Epoch, Host: l.Host, Process: l.Process, Sequence: l.Sequence, Released: l.Released, Pending: l.Pending,
+		}, nil
+	case f.WaveState != nil:
+		return *f.WaveState, nil
+	}
+	return nil, errors.New("row: holds nothing that is known")
+}
+
+func newProgressForm(v chuteaction.ProgressRow) *progressForm {
+	f := &progressForm{Job: v.Job, Phase: v.Phase, Finished: v.Finished, Occurrences: make([][][]taskForm, len(v.Occurrences))}
+	for k, steps := range v.Occurrences {
+		if steps == nil {
+			continue
+		}
+		f.Occurrences[k] = make([][]taskForm, len(steps))
+		for s, tasks := range steps {
+			f.Occurrences[k][s] = make([]taskForm, len(tasks))
+			for i, t := range tasks {
+				f.Occurrences[k][s][i] = taskForm{Phase: t.Phase, Run: t.Run, Worker: t.Worker, Checkpoint: t.Checkpoint, Failures: t.Failures}
+			}
+		}
+	}
+	return f
+}
+
+func (f *progressForm) row() chuteaction.ProgressRow {
+	p := chuterun.Progress{Phase: f.Phase, Finished: f.Finished, Occurrences: make([][][]chuterun.Task, len(f.Occurrences))}
+	for k, steps := range f.Occurrences {
+		if steps == nil {
+			continue
+		}
+		p.Occurrences[k] = make([][]chuterun.Task, len(steps))
+		for s, tasks := range steps {
+			p.Occurrences[k][s] = make([]chuterun.Task, len(tasks))
+			for i, t := range tasks {
+				p.Occurrences[k][s][i] = chuterun.Task{Phase: t.Phase, Run: t.Run, Worker: t.Worker, Checkpoint: t.Checkpoint, Failures: t.Failures}
+			}
+		}
+	}
+	return chuteaction.ProgressRow{Job: f.Job, Progress: p}
+}
--- /dev/null
+++ b/chuterun/doc.go
@@ -0,0 +1,2 @@
+// Package chuterun holds the state of jobs, their tasks and the runs of these.
+package chuterun
--- /dev/null
+++ b/chutescheduler/plan.go
@@ -0,0 +1,202 @@
+package chutescheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteplacement"
+	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chuterun"
+)
+
+// plan gives room to tasks that wait and takes it from work that must yield.
+func (t *turn) plan() {
+	if !t.planDue && t.Now.Sub(t.plannedAt) < planInterval {
+		return
+	}
+	t.planDue = false
+	t.plannedAt = t.Now
+	demands := t.demands()
+	if len(demands) == 0 {
+		return
+	}
+	view := chuteplacement.View{Now: t.Now, Workers: t.roomView(), Groups: t.groups(), Demands: demands}
+	for _, decision := range chuteplacement.Plan(view) {
+		switch d := decision.(type) {
+		case chuteplacement.Start:
+			t.assign(d)
+		case chuteplacement.Evict:
+			t.Log(part, "run yields", d.Run.Task.Job, "run", d.Run, "to", d.For, "wasted", d.Cost)
+			t.stopRun(d.Worker, d.Run, "yields")
+		}
+	}
+}
+
+// assign gives a task its next run on the worker; it is recorded before its order leaves.
+func (t *turn) assign(d chuteplacement.Start) {
+	j, ok := t.live.Get(d.Task.Job)
+	if !ok {
+		return
+	}
+	w, ok := t.pool.Get(d.Worker)
+	if !ok {
+		return
+	}
+	task, _ := j.Task(d.Task)
+	number := task.Run + 1
+	if j.Step(d.Task.StepID).Gang {
+		number = gangRun(j, d.Task)
+	}
+	if j.Phase == chuterun.PhaseQueued {
+		t.Log(part, "job starts", j.ID, "queue", j.Queue, "waited", t.Now.Sub(j.Seen), "task", d.Task, "worker", d.Worker)
+	}
+	t.putJob(j.WithPhase(chuterun.PhaseRunning).WithTask(d.Task, task.WithRun(number, d.Worker)))
+	run := chutepool.Run{
+		ID: chutegraph.RunID{Task: d.Task, Number: number}, Reserved: j.Step(d.Task.StepID).Reserved(),
+		Priority: t.priority(j), Checkpoint: task.Checkpoint,
+	}
+	t.putWorker(w.WithRun(run.WithPhase(chutepool.RunPlanned, t.Now)))
+}
+
+// gangRun returns the number of the run that all members of a gang share: one more than any member had, or that of the
+// members that have just been given room.
+func gangRun(j chuterun.Job, id chutegraph.TaskID) int {
+	highest, active := 0, 0
+	for _, task := range j.Tasks(id.StepID) {
+		highest = max(highest, task.Run)
+		if task.Phase == chuterun.TaskActive {
+			active = max(active, task.Run)
+		}
+	}
+	if active > 0 {
+		return active
+	}
+	return highest + 1
+}
+
+// priority returns the priority of a job's queue in force.
+func (t *turn) priority(j chuterun.Job) int {
+	if q, ok := t.environment.Catalog.Queue(j.Queue); ok {
+		return q.Priority
+	}
+	return j.Priority
+}
+
+// service returns the service whose workers run the job.
+func (t *turn) service(j chuterun.Job) string {
+	if q, ok := t.environment.Catalog.Queue(j.Queue); ok {
+		return q.Service
+	}
+	return j.Service
+}
+
+// ranked is a demand with what decides on its turn.
+type ranked struct {
+	demand chuteplacement.Demand
+	order  int64
+}
+
+// demands returns the steps that wait for room, in the order in which they are served.
+func (t *turn) demands() []chuteplacement.Demand {
+	var list []ranked
+	for i := t.live.Iterator(); !i.Done(); {
+		_, j, _ := i.Next()
+		list = t.appendDemands(list, j)
+	}
+	slices.SortStableFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.demand.Priority, b.demand.Priority), cmp.Compare(a.order, b.order))
+	})
+	demands := make([]chuteplacement.Demand, len(list))
+	for i, r := range list {
+		demands[i] = r.demand
+	}
+	return demands
+}
+
+func (t *turn) appendDemands(list []ranked, j chuterun.Job) []ranked {
+	for k, steps := range j.Occurrences {
+		for s := range steps {
+			id := chutegraph.StepID{Job: j.ID, Occurrence: k, Step: s}
+			if d, ok := t.demand(j, id); ok {
+				list = append(list, ranked{demand: d, order: j.Order})
+			}
+		}
+	}
+	return list
+}
+
+func (t *turn) demand(j chuterun.Job, id chutegraph.StepID) (chuteplacement.Demand, bool) {
+	step := j.Step(id)
+	tasks := j.Tasks(id)
+	priority := t.priority(j)
+	d := chuteplacement.Demand{
+		ID: id, Step: step, Service: t.service(j), Priority: priority, Preempts: priority == 0,
+		Present: make(map[chuterun.WorkerID]int),
+	}
+	for i, task := range tasks {
+		switch task.Phase {
+		case chuterun.TaskWaiting:
+			d.Indexes = append(d.Indexes, i)
+		case chuterun.TaskActive:
+			d.Present[task.Worker]++
+		case chuterun.TaskDone:
+		}
+	}
+	if len(d.Indexes) == 0 || step.Gang && len(d.Indexes) < len(tasks) || !j.StepOpen(id) {
+		return chuteplacement.Demand{}, false
+	}
+	return d, true
+}
+
+// roomView returns the workers that may be given work.
+func (t *turn) roomView() []chuteplacement.Worker {
+	var rooms []chuteplacement.Worker
+	for _, w := range t.pool.All() {
+		if !w.Usable(t.Now) || !t.mayStartOn(w) {
+			continue
+		}
+		room := chuteplacement.Worker{
+			ID: w.ID, Service: w.Service, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.Free(),
+		}
+		for _, r := range w.Runs() {
+			if r.Phase == chutepool.RunStopping {
+				room.Freeing = room.Freeing.Plus(r.Reserved)
+			}
+		}
+		if t.Now.Before(w.ColdUntil) {
+			room.Penalty = coldPenalty
+		}
+		rooms = append(rooms, room)
+	}
+	return rooms
+}
+
+// coldPenalty puts a worker that is slow after its start behind all others.
+const coldPenalty = 2.0
+
+// groups returns the work that may be stopped for more urgent work.
+func (t *turn) groups() []chuteplacement.Group {
+	var groups []chuteplacement.Group
+	gangs := make(map[chutegraph.StepID]int)
+	for _, w := range t.pool.All() {
+		for _, r := range w.Runs() {
+			if r.Priority == 0 || r.Phase == chutepool.RunStopping || r.Phase == chutepool.RunWriting {
+				continue
+			}
+			at := len(groups)
+			if j, ok := t.Job(r.ID.Task.Job); ok && j.Step(r.ID.Task.StepID).Gang {
+				if known, ok := gangs[r.ID.Task.StepID]; ok {
+					at = known
+				}
+				gangs[r.ID.Task.StepID] = at
+			}
+			if at == len(groups) {
+				groups = append(groups, chuteplacement.Group{Priority: r.Priority})
+			}
+			groups[at].Cost += r.Unsaved(t.Now)
+			groups[at].Members = append(groups[at].Members, chuteplacement.Member{Run: r.ID, Worker: w.ID, Reserved: r.Reserved})
+		}
+	}
+	return groups
+}
--- a/cmd/monsoonchuted/main.go
+++ b/cmd/monsoonchuted/main.go
@@ -16,20 +16,27 @@
 
 // command is the daemon's command line.
 type command struct {
+	Serve    serveCommand    `cmd:"" default:"withargs" help:"Run an entry host with settings in TOML."`
+	Platform platformCommand `cmd:"" help:"Run an entry host on the users' platform, with the settings file that it names."`
+}
+
+// serveCommand runs an entry host with the project's own interface.
+type serveCommand struct {
 	Settings string `help:"TOML file with the settings." required:"" type:"existingfile"`
 	Check    bool   `help:"Check the settings and exit."`
 }
 
 func main() {
 	var c command
-	kong.Parse(&c, kong.Description("Runs an entry host until it is interrupted, then stops it as planned."))
-	if err := c.run(); err != nil {
+	parsed := kong.Parse(&c, kong.Description("Runs an entry host until it is interrupted, then stops it as planned."))
+	if err := parsed.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "monsoonchuted:", err)
 		os.Exit(1)
 	}
 }
 
-func (c command) run() error {
+// Run runs the entry host until it is told to stop.
+func (c serveCommand) Run() error {
 	settings, err := chutesettings.Load(c.Settings)
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/monsoonchuted/platform.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"monsoonchute.example/monsoonchute/chutedaemon"
+	"monsoonchute.example/monsoonchute/chuteduty"
+	"monsoonchute.example/monsoonchute/chuteentry"
+	"monsoonchute.example/monsoonchute/chutemetric"
+	"monsoonchute.example/monsoonchute/platform"
+)
+
+const (
+	// maxTakeoverJitter spreads the moments at which hosts take over from a silent leader.
+	maxTakeoverJitter = 400 * time.Millisecond
+	// drainShare is the part of the grace during which a stopping host still takes calls.
+	drainShare = 0.45
+	// finishShare is the part of the grace in which calls in progress may end.
+	finishShare = 0.3
+)
+
+// platformCommand runs an entry host on the users' platform.
+type platformCommand struct {
+	Check bool `help:"Check the settings and exit."`
+}
+
+// Run runs the entry host until it is told to stop.
+func (c platformCommand) Run() error {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stdout, nil)).With("host", settings.Host)
+	if c.Check {
+		log.Info("settings: valid", "zone", settings.Zone, "store", settings.StoreAddress)
+		return nil
+	}
+	cleanUp, err := startPlatform(settings, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			log.Info("daemon: told to stop", "signal", s.String())
+			break
+		}
+		reload(settings, log)
+	}
+	cleanUp()
+	log.Info("daemon: stopped")
+	return nil
+}
+
+// reload reads the settings anew. What a running host uses of them cannot change, so that a difference is only told.
+func reload(former platform.Settings, log *slog.Logger) {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		log.Warn("settings: new ones are not valid, the former stay in force", "error", err.Error())
+		return
+	}
+	log.Info("settings: read anew", "changed", settings != former)
+}
+
+// startPlatform starts all parts of an entry host, and returns a clean-up function that stops them as planned.
+func startPlatform(settings platform.Settings, log *slog.Logger) (func(), error) {
+	listeners, err := listenAll(settings)
+	if err != nil {
+		return nil, err
+	}
+	process := uuid.NewString()
+	metrics, endMetrics := chutemetric.New()
+	store, endStore := platform.NewStore(settings.StoreAddress)
+	workers, endWorkers := platform.NewWorkers()
+	core := chuteentry.Settings{
+		Host: settings.Host, Process: process, Jitter: jitterOf(settings.Host), Bounds: settings.Bounds,
+	}
+	finish := time.Duration(float64(settings.Grace) * finishShare)
+	daemon, endDaemon := chutedaemon.New(core, store, workers, metrics, log, finish)
+	group, endGroup := chuteduty.New(log)
+	front, endFront := platform.NewFront(listeners.front, daemon, log, group.Go)
+	endReady := platform.ServeReady(listeners.ready, daemon, log, group.Go)
+	serveMetrics(listeners.metrics, metrics, group, log)
+	log.Info("daemon: started", "process", process, "zone", settings.Zone, "front", settings.FrontAddress, "store", settings.StoreAddress)
+	return func() {
+		daemon.Leave()
+		front.Leave()
+		drain := time.NewTimer(time.Duration(float64(settings.Grace) * drainShare))
+		defer drain.Stop()
+		<-drain.C
+		endFront(finish)
+		endReady()
+		endDaemon()
+		endWorkers()
+		endStore()
+		endMetrics()
+		_ = listeners.metrics.Close()
+		endGroup()
+	}, nil
+}
+
+// jitterOf spreads hosts by their names.
+func jitterOf(host string) time.Duration {
+	return time.Duration(xxhash.Sum64String(host) % uint64(maxTakeoverJitter))
+}
+
+type listenerSet struct {
+	front   net.Listener
+	ready   net.Listener
+	metrics net.Listener
+}
+
+func listenAll(settings platform.Settings) (listenerSet, error) {
+	var set listenerSet
+	var err error
+	if set.front, err = net.Listen("tcp", settings.FrontAddress); err != nil {
+		return set, errors.Wrap(err, "front")
+	}
+	if set.ready, err = net.Listen("tcp", settings.ReadyAddress); err != nil {
+		return set, errors.Wrap(err, "ready")
+	}
+	if set.metrics, err = net.Listen("tcp", settings.MetricsAddress); err != nil {
+		return set, errors.Wrap(err, "metrics")
+	}
+	return set, nil
+}
+
+func serveMetrics(listener net.Listener, metrics *chutemetric.Metrics, group *chuteduty.Group, log *slog.Logger) {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", metrics.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	group.Go("metrics", func(context.Context) {
+		if err := server.Serve(listener); err != nil && !errors.Is(err, net.ErrClosed) {
+			log.Error("metrics: listener ended", "error", err.Error())
+		}
+	})
+}
