--- a/chuteaction/row.go
+++ b/chuteaction/row.go
@@ -19,10 +19,11 @@
 	TableJobs                      // submissions and cancellations, written by any entry host
 	TableProgress                  // written by the scheduler
 	TableLeaders                   // one row for each shard
+	TableHosts                     // written by each entry host at its start
 	TableWaves                     // progress of waves of maintenance
 )
 
-var tableNames = []string{"", "operator", "workers", "jobs", "progress", "leaders", "waves"}
+var tableNames = []string{"", "operator", "workers", "jobs", "progress", "leaders", "hosts", "waves"}
 
 // String returns the kebab-case name of the table.
 func (t Table) String() string {
@@ -77,6 +78,12 @@
 	Pending  map[string]int // by queue: accepted jobs of which no task has started
 }
 
+// HostRow tells which process of an entry host runs; a former one has ended.
+type HostRow struct {
+	Host    string
+	Process string
+}
+
 // CatalogRow holds the configuration in force.
 type CatalogRow struct{ chutecatalog.Catalog }
 
@@ -107,6 +114,7 @@
 func (CancelRow) sealedRowValue()     {}
 func (ProgressRow) sealedRowValue()   {}
 func (LeaderRow) sealedRowValue()     {}
+func (HostRow) sealedRowValue()       {}
 func (CatalogRow) sealedRowValue()    {}
 func (EvacuationRow) sealedRowValue() {}
 func (WaveRow) sealedRowValue()       {}
@@ -116,6 +124,9 @@
 // ShardPart is the part that holds the rows of the scheduler.
 const ShardPart = "shard-0"
 
+// HostsPart is the part that holds the rows of the entry hosts.
+const HostsPart = "hosts"
+
 // IntakePart is the part that holds submissions and cancellations.
 const IntakePart = "intake"
 
@@ -134,6 +145,11 @@
 	return RowKey{Table: TableProgress, Part: ShardPart, Key: string(id)}
 }
 
+// HostKey names the row of an entry host.
+func HostKey(host string) RowKey {
+	return RowKey{Table: TableHosts, Part: HostsPart, Key: host}
+}
+
 // LeaderKey names the row of the scheduler.
 func LeaderKey() RowKey {
 	return RowKey{Table: TableLeaders, Part: ShardPart, Key: "leader"}
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -23,7 +23,9 @@
 	leaderWait = 600 * time.Millisecond
 	// maxBatchRows is the number of rows of one write of the scheduler, beside the leader's own.
 	maxBatchRows = 95
-	part         = "entry"
+	// announcePause is the wait before the record of this process is written again.
+	announcePause = time.Second
+	part          = "entry"
 )
 
 // Settings are what the core is told at its start.
@@ -46,12 +48,16 @@
 	intake    chuteintake.State
 	scheduler *chutescheduler.State // nil unless this host leads
 	stopping  bool
-	releasing bool // the leadership is being given up
-	stopped   bool
+	// announcement is the token of the write that tells which process runs; it is repeated at announceAt, if set.
+	announcement chuteaction.Token
+	announceAt   time.Time
+	releasing    bool // the leadership is being given up
+	stopped      bool
 }
 
 // New returns the state of a host that has read nothing.
 func New(settings Settings) State {
+	settings.Bounds.UnprovedLimit = chuteleader.UnprovedLimit
 	return State{
 		settings: settings, zonesOut: immutable.NewSortedMap[string, chuteaction.RowVersion](nil),
 		leader: chuteleader.New(settings.Host, settings.Process, settings.Jitter), intake: chuteintake.New(),
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -1,6 +1,8 @@
 package chuteentry
 
 import (
+	"time"
+
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chuteleader"
 	"monsoonchute.example/monsoonchute/chutescheduler"
@@ -58,11 +60,25 @@
 		return
 	}
 	t.state.started = true
+	t.announce()
 	t.Emit(chuteaction.FollowTable{Table: chuteaction.TableOperator, Wait: operatorWait})
 	t.Emit(chuteaction.FollowTable{Table: chuteaction.TableLeaders, Pause: leaderPause, Wait: leaderWait})
 }
 
+// announce records which process of this host runs, so that a successor knows that a former one has ended.
+func (t *turn) announce() {
+	t.state.announcement = t.Token()
+	t.Emit(chuteaction.WriteRows{Token: t.state.announcement, Put: []chuteaction.Row{{
+		RowKey: chuteaction.HostKey(t.state.settings.Host),
+		Value:  chuteaction.HostRow{Host: t.state.settings.Host, Process: t.state.settings.Process},
+	}}})
+}
+
 func (t *turn) tick() {
+	if t.state.announceAt.Before(t.Now) && !t.state.announceAt.IsZero() {
+		t.state.announceAt = time.Time{}
+		t.announce()
+	}
 	t.state.intake = t.state.intake.Tick(t.Turn)
 	if t.state.stopping && t.state.scheduler == nil && t.state.leader.Role() == chuteleader.RoleFollower {
 		return
@@ -97,6 +113,12 @@
 	if e.Outcome == chuteaction.StoreDone || e.Outcome == chuteaction.StoreConflict {
 		t.state.contactAt = t.Now
 	}
+	if e.Token == t.state.announcement {
+		if e.Outcome != chuteaction.StoreDone {
+			t.state.announceAt = t.Now.Add(announcePause)
+		}
+		return
+	}
 	if t.state.leader.Owns(e.Token) {
 		leader, verdict := t.state.leader.Written(t.Turn, e)
 		t.state.leader = leader
@@ -111,7 +133,7 @@
 	switch verdict {
 	case chuteleader.VerdictNone:
 	case chuteleader.VerdictElected:
-		t.setScheduler(chutescheduler.New(t.Turn, t.state.leader.Epoch(), t.state.settings.Bounds))
+		t.setScheduler(chutescheduler.New(t.Turn, t.state.leader.Epoch(), t.state.leader.Former(), t.state.settings.Bounds))
 		t.Emit(chuteaction.UnfollowTable{Table: chuteaction.TableLeaders})
 	case chuteleader.VerdictCommitted:
 		if t.state.leader.Row().Released {
@@ -142,7 +164,7 @@
 		t.state.contactAt = t.Now
 	}
 	if t.state.scheduler != nil && t.state.scheduler.Owns(e.Token) {
-		t.setScheduler(t.state.scheduler.Progress(t.Turn, t.state.environment(), e))
+		t.setScheduler(t.state.scheduler.Read(t.Turn, t.state.environment(), e))
 		return
 	}
 	t.state.intake = t.state.intake.Read(t.Turn, e)
@@ -163,7 +185,7 @@
 		if t.state.scheduler != nil {
 			t.setScheduler(t.state.scheduler.Workers(t.Turn, t.state.environment(), e))
 		}
-	case chuteaction.TableProgress, chuteaction.TableWaves:
+	case chuteaction.TableProgress, chuteaction.TableHosts, chuteaction.TableWaves:
 	}
 }
 
--- a/chuteleader/leader.go
+++ b/chuteleader/leader.go
@@ -17,7 +17,7 @@
 	resendAfter = 100 * time.Millisecond
 	// UnprovedLimit is how long a leader goes on without a successful write. Its successor waits as long for workers
 	// that it cannot reach.
-	UnprovedLimit = 15 * time.Second
+	UnprovedLimit = 12 * time.Second
 	part          = "leader"
 )
 
@@ -49,6 +49,7 @@
 	jitter    time.Duration // more patience of this host before it takes over
 	role      Role
 	row       chuteaction.LeaderRow
+	former    chuteaction.LeaderRow // of the leader before this host
 	version   chuteaction.RowVersion
 	changedAt time.Time // when the row was last seen to change; zero before the first news
 	heardAt   time.Time // of the latest news about the row
@@ -80,6 +81,11 @@
 	return s.row
 }
 
+// Former returns the row of the leader that this host took over from.
+func (s State) Former() chuteaction.LeaderRow {
+	return s.former
+}
+
 // HeardAt returns when the store last answered about the leader's row.
 func (s State) HeardAt() time.Time {
 	return s.heardAt
@@ -158,6 +164,7 @@
 	t.Log(part, "takeover tried", "", "former", s.row.Host, "epoch", s.row.Epoch+1, "reason", reason,
 		"unchanged", t.Now.Sub(s.changedAt), "version", s.version)
 	s.role = RoleCandidate
+	s.former = s.row
 	row := chuteaction.LeaderRow{Epoch: s.row.Epoch + 1, Host: s.host, Process: s.process, Pending: s.row.Pending}
 	return s.send(t, row, nil, nil)
 }
--- a/chutepool/run.go
+++ b/chutepool/run.go
@@ -32,6 +32,7 @@
 	StoppedAt   time.Time // when the worker answered a stop order; zero before
 	Working     time.Time // when it was first confirmed; zero before
 	Saved       time.Time // when its checkpoint last changed, or when it began
+	Life        int64     // of the worker when it last listed the run; 0 before
 	Checkpoint  string
 	Percent     int
 	Advanced    time.Time // when its progress last changed
@@ -79,8 +80,9 @@
 	return r
 }
 
-// WithReport returns the run with what its worker says of it at the moment.
-func (r Run) WithReport(checkpoint string, percent int, now time.Time) Run {
+// WithReport returns the run with what its worker, in one of its lives, says of it at the moment.
+func (r Run) WithReport(life int64, checkpoint string, percent int, now time.Time) Run {
+	r.Life = life
 	if checkpoint != r.Checkpoint {
 		r.Checkpoint = checkpoint
 		r.Saved = now
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -31,18 +31,22 @@
 	Listing
 	Listed     bool // the list names it
 	Greeted    bool // it has answered this scheduler in its present life, so that what it runs is known
-	Lost       bool // it did not answer until its lease had run out
+	Left       bool // the list dropped it so soon after an answer that it must have ended, if it answers no more
+	AnsweredAt time.Time
+	SeenAt     time.Duration // reading of its clock in the latest list of what it runs
+	Lost       bool          // it did not answer until its lease had run out
 	Clock      Clock
-	Holding    bool      // a renewal is on the way
-	HeldAt     time.Time // when the latest renewal was sent
-	LookAgain  bool      // what it runs must be asked at once
-	HoldAfter  time.Time // no renewal is sent before this moment
-	Misses     int       // renewals without an answer since the latest answer
-	LeaseUntil time.Time // nothing runs there after this moment, unless the lease is renewed
-	Handled    int64     // number of the latest end that was handled
-	Durable    int64     // number of the latest end whose consequence is recorded
-	Told       int64     // number of the latest end that the worker was told to forget
-	Strikes    int       // runs of different jobs in a row that failed there
+	Holding    bool          // a renewal is on the way
+	HeldAt     time.Time     // when the latest renewal was sent
+	LookAgain  bool          // what it runs must be asked at once
+	HoldAfter  time.Time     // no renewal is sent before this moment
+	Misses     int           // renewals without an answer since the latest answer
+	LeaseEnd   time.Duration // of the latest lease, on the worker's clock
+	LeaseUntil time.Time     // nothing runs there after this moment, unless the lease is renewed
+	Handled    int64         // number of the latest end that was handled
+	Durable    int64         // number of the latest end whose consequence is recorded
+	Told       int64         // number of the latest end that the worker was told to forget
+	Strikes    int           // runs of different jobs in a row that failed there
 	StruckBy   chutegraph.JobID
 	RestUntil  time.Time // nothing is started there before this moment
 	ColdUntil  time.Time
@@ -81,6 +85,7 @@
 	}
 	w.Listing = listing
 	w.Listed = true
+	w.Left = false
 	if listing.Cold > 0 {
 		w.ColdUntil = now.Add(listing.Cold)
 	}
@@ -98,6 +103,7 @@
 	w.Life = life
 	w.Greeted, w.Lost = false, false
 	w.Handled, w.Durable, w.Told = 0, 0, 0
+	w.SeenAt, w.LeaseEnd = 0, 0
 	w.Strikes = 0
 	w.Draining = false
 	return w
--- a/chuterow/row.go
+++ b/chuterow/row.go
@@ -15,6 +15,7 @@
 	Cancel     *chutegraph.JobID         `cbor:"2,keyasint,omitempty"`
 	Progress   *progressForm             `cbor:"3,keyasint,omitempty"`
 	Leader     *leaderForm               `cbor:"4,keyasint,omitempty"`
+	Host       *chuteaction.HostRow      `cbor:"6,keyasint,omitempty"`
 	WaveState  *chuteaction.WaveStateRow `cbor:"5,keyasint,omitempty"`
 }
 
@@ -59,6 +60,8 @@
 		f.Leader = &leaderForm{
 			Epoch: v.Epoch, Host: v.Host, Process: v.Process, Sequence: v.Sequence, Released: v.Released, Pending: v.Pending,
 		}
+	case chuteaction.HostRow:
+		f.Host = &v
 	case chuteaction.WaveStateRow:
 		f.WaveState = &v
 	case chuteaction.CatalogRow, chuteaction.EvacuationRow, chuteaction.WaveRow, chuteaction.WorkerRow:
@@ -86,6 +89,8 @@
 		return chuteaction.LeaderRow{
 			Epoch: l.Epoch, Host: l.Host, Process: l.Process, Sequence: l.Sequence, Released: l.Released, Pending: l.Pending,
 		}, nil
+	case f.Host != nil:
+		return *f.Host, nil
 	case f.WaveState != nil:
 		return *f.WaveState, nil
 	}
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -9,8 +9,11 @@
 	"monsoonchute.example/monsoonchute/chuterun"
 )
 
-// Progress takes the rows of the read after the takeover.
-func (s State) Progress(t *chuteaction.Turn, environment Environment, e chuteaction.RowsRead) State {
+// Read takes the rows of a read after the takeover.
+func (s State) Read(t *chuteaction.Turn, environment Environment, e chuteaction.RowsRead) State {
+	if e.Token == s.hostToken {
+		return s.hostsRead(t, environment, e)
+	}
 	if e.Outcome != chuteaction.StoreDone {
 		t.Count("store-retry", "progress-read")
 		return s.readProgress(t)
@@ -22,6 +25,23 @@
 	return u.State
 }
 
+// hostsRead looks whether the process of the former scheduler has ended: then nobody renews leases in its name.
+func (s State) hostsRead(t *chuteaction.Turn, environment Environment, e chuteaction.RowsRead) State {
+	if e.Outcome != chuteaction.StoreDone {
+		t.Count("store-retry", "hosts-read")
+		return s.readHosts(t)
+	}
+	u := s.turn(t, environment)
+	u.hasHosts = true
+	for _, r := range e.Rows {
+		if row, ok := r.Value.(chuteaction.HostRow); ok && row.Host == u.former.Host && row.Process != u.former.Process {
+			u.formerEnd = true
+		}
+	}
+	u.mergeProgress()
+	return u.State
+}
+
 // Submissions takes news of the jobs that clients handed in or cancelled.
 func (s State) Submissions(t *chuteaction.Turn, environment Environment, e chuteaction.TableChanged) State {
 	u := s.turn(t, environment)
@@ -55,7 +75,7 @@
 
 // mergeProgress joins what was submitted with what was recorded, once both have been read, and asks for the workers.
 func (t *turn) mergeProgress() {
-	if !t.hasRows || !t.hasJobs {
+	if !t.hasRows || !t.hasJobs || !t.hasHosts {
 		return
 	}
 	runs := 0
@@ -76,10 +96,14 @@
 		}
 		t.live = t.live.Delete(j.ID)
 		t.keepJob(j)
+		if cancelled && row.Phase != j.Phase {
+			t.putJob(j)
+		}
 		runs += t.inheritRuns(j)
 	}
 	t.progress = nil
-	t.Log(part, "jobs read", "", "live", t.live.Len(), "ended", t.ended.Len(), "runs", runs)
+	t.Log(part, "jobs read", "", "live", t.live.Len(), "ended", t.ended.Len(), "runs", runs,
+		"former", t.former.Host, "former-ended", t.formerEnd)
 	t.Emit(chuteaction.FollowTable{Table: chuteaction.TableWorkers, Pause: workersPause, Wait: followWait})
 }
 
@@ -94,7 +118,7 @@
 		w, ok := t.pool.Get(task.Worker)
 		if !ok {
 			w = chutepool.NewWorker(chutepool.Listing{ID: task.Worker}, t.Now).WithUnlisted()
-			w.LeaseUntil = t.Now.Add(inheritedLimit).Add(t.longestLease())
+			w.LeaseUntil = t.inheritedLease()
 		}
 		run := chutepool.Run{
 			ID: chutegraph.RunID{Task: id, Number: task.Run}, Reserved: j.Step(id.StepID).Reserved(),
@@ -105,8 +129,15 @@
 	return count
 }
 
-// inheritedLimit is how long a former scheduler may have renewed leases without contact to the store.
-const inheritedLimit = 15 * time.Second
+// inheritedLease returns when the lease of a worker is over that this scheduler cannot reach. A former scheduler that
+// may still live may go on renewing it for a while.
+func (t *turn) inheritedLease() time.Time {
+	until := t.takenAt.Add(t.longestLease())
+	if !t.formerEnd {
+		until = until.Add(t.bounds.UnprovedLimit)
+	}
+	return until
+}
 
 // cancelled ends a job whose cancellation is recorded.
 func (t *turn) cancelled(id chutegraph.JobID) {
--- a/chutescheduler/run.go
+++ b/chutescheduler/run.go
@@ -24,18 +24,19 @@
 	maxStrikes = 2
 )
 
-// leaseFor returns the end, on the worker's clock, of a lease that is given now.
-func (t *turn) leaseFor(w chutepool.Worker) time.Duration {
-	return w.Clock.Now(t.Now) + t.bounds.MaxLease
-}
 
 // longestLease returns how long a lease may last on this process's clock.
 func (s State) longestLease() time.Duration {
 	return time.Duration(float64(s.bounds.MaxLease)*(1+leaseDrift)) + leaseMargin
 }
 
+// leased returns the worker with a lease that begins now. One that does not answer keeps its lease as it is, so that it
+// runs out although orders which may have arrived are repeated.
 func (t *turn) leased(w chutepool.Worker) chutepool.Worker {
-	w.LeaseUntil = t.Now.Add(t.longestLease())
+	if w.Misses == 0 {
+		w.LeaseEnd = w.Clock.Now(t.Now) + t.bounds.MaxLease
+		w.LeaseUntil = t.Now.Add(t.longestLease())
+	}
 	return w
 }
 
@@ -46,9 +47,10 @@
 		return
 	}
 	task, _ := j.Task(r.ID.Task)
-	t.putWorker(t.leased(w).WithRun(r.WithOrder().WithOutstanding(true)))
+	w = t.leased(w)
+	t.putWorker(w.WithRun(r.WithOrder().WithOutstanding(true)))
 	t.Emit(chuteaction.StartRun{
-		WorkerTarget: t.target(w), Run: r.ID, Payload: j.Spec.Payload, LeaseEnd: t.leaseFor(w),
+		WorkerTarget: t.target(w), Run: r.ID, Payload: j.Spec.Payload, LeaseEnd: w.LeaseEnd,
 		Checkpoint: task.Checkpoint, Ticket: r.Ticket,
 	})
 }
@@ -79,6 +81,7 @@
 	if clock > 0 {
 		w.Clock = chutepool.Clock{Reading: clock, At: t.Now}
 	}
+	w.AnsweredAt = t.Now
 	t.putWorker(w.WithRun(r.WithPhase(chutepool.RunWorking, t.Now)))
 	if j, ok := t.Job(r.ID.Task.Job); ok {
 		t.Emit(chuteaction.Observe{Histogram: "start", Kind: j.Queue, Took: t.Now.Sub(j.Seen)})
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -19,6 +19,8 @@
 	MaxLease    time.Duration // longest lease that a worker grants
 	GangTimeout time.Duration // how long members of a gang wait for the others
 	StopTimeout time.Duration // how long a stop takes at most
+	// UnprovedLimit is how long a scheduler renews leases without a successful write to the store.
+	UnprovedLimit time.Duration
 }
 
 // Environment is what the scheduler is told with each event.
@@ -37,13 +39,17 @@
 	pool      chutepool.Pool
 	dirty     *immutable.SortedMap[chutegraph.JobID, bool] // jobs whose progress is to be recorded
 	batch     batch
-	progress  []chuteaction.Row // read before the submissions were
-	hasRows   bool              // the progress of all jobs has been read
-	hasJobs   bool              // all submissions have been read
-	hasPool   bool              // all workers have been read
+	former    chuteaction.LeaderRow // the scheduler before this one
+	formerEnd bool                  // its process has certainly ended
+	progress  []chuteaction.Row     // read before the submissions were
+	hasHosts  bool                  // the processes of all hosts have been read
+	hasRows   bool                  // the progress of all jobs has been read
+	hasJobs   bool                  // all submissions have been read
+	hasPool   bool                  // all workers have been read
 	planDue   bool
 	plannedAt time.Time
 	readToken chuteaction.Token
+	hostToken chuteaction.Token
 }
 
 // batch is a write that is on the way.
@@ -60,15 +66,15 @@
 }
 
 // New starts a scheduler for the epoch: it reads the progress of all jobs and follows the submissions.
-func New(t *chuteaction.Turn, epoch int64, bounds Bounds) State {
+func New(t *chuteaction.Turn, epoch int64, former chuteaction.LeaderRow, bounds Bounds) State {
 	s := State{
-		epoch: epoch, bounds: bounds, takenAt: t.Now, pool: chutepool.New(),
+		epoch: epoch, former: former, formerEnd: former.Epoch == 0 || former.Released, bounds: bounds, takenAt: t.Now, pool: chutepool.New(),
 		live:  immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
 		ended: immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
 		dirty: immutable.NewSortedMap[chutegraph.JobID, bool](nil),
 	}
 	t.Emit(chuteaction.FollowTable{Table: chuteaction.TableJobs, Wait: followWait})
-	return s.readProgress(t)
+	return s.readHosts(t).readProgress(t)
 }
 
 // followWait is how long the store may wait for a new submission or worker.
@@ -83,6 +89,12 @@
 	return s
 }
 
+func (s State) readHosts(t *chuteaction.Turn) State {
+	s.hostToken = t.Token()
+	t.Emit(chuteaction.ReadRows{Token: s.hostToken, Table: chuteaction.TableHosts, Part: chuteaction.HostsPart})
+	return s
+}
+
 // End stops what the scheduler follows, as another host leads from now on.
 func (s State) End(t *chuteaction.Turn) {
 	t.Emit(chuteaction.UnfollowTable{Table: chuteaction.TableJobs})
@@ -127,9 +139,9 @@
 	return pending
 }
 
-// Owns reports whether the token belongs to the scheduler's read.
+// Owns reports whether the token belongs to a read of the scheduler.
 func (s State) Owns(token chuteaction.Token) bool {
-	return s.readToken == token && !s.hasRows
+	return s.readToken == token && !s.hasRows || s.hostToken == token && !s.hasHosts
 }
 
 // turn is the handling of one event.
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -115,8 +115,8 @@
 func (t *turn) renew(w chutepool.Worker, wait time.Duration) {
 	end := time.Duration(0)
 	if w.Greeted {
-		end = t.leaseFor(w)
 		w = t.leased(w)
+		end = w.LeaseEnd
 	}
 	w.Holding = true
 	w.LookAgain = false
--- a/chutescheduler/worker.go
+++ b/chutescheduler/worker.go
@@ -75,9 +75,14 @@
 	t.Log(part, "worker is listed no longer", "", "worker", id, "reason", reason, "runs", w.RunCount())
 	w = w.WithUnlisted()
 	w.HoldAfter = t.Now
+	w.Left = w.Greeted && t.Now.Sub(w.AnsweredAt) < leftLimit
 	t.putWorker(w)
 }
 
+// leftLimit is the age of a worker's latest answer under which its entry cannot have lapsed by silence: a worker that
+// vanishes from the list so soon, and answers no more, has left.
+const leftLimit = 3 * time.Second
+
 // lifeBegan enters that a worker was started anew: what it ran is gone, but orders that are on the way may still
 // reach it.
 func (t *turn) lifeBegan(w chutepool.Worker, life int64) {
@@ -88,18 +93,27 @@
 	w.HoldAfter = t.Now
 	t.putWorker(w)
 	for _, r := range former.Runs() {
-		switch r.Phase {
-		case chutepool.RunWorking:
-			t.releaseRun(w.ID, r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndLost})
-		case chutepool.RunOrdered:
-			t.stopRun(w.ID, r.ID, "worker-restarted")
-		case chutepool.RunStopping:
-			if !r.Unanswered {
-				t.releaseRun(w.ID, r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndLost})
-			}
-		case chutepool.RunPlanned, chutepool.RunWriting:
-			t.stopRun(w.ID, r.ID, "worker-restarted")
+		t.outliveRun(w.ID, r)
+	}
+}
+
+// outliveRun draws the consequence of a worker's new life for a run. One that the worker never listed may have been
+// started in the new life, although the answer to its order came before the news.
+func (t *turn) outliveRun(id chuterun.WorkerID, r chutepool.Run) {
+	switch r.Phase {
+	case chutepool.RunWorking:
+		if r.Life != 0 {
+			t.releaseRun(id, r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndLost})
+			return
+		}
+		w, _ := t.pool.Get(id)
+		t.putWorker(w.WithRun(r.WithPhase(chutepool.RunWorking, t.Now)))
+	case chutepool.RunStopping:
+		if r.Life != 0 && !r.Unanswered {
+			t.releaseRun(id, r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndLost})
 		}
+	case chutepool.RunOrdered, chutepool.RunPlanned, chutepool.RunWriting:
+		t.stopRun(id, r.ID, "worker-restarted")
 	}
 }
 
@@ -159,6 +173,13 @@
 	}
 	t.Count("renewal-missed", reason)
 	w.Misses++
+	if w.Left {
+		t.putWorker(w)
+		t.Count("worker-lost", "left")
+		t.Log(part, "worker has left", "", "worker", w.ID, "runs", w.RunCount())
+		t.loseWorker(w)
+		return
+	}
 	w.HoldAfter = t.Now.Add(missPause(w))
 	t.putWorker(w)
 }
@@ -187,12 +208,18 @@
 	if e.Life != 0 {
 		w.Life = e.Life
 	}
+	stale := w.Greeted && e.Clock < w.SeenAt // answers may overtake each other
+	w.SeenAt = max(w.SeenAt, e.Clock)
 	w.Clock = chutepool.Clock{Reading: e.Clock, At: t.Now}
 	w.Misses, w.Lost = 0, false
+	w.AnsweredAt = t.Now
 	first := !w.Greeted
 	w.Greeted = true
 	t.putWorker(w)
 	t.enterEnds(w.ID, e.Ended)
+	if stale {
+		return
+	}
 	t.enterRunning(w.ID, e.Running)
 	t.findAbsent(w.ID, e, first)
 }
@@ -219,8 +246,21 @@
 		if r.Phase == chutepool.RunOrdered {
 			r = r.WithPhase(chutepool.RunWorking, t.Now)
 		}
-		t.putWorker(w.WithRun(r.WithReport(report.Checkpoint, report.Percent, t.Now)))
+		t.putWorker(w.WithRun(r.WithReport(w.Life, report.Checkpoint, report.Percent, t.Now)))
+		if !t.expected(id, report.Run) {
+			t.stopRun(id, report.Run, "not-expected")
+		}
+	}
+}
+
+// expected reports whether the run is the one that its task should have at work on the worker.
+func (t *turn) expected(worker chuterun.WorkerID, run chutegraph.RunID) bool {
+	j, ok := t.live.Get(run.Task.Job)
+	if !ok {
+		return false
 	}
+	task, ok := j.Task(run.Task)
+	return ok && task.Phase == chuterun.TaskActive && task.Run == run.Number && task.Worker == worker
 }
 
 // adopt stops a run that nobody should have at work there; until it has ended, it takes room.
