Reach the store through another entry host while the direct way fails

Change: chuterelay sends a request to the store directly, and over WebSocket with CBOR through a peer if that fails; a peer never passes it on. Conditions make a request that went both ways take effect once.

--- a/chuteaction/effect.go
+++ b/chuteaction/effect.go
@@ -68,6 +68,9 @@
 // UnfollowTable ends the news about a table.
 type UnfollowTable struct{ Table Table }
 
+// KnowPeers tells where the other entry hosts take requests to the store.
+type KnowPeers struct{ Addresses []string }
+
 // WorkerTarget tells where an order goes and under whose authority.
 type WorkerTarget struct {
 	Worker  chuterun.WorkerID
@@ -145,6 +148,7 @@
 func (ReadRows) sealedEffect()      {}
 func (FollowTable) sealedEffect()   {}
 func (UnfollowTable) sealedEffect() {}
+func (KnowPeers) sealedEffect()     {}
 func (StartRun) sealedEffect()      {}
 func (StopRun) sealedEffect()       {}
 func (RenewLease) sealedEffect()    {}
--- a/chuteaction/row.go
+++ b/chuteaction/row.go
@@ -82,6 +82,7 @@
 type HostRow struct {
 	Host    string
 	Process string
+	Address string // where the host takes requests to the store from others
 }
 
 // CatalogRow holds the configuration in force.
--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -53,6 +53,12 @@
 	Forget(worker chuterun.WorkerID)
 }
 
+// Peers are the other entry hosts, through which the store may be reached.
+type Peers interface {
+	// SetPeers sets their addresses.
+	SetPeers(addresses []string)
+}
+
 // Daemon is a running entry host.
 type Daemon struct {
 	events    chutering.EntryEvents
@@ -62,6 +68,7 @@
 	followers *followers
 	renewers  *renewers
 	workers   Workers
+	peers     Peers
 	metrics   *chutemetric.Metrics
 	log       *slog.Logger
 	logs      *logWriter
@@ -71,12 +78,12 @@
 }
 
 // New starts the duties of an entry host, and returns a clean-up function that stops it as planned, within the limit.
-func New(settings chuteentry.Settings, store Store, workers Workers, metrics *chutemetric.Metrics, log *slog.Logger, stopLimit time.Duration) (*Daemon, func()) {
+func New(settings chuteentry.Settings, store Store, workers Workers, peers Peers, metrics *chutemetric.Metrics, log *slog.Logger, stopLimit time.Duration) (*Daemon, func()) {
 	group, endDuties := chuteduty.New(log)
 	d := &Daemon{
 		events: chutering.NewEntryEvents("core", eventRingSize), exchange: newExchange(),
 		store: chutering.NewEntryEffects("store", storeRingSize), orders: chutering.NewEntryEffects("orders", orderRingSize),
-		workers: workers, metrics: metrics, log: log, stopped: make(chan struct{}),
+		workers: workers, peers: peers, metrics: metrics, log: log, stopped: make(chan struct{}),
 	}
 	d.followers = newFollowers(group, store, d.events, log)
 	d.renewers = newRenewers(group, workers, d.events)
@@ -156,6 +163,8 @@
 		d.followers.follow(f)
 	case chuteaction.UnfollowTable:
 		d.followers.unfollow(f.Table)
+	case chuteaction.KnowPeers:
+		d.peers.SetPeers(f.Addresses)
 	case chuteaction.StartRun:
 		d.carryOrder(f, chuteaction.RunStarted{
 			Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnhealthy,
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -23,6 +23,8 @@
 	leaderWait = 600 * time.Millisecond
 	// maxBatchRows is the number of rows of one write of the scheduler, beside the leader's own.
 	maxBatchRows = 95
+	// hostsWait is how long the store may wait for a change of the hosts.
+	hostsWait = 10 * time.Second
 	// announcePause is the wait before the record of this process is written again.
 	announcePause = time.Second
 	part          = "entry"
@@ -32,6 +34,7 @@
 type Settings struct {
 	Host    string
 	Process string        // new at each start
+	Relay   string        // address where this host takes requests to the store from others; empty for none
 	Jitter  time.Duration // more patience of this host before it takes over
 	Bounds  chutescheduler.Bounds
 }
@@ -51,7 +54,8 @@
 	// announcement is the token of the write that tells which process runs; it is repeated at announceAt, if set.
 	announcement chuteaction.Token
 	announceAt   time.Time
-	releasing    bool // the leadership is being given up
+	peers        *immutable.SortedMap[string, string] // addresses of the other hosts, by name
+	releasing    bool                                 // the leadership is being given up
 	stopped      bool
 }
 
@@ -59,7 +63,7 @@
 func New(settings Settings) State {
 	settings.Bounds.UnprovedLimit = chuteleader.UnprovedLimit
 	return State{
-		settings: settings, zonesOut: immutable.NewSortedMap[string, chuteaction.RowVersion](nil),
+		settings: settings, peers: immutable.NewSortedMap[string, string](nil), zonesOut: immutable.NewSortedMap[string, chuteaction.RowVersion](nil),
 		leader: chuteleader.New(settings.Host, settings.Process, settings.Jitter), intake: chuteintake.New(),
 	}
 }
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -63,6 +63,7 @@
 	t.announce()
 	t.Emit(chuteaction.FollowTable{Table: chuteaction.TableOperator, Wait: operatorWait})
 	t.Emit(chuteaction.FollowTable{Table: chuteaction.TableLeaders, Pause: leaderPause, Wait: leaderWait})
+	t.Emit(chuteaction.FollowTable{Table: chuteaction.TableHosts, Pause: leaderPause, Wait: hostsWait})
 }
 
 // announce records which process of this host runs, so that a successor knows that a former one has ended.
@@ -70,7 +71,7 @@
 	t.state.announcement = t.Token()
 	t.Emit(chuteaction.WriteRows{Token: t.state.announcement, Put: []chuteaction.Row{{
 		RowKey: chuteaction.HostKey(t.state.settings.Host),
-		Value:  chuteaction.HostRow{Host: t.state.settings.Host, Process: t.state.settings.Process},
+		Value:  chuteaction.HostRow{Host: t.state.settings.Host, Process: t.state.settings.Process, Address: t.state.settings.Relay},
 	}}})
 }
 
@@ -185,10 +186,31 @@
 		if t.state.scheduler != nil {
 			t.setScheduler(t.state.scheduler.Workers(t.Turn, t.state.environment(), e))
 		}
-	case chuteaction.TableProgress, chuteaction.TableHosts, chuteaction.TableWaves:
+	case chuteaction.TableHosts:
+		t.hostsChanged(e)
+	case chuteaction.TableProgress, chuteaction.TableWaves:
 	}
 }
 
+// hostsChanged learns where the other hosts take requests to the store.
+func (t *turn) hostsChanged(e chuteaction.TableChanged) {
+	known := t.state.peers
+	for _, r := range e.Rows {
+		if row, ok := r.Value.(chuteaction.HostRow); ok && row.Host != t.state.settings.Host && row.Address != "" {
+			t.state.peers = t.state.peers.Set(row.Host, row.Address)
+		}
+	}
+	if t.state.peers == known {
+		return
+	}
+	var addresses []string
+	for i := t.state.peers.Iterator(); !i.Done(); {
+		_, address, _ := i.Next()
+		addresses = append(addresses, address)
+	}
+	t.Emit(chuteaction.KnowPeers{Addresses: addresses})
+}
+
 // operatorChanged adopts newer configurations and the zones in which nothing may start.
 func (t *turn) operatorChanged(e chuteaction.TableChanged) {
 	present := make(map[string]bool)
--- a/chuteentry/world_test.go
+++ b/chuteentry/world_test.go
@@ -239,7 +239,7 @@
 		w.clients.answered(f)
 	case chuteaction.LogLine:
 		w.trace = append(w.trace, fmt.Sprintf("%9s %s %s: %s %s %v", w.since().Round(time.Millisecond), h.name, f.Part, f.Text, f.Job, f.Fields))
-	case chuteaction.ForgetWorker, chuteaction.Count, chuteaction.Observe, chuteaction.Stopped, chuteaction.AskApproval:
+	case chuteaction.KnowPeers, chuteaction.ForgetWorker, chuteaction.Count, chuteaction.Observe, chuteaction.Stopped, chuteaction.AskApproval:
 	}
 }
 
--- /dev/null
+++ b/chuterelay/doc.go
@@ -0,0 +1,2 @@
+// Package chuterelay finds a way to the store: directly, or through another entry host that still reaches it.
+package chuterelay
--- /dev/null
+++ b/chuterelay/path.go
@@ -0,0 +1,144 @@
+package chuterelay
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"monsoonchute.example/monsoonchute/chuteduty"
+)
+
+const (
+	// probeInterval is the time between two looks whether the store is reached directly again.
+	probeInterval = 500 * time.Millisecond
+	// maxPeersAsked is the number of peers that one request is given to at most.
+	maxPeersAsked = 2
+)
+
+// Direct sends requests to the store itself. Its errors are ErrRefused, or any other for a request without an answer.
+type Direct interface {
+	// Do sends one request.
+	Do(ctx context.Context, request Request) (Answer, error)
+	// Probe sends a request that changes nothing.
+	Probe(ctx context.Context) error
+}
+
+// Paths sends requests to the store on the way that works.
+type Paths struct {
+	direct Direct
+	peers  *peers
+	log    *slog.Logger
+	lost   atomic.Bool // the direct way does not work
+	wake   chan struct{}
+}
+
+// New serves the peers at the listener and sends requests to the store directly, or through a peer while the direct way
+// does not work. The clean-up function ends all connections.
+func New(listener net.Listener, direct Direct, log *slog.Logger) (*Paths, func()) {
+	group, endGroup := chuteduty.New(log)
+	p := &Paths{direct: direct, peers: newPeers(group, log), log: log, wake: make(chan struct{}, 1)}
+	endServer := serve(group, listener, p, log)
+	group.Go("probe", p.runProbes)
+	return p, func() {
+		endServer()
+		endGroup()
+	}
+}
+
+// SetPeers sets the addresses of the other entry hosts.
+func (p *Paths) SetPeers(addresses []string) {
+	p.peers.set(addresses)
+}
+
+// Direct reports whether the store is reached without a peer.
+func (p *Paths) Direct() bool {
+	return !p.lost.Load()
+}
+
+// Do sends a request. If one way fails, the other is tried: requests must take effect at most once by their own
+// conditions. The error is ErrRefused only if no way can have reached the store.
+func (p *Paths) Do(ctx context.Context, request Request) (Answer, error) {
+	if p.lost.Load() {
+		answer, err := p.relay(ctx, request)
+		if !errors.Is(err, ErrRefused) {
+			return answer, err
+		}
+		return p.direct.Do(ctx, request)
+	}
+	answer, err := p.direct.Do(ctx, request)
+	if err == nil || ctx.Err() != nil {
+		return answer, err
+	}
+	p.lose(err)
+	relayed, relayErr := p.relay(ctx, request)
+	if relayErr == nil {
+		return relayed, nil
+	}
+	if errors.Is(err, ErrRefused) && errors.Is(relayErr, ErrRefused) {
+		return Answer{}, ErrRefused
+	}
+	return Answer{}, ErrNoAnswer
+}
+
+// lose notes that the direct way does not work, and has it probed.
+func (p *Paths) lose(err error) {
+	if p.lost.Swap(true) {
+		return
+	}
+	p.log.Warn("relay: the store is not reached directly", "error", err.Error())
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *Paths) runProbes(ctx context.Context) {
+	for {
+		select {
+		case <-p.wake:
+		case <-ctx.Done():
+			return
+		}
+		p.probeUntilFound(ctx)
+	}
+}
+
+func (p *Paths) probeUntilFound(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if err := p.direct.Probe(ctx); err == nil {
+			p.lost.Store(false)
+			p.log.Info("relay: the store is reached directly again")
+			return
+		}
+	}
+}
+
+// relay gives a request to peers in turn until one has reached the store.
+func (p *Paths) relay(ctx context.Context, request Request) (Answer, error) {
+	for range maxPeersAsked {
+		answer, err := p.peers.ask(ctx, request)
+		if !errors.Is(err, ErrRefused) {
+			return answer, err
+		}
+	}
+	return Answer{}, ErrRefused
+}
+
+// relayed carries out a peer's request. It is never given to a further peer.
+func (p *Paths) relayed(ctx context.Context, request Request) (Answer, error) {
+	if p.lost.Load() {
+		return Answer{}, ErrRefused
+	}
+	return p.direct.Do(ctx, request)
+}
--- /dev/null
+++ b/chuterelay/peer.go
@@ -0,0 +1,203 @@
+package chuterelay
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/pkg/errors"
+
+	"monsoonchute.example/monsoonchute/chuteduty"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to a peer.
+	dialTimeout = 400 * time.Millisecond
+	// relayMargin is added to a request's timeout when it goes through a peer.
+	relayMargin = 100 * time.Millisecond
+)
+
+// peers gives requests to other entry hosts. It stays with one as long as that one reaches the store.
+type peers struct {
+	group     *chuteduty.Group
+	log       *slog.Logger
+	mutex     sync.Mutex
+	addresses []string
+	current   int // index of the peer that is asked next
+	links     map[string]*link
+}
+
+func newPeers(group *chuteduty.Group, log *slog.Logger) *peers {
+	return &peers{group: group, log: log, links: make(map[string]*link)}
+}
+
+func (p *peers) set(addresses []string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.addresses = slices.Clone(addresses)
+	p.current = 0
+}
+
+// ask gives the request to the current peer; one that does not help is followed by the next.
+func (p *peers) ask(ctx context.Context, request Request) (Answer, error) {
+	address, ok := p.pick()
+	if !ok {
+		return Answer{}, ErrRefused
+	}
+	l, err := p.link(ctx, address)
+	if err != nil {
+		p.skip(address)
+		return Answer{}, ErrRefused
+	}
+	answer, err := l.ask(ctx, request)
+	if err != nil {
+		p.skip(address)
+	}
+	if errors.Is(err, ErrNoAnswer) {
+		p.drop(address, l)
+	}
+	return answer, err
+}
+
+func (p *peers) pick() (string, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.addresses) == 0 {
+		return "", false
+	}
+	return p.addresses[p.current%len(p.addresses)], true
+}
+
+// skip makes the peer after the one given the current one.
+func (p *peers) skip(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.addresses) > 0 && p.addresses[p.current%len(p.addresses)] == address {
+		p.current++
+	}
+}
+
+// link returns the connection to the peer, and opens one if there is none.
+func (p *peers) link(ctx context.Context, address string) (*link, error) {
+	p.mutex.Lock()
+	l, ok := p.links[address]
+	p.mutex.Unlock()
+	if ok {
+		return l, nil
+	}
+	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	connection, response, err := dialer.DialContext(ctx, "ws://"+address+relayPath, nil)
+	if response != nil && response.Body != nil {
+		_ = response.Body.Close()
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	connection.SetReadLimit(maxFrameBytes)
+	l = &link{writer: &frameWriter{connection: connection}, waiting: make(map[uint64]chan frame)}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if other, raced := p.links[address]; raced {
+		_ = connection.Close()
+		return other, nil
+	}
+	p.links[address] = l
+	p.log.Info("relay: requests to the store go through a peer", "peer", address)
+	p.group.Go("relay-link", func(ctx context.Context) {
+		l.receive(ctx)
+		p.drop(address, l)
+	})
+	return l, nil
+}
+
+func (p *peers) drop(address string, l *link) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.links[address] == l {
+		delete(p.links, address)
+	}
+	_ = l.writer.connection.Close()
+}
+
+// link is a connection to one peer.
+type link struct {
+	writer  *frameWriter
+	mutex   sync.Mutex
+	last    uint64
+	waiting map[uint64]chan frame
+}
+
+// ask sends a request and waits for the answer of the same id.
+func (l *link) ask(ctx context.Context, request Request) (Answer, error) {
+	id, answers := l.open()
+	defer l.close(id)
+	if err := l.writer.write(frame{ID: id, Request: &request}); err != nil {
+		return Answer{}, ErrNoAnswer
+	}
+	timer := time.NewTimer(request.Timeout + relayMargin)
+	defer timer.Stop()
+	select {
+	case f := <-answers:
+		if f.Answer == nil {
+			f.Answer = &Answer{}
+		}
+		return *f.Answer, f.Verdict.err()
+	case <-timer.C:
+		return Answer{}, ErrNoAnswer
+	case <-ctx.Done():
+		return Answer{}, ErrNoAnswer
+	}
+}
+
+func (l *link) open() (uint64, chan frame) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.last++
+	answers := make(chan frame, 1)
+	l.waiting[l.last] = answers
+	return l.last, answers
+}
+
+func (l *link) close(id uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.waiting, id)
+}
+
+// receive hands answers to those who wait for them, until the connection ends.
+func (l *link) receive(ctx context.Context) {
+	unwatch := context.AfterFunc(ctx, func() { _ = l.writer.connection.Close() })
+	defer unwatch()
+	for {
+		_, body, err := l.writer.connection.ReadMessage()
+		if err != nil {
+			break
+		}
+		f, err := decode(body)
+		if err != nil {
+			break
+		}
+		l.mutex.Lock()
+		answers, ok := l.waiting[f.ID]
+		delete(l.waiting, f.ID)
+		l.mutex.Unlock()
+		if ok {
+			answers <- f
+		}
+	}
+	l.failAll()
+}
+
+// failAll tells all who wait that no answer will come.
+func (l *link) failAll() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for id, answers := range l.waiting {
+		answers <- frame{ID: id, Verdict: verdictNoAnswer}
+		delete(l.waiting, id)
+	}
+}
--- /dev/null
+++ b/chuterelay/server.go
@@ -0,0 +1,130 @@
+package chuterelay
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/valyala/fasthttp"
+
+	"monsoonchute.example/monsoonchute/chuteduty"
+)
+
+const (
+	// relayPath is the path of the peers' listener.
+	relayPath = "/v1/relay"
+	// writeTimeout bounds the sending of one frame.
+	writeTimeout = 2 * time.Second
+	// idleTimeout is how long an unused connection between hosts is kept.
+	idleTimeout = time.Minute
+	// maxRelayed is the number of requests that a host carries out for its peers at once.
+	maxRelayed = 64
+)
+
+// quietLogger drops the library's lines on broken connections.
+type quietLogger struct{}
+
+// Printf does nothing.
+func (quietLogger) Printf(string, ...any) {}
+
+// server carries out the requests of peers.
+type server struct {
+	group *chuteduty.Group
+	paths *Paths
+	log   *slog.Logger
+	slots chan struct{}
+}
+
+func serve(group *chuteduty.Group, listener net.Listener, paths *Paths, log *slog.Logger) func() {
+	s := &server{group: group, paths: paths, log: log, slots: make(chan struct{}, maxRelayed)}
+	http := &fasthttp.Server{Handler: s.upgrade, NoDefaultServerHeader: true, Logger: quietLogger{}}
+	group.Go("relay-listener", func(context.Context) {
+		if err := http.Serve(listener); err != nil {
+			log.Error("relay: the listener failed", "error", err.Error())
+		}
+	})
+	return func() {
+		if err := listener.Close(); err != nil {
+			log.Warn("relay: the listener did not close", "error", err.Error())
+		}
+	}
+}
+
+func (s *server) upgrade(c *fasthttp.RequestCtx) {
+	if string(c.Path()) != relayPath {
+		c.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	upgrader := websocket.FastHTTPUpgrader{}
+	if err := upgrader.Upgrade(c, s.receive); err != nil {
+		s.log.Warn("relay: an upgrade failed", "peer", c.RemoteAddr().String(), "error", err.Error())
+	}
+}
+
+// receive carries out a peer's requests, several at once, until its connection ends.
+func (s *server) receive(connection *websocket.Conn) {
+	connection.SetReadLimit(maxFrameBytes)
+	ctx := s.group.Context()
+	unwatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	defer unwatch()
+	writer := &frameWriter{connection: connection}
+	for {
+		if err := connection.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+			break
+		}
+		_, body, err := connection.ReadMessage()
+		if err != nil {
+			break
+		}
+		f, err := decode(body)
+		if err != nil || f.Request == nil {
+			s.log.Warn("relay: a frame is malformed, the connection is closed", "peer", connection.RemoteAddr().String())
+			break
+		}
+		s.answer(ctx, writer, f)
+	}
+	_ = connection.Close()
+}
+
+// answer carries out one request on a duty of its own, or refuses it if too many are on the way.
+func (s *server) answer(ctx context.Context, writer *frameWriter, f frame) {
+	select {
+	case s.slots <- struct{}{}:
+	default:
+		s.reply(writer, frame{ID: f.ID, Verdict: verdictRefused})
+		return
+	}
+	s.group.Go("relayed", func(context.Context) {
+		defer func() { <-s.slots }()
+		answer, err := s.paths.relayed(ctx, *f.Request)
+		s.reply(writer, frame{ID: f.ID, Answer: &answer, Verdict: verdictOf(err)})
+	})
+}
+
+func (s *server) reply(writer *frameWriter, f frame) {
+	if err := writer.write(f); err != nil {
+		s.log.Warn("relay: an answer could not be sent", "error", err.Error())
+	}
+}
+
+// frameWriter lets several duties write to one connection.
+type frameWriter struct {
+	mutex      sync.Mutex
+	connection *websocket.Conn
+}
+
+func (w *frameWriter) write(f frame) error {
+	body, err := encode(f)
+	if err != nil {
+		return err
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if err := w.connection.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return w.connection.WriteMessage(websocket.BinaryMessage, body)
+}
--- a/chutescheduler/run.go
+++ b/chutescheduler/run.go
@@ -24,7 +24,6 @@
 	maxStrikes = 2
 )
 
-
 // longestLease returns how long a lease may last on this process's clock.
 func (s State) longestLease() time.Duration {
 	return time.Duration(float64(s.bounds.MaxLease)*(1+leaseDrift)) + leaseMargin
--- a/cmd/monsoonchuted/platform.go
+++ b/cmd/monsoonchuted/platform.go
@@ -18,6 +18,7 @@
 	"monsoonchute.example/monsoonchute/chuteduty"
 	"monsoonchute.example/monsoonchute/chuteentry"
 	"monsoonchute.example/monsoonchute/chutemetric"
+	"monsoonchute.example/monsoonchute/chuterelay"
 	"monsoonchute.example/monsoonchute/platform"
 )
 
@@ -82,13 +83,14 @@
 	}
 	process := uuid.NewString()
 	metrics, endMetrics := chutemetric.New()
-	store, endStore := platform.NewStore(settings.StoreAddress)
+	direct, endDirect := platform.NewDirectStore(settings.StoreAddress)
+	paths, endPaths := chuterelay.New(listeners.relay, direct, log)
 	workers, endWorkers := platform.NewWorkers()
 	core := chuteentry.Settings{
-		Host: settings.Host, Process: process, Jitter: jitterOf(settings.Host), Bounds: settings.Bounds,
+		Host: settings.Host, Process: process, Relay: settings.RelayAddress, Jitter: jitterOf(settings.Host), Bounds: settings.Bounds,
 	}
 	finish := time.Duration(float64(settings.Grace) * finishShare)
-	daemon, endDaemon := chutedaemon.New(core, store, workers, metrics, log, finish)
+	daemon, endDaemon := chutedaemon.New(core, platform.NewStore(paths), workers, paths, metrics, log, finish)
 	group, endGroup := chuteduty.New(log)
 	front, endFront := platform.NewFront(listeners.front, daemon, log, group.Go)
 	endReady := platform.ServeReady(listeners.ready, daemon, log, group.Go)
@@ -104,7 +106,8 @@
 		endReady()
 		endDaemon()
 		endWorkers()
-		endStore()
+		endPaths()
+		endDirect()
 		endMetrics()
 		_ = listeners.metrics.Close()
 		endGroup()
@@ -120,6 +123,7 @@
 	front   net.Listener
 	ready   net.Listener
 	metrics net.Listener
+	relay   net.Listener
 }
 
 func listenAll(settings platform.Settings) (listenerSet, error) {
@@ -134,6 +138,9 @@
 	if set.metrics, err = net.Listen("tcp", settings.MetricsAddress); err != nil {
 		return set, errors.Wrap(err, "metrics")
 	}
+	if set.relay, err = net.Listen("tcp", settings.RelayAddress); err != nil {
+		return set, errors.Wrap(err, "relay")
+	}
 	return set, nil
 }
 
