Mend the relay: wait for answers before a connection is given back, and leave the direct way only for one that works

Its test found that a stopping host did not end the connections of its peers, which the HTTP library closes only when their handler returns.

Change: a connection waits for the answers that are written to it; the direct way is given up only when a peer has reached the store; a daemon of which a part has ended by a fault exits instead of living on in part; a stop interrupts the reading from peers.

--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -72,6 +72,7 @@
 	metrics   *chutemetric.Metrics
 	log       *slog.Logger
 	logs      *logWriter
+	group     *chuteduty.Group
 	refused   []chuteaction.Event // events of effects that found a full ring, for the core's next turns
 	serving   atomic.Bool
 	stopped   chan struct{}
@@ -83,7 +84,7 @@
 	d := &Daemon{
 		events: chutering.NewEntryEvents("core", eventRingSize), exchange: newExchange(),
 		store: chutering.NewEntryEffects("store", storeRingSize), orders: chutering.NewEntryEffects("orders", orderRingSize),
-		workers: workers, peers: peers, metrics: metrics, log: log, stopped: make(chan struct{}),
+		workers: workers, peers: peers, metrics: metrics, log: log, group: group, stopped: make(chan struct{}),
 	}
 	d.followers = newFollowers(group, store, d.events, log)
 	d.renewers = newRenewers(group, workers, d.events)
@@ -116,6 +117,11 @@
 	d.events.Offer(chuteaction.StopWanted{})
 }
 
+// Failed returns a channel that is closed when a part of the daemon has ended by a fault.
+func (d *Daemon) Failed() <-chan struct{} {
+	return d.group.Failed()
+}
+
 // Serving reports whether the host should get new connections.
 func (d *Daemon) Serving() bool {
 	return d.serving.Load()
--- a/chuteduty/group.go
+++ b/chuteduty/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/panics"
@@ -14,12 +15,14 @@
 	stop context.CancelFunc
 	wait *conc.WaitGroup
 	log  *slog.Logger
+	fail chan struct{} // closed when a duty has panicked
+	once sync.Once
 }
 
 // New returns an empty group, and a clean-up function that ends its duties and waits for them.
 func New(log *slog.Logger) (*Group, func()) {
 	ctx, stop := context.WithCancel(context.Background())
-	g := &Group{ctx: ctx, stop: stop, wait: conc.NewWaitGroup(), log: log}
+	g := &Group{ctx: ctx, stop: stop, wait: conc.NewWaitGroup(), log: log, fail: make(chan struct{})}
 	return g, func() {
 		stop()
 		g.wait.Wait()
@@ -31,6 +34,11 @@
 	return g.ctx
 }
 
+// Failed returns a channel that is closed when a duty has panicked, so that the group has ended.
+func (g *Group) Failed() <-chan struct{} {
+	return g.fail
+}
+
 // Go runs the duty until it returns. A duty that panics is logged and ends the whole group, since its rings would
 // fill up without it.
 func (g *Group) Go(name string, duty func(ctx context.Context)) {
@@ -39,6 +47,7 @@
 		catcher.Try(func() { duty(g.ctx) })
 		if recovered := catcher.Recovered(); recovered != nil {
 			g.log.Error("duty: ended by a panic", "duty", name, "panic", recovered.String())
+			g.once.Do(func() { close(g.fail) })
 			g.stop()
 		}
 	})
--- a/chuterelay/path.go
+++ b/chuterelay/path.go
@@ -73,9 +73,9 @@
 	if err == nil || ctx.Err() != nil {
 		return answer, err
 	}
-	p.lose(err)
 	relayed, relayErr := p.relay(ctx, request)
 	if relayErr == nil {
+		p.lose(err) // the store works, only the direct way does not
 		return relayed, nil
 	}
 	if errors.Is(err, ErrRefused) && errors.Is(relayErr, ErrRefused) {
--- a/chuterelay/server.go
+++ b/chuterelay/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fasthttp/websocket"
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"monsoonchute.example/monsoonchute/chuteduty"
@@ -68,13 +69,18 @@
 func (s *server) receive(connection *websocket.Conn) {
 	connection.SetReadLimit(maxFrameBytes)
 	ctx := s.group.Context()
-	unwatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	unwatch := context.AfterFunc(ctx, func() { s.interrupt(connection) })
 	defer unwatch()
 	writer := &frameWriter{connection: connection}
+	answers := conc.NewWaitGroup()
+	defer answers.Wait() // the connection must not be given back while answers may be written to it
 	for {
 		if err := connection.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 			break
 		}
+		if ctx.Err() != nil {
+			break
+		}
 		_, body, err := connection.ReadMessage()
 		if err != nil {
 			break
@@ -84,20 +90,27 @@
 			s.log.Warn("relay: a frame is malformed, the connection is closed", "peer", connection.RemoteAddr().String())
 			break
 		}
-		s.answer(ctx, writer, f)
+		s.answer(ctx, answers, writer, f)
 	}
 	_ = connection.Close()
 }
 
+// interrupt ends the reading from a connection: the HTTP library closes it only when its handler returns.
+func (s *server) interrupt(connection *websocket.Conn) {
+	if err := connection.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		s.log.Warn("relay: a connection could not be interrupted", "error", err.Error())
+	}
+}
+
 // answer carries out one request on a duty of its own, or refuses it if too many are on the way.
-func (s *server) answer(ctx context.Context, writer *frameWriter, f frame) {
+func (s *server) answer(ctx context.Context, answers *conc.WaitGroup, writer *frameWriter, f frame) {
 	select {
 	case s.slots <- struct{}{}:
 	default:
 		s.reply(writer, frame{ID: f.ID, Verdict: verdictRefused})
 		return
 	}
-	s.group.Go("relayed", func(context.Context) {
+	answers.Go(func() {
 		defer func() { <-s.slots }()
 		answer, err := s.paths.relayed(ctx, *f.Request)
 		s.reply(writer, frame{ID: f.ID, Answer: &answer, Verdict: verdictOf(err)})
--- a/cmd/monsoonchuted/platform.go
+++ b/cmd/monsoonchuted/platform.go
@@ -47,22 +47,27 @@
 		log.Info("settings: valid", "zone", settings.Zone, "store", settings.StoreAddress)
 		return nil
 	}
-	cleanUp, err := startPlatform(settings, log)
+	failed, cleanUp, err := startPlatform(settings, log)
 	if err != nil {
 		return err
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
-	for s := range signals {
-		if s != syscall.SIGHUP {
+	for {
+		select {
+		case <-failed:
+			return errors.New("a part of the daemon has ended by a fault")
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				reload(settings, log)
+				continue
+			}
 			log.Info("daemon: told to stop", "signal", s.String())
-			break
+			cleanUp()
+			log.Info("daemon: stopped")
+			return nil
 		}
-		reload(settings, log)
 	}
-	cleanUp()
-	log.Info("daemon: stopped")
-	return nil
 }
 
 // reload reads the settings anew. What a running host uses of them cannot change, so that a difference is only told.
@@ -75,11 +80,12 @@
 	log.Info("settings: read anew", "changed", settings != former)
 }
 
-// startPlatform starts all parts of an entry host, and returns a clean-up function that stops them as planned.
-func startPlatform(settings platform.Settings, log *slog.Logger) (func(), error) {
+// startPlatform starts all parts of an entry host. It returns a channel that is closed when one of them has ended by a
+// fault, and a clean-up function that stops them as planned.
+func startPlatform(settings platform.Settings, log *slog.Logger) (<-chan struct{}, func(), error) {
 	listeners, err := listenAll(settings)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	process := uuid.NewString()
 	metrics, endMetrics := chutemetric.New()
@@ -96,7 +102,7 @@
 	endReady := platform.ServeReady(listeners.ready, daemon, log, group.Go)
 	serveMetrics(listeners.metrics, metrics, group, log)
 	log.Info("daemon: started", "process", process, "zone", settings.Zone, "front", settings.FrontAddress, "store", settings.StoreAddress)
-	return func() {
+	return daemon.Failed(), func() {
 		daemon.Leave()
 		front.Leave()
 		drain := time.NewTimer(time.Duration(float64(settings.Grace) * drainShare))
