Judge what stopping work wastes, wait for the workers' answers before planning, and avoid slow workers

After a takeover inherited runs seemed to have no unsaved work, and the first plan was made when only a few workers had answered, so gangs near their end were stopped for urgent jobs. Urgent jobs were late mostly on workers that were slow or stood still.

Change: unsaved work is judged from run time, progress and checkpoints; a new scheduler waits up to 400 ms for the workers' answers before it plans; chutespeed estimates each worker's speed from progress beside that of other tasks of the same step, and slow workers come last.

--- a/chutepool/run.go
+++ b/chutepool/run.go
@@ -33,6 +33,8 @@
 	Working     time.Time // when it was first confirmed; zero before
 	Saved       time.Time // when its checkpoint last changed, or when it began
 	Life        int64     // of the worker when it last listed the run; 0 before
+	Inherited   bool      // a former scheduler started it
+	ReadAt      time.Time // when its progress was last read
 	Checkpoint  string
 	Percent     int
 	Advanced    time.Time // when its progress last changed
@@ -45,7 +47,7 @@
 	r.Since = now
 	r.Orders = 0
 	if phase == RunWorking && r.Working.IsZero() {
-		r.Working, r.Saved, r.Advanced = now, now, now
+		r.Working, r.Saved, r.Advanced, r.ReadAt = now, now, now, now
 	}
 	return r
 }
@@ -91,13 +93,32 @@
 		r.Percent = percent
 		r.Advanced = now
 	}
+	r.ReadAt = now
 	return r
 }
 
-// Unsaved returns the core-seconds of work that a stop at the moment would waste.
-func (r Run) Unsaved(now time.Time) float64 {
-	if r.Working.IsZero() {
+// Unsaved returns the core-seconds of work that a stop at the moment would waste. The estimate of the run time stands in
+// for what this process has not seen itself.
+func (r Run) Unsaved(now time.Time, estimate time.Duration, checkpointing bool) float64 {
+	if r.Phase <= RunWriting {
 		return 0
 	}
-	return r.Reserved.Cores() * now.Sub(r.Saved).Seconds()
+	lost := now.Sub(r.Since)
+	if !r.Working.IsZero() {
+		lost = now.Sub(r.Working)
+	}
+	if r.Inherited {
+		lost = max(lost, estimate*time.Duration(max(r.Percent, inheritedPercent))/100)
+	}
+	if checkpointing {
+		lost = min(lost, now.Sub(r.Saved), longestUnsaved)
+	}
+	return r.Reserved.Cores() * lost.Seconds()
 }
+
+const (
+	// inheritedPercent is the progress that is assumed of a run whose start this process has not seen.
+	inheritedPercent = 50
+	// longestUnsaved bounds the time between two checkpoints of a task that makes them.
+	longestUnsaved = 2 * time.Second
+)
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -122,7 +122,7 @@
 		}
 		run := chutepool.Run{
 			ID: chutegraph.RunID{Task: id, Number: task.Run}, Reserved: j.Step(id.StepID).Reserved(),
-			Priority: j.Priority, Unanswered: true, Checkpoint: task.Checkpoint,
+			Priority: j.Priority, Unanswered: true, Inherited: true, Checkpoint: task.Checkpoint,
 		}.WithPhase(chutepool.RunOrdered, t.Now)
 		t.putWorker(w.WithRun(run))
 	})
@@ -167,6 +167,7 @@
 func (t *turn) taskDone(j chuterun.Job, id chutegraph.TaskID, task chuterun.Task) {
 	if j.Step(id.StepID).Gang {
 		j = j.WithStepDone(id.StepID)
+		t.speeds = t.speeds.WithoutStep(id.StepID)
 	} else {
 		j = j.WithTask(id, task.WithPhase(chuterun.TaskDone))
 	}
--- a/chutescheduler/plan.go
+++ b/chutescheduler/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
@@ -15,6 +16,9 @@
 	if !t.planDue && t.Now.Sub(t.plannedAt) < planInterval {
 		return
 	}
+	if !t.greeted() {
+		return
+	}
 	t.planDue = false
 	t.plannedAt = t.Now
 	demands := t.demands()
@@ -33,6 +37,22 @@
 	}
 }
 
+// greetLimit is how long a new scheduler waits for answers of workers before it plans without them.
+const greetLimit = 400 * time.Millisecond
+
+// greeted reports whether the workers have told what they run, or had the time to.
+func (t *turn) greeted() bool {
+	if t.Now.Sub(t.poolAt) >= greetLimit {
+		return true
+	}
+	for _, w := range t.pool.All() {
+		if w.Listed && !w.Greeted {
+			return false
+		}
+	}
+	return true
+}
+
 // assign gives a task its next run on the worker; it is recorded before its order leaves.
 func (t *turn) assign(d chuteplacement.Start) {
 	j, ok := t.live.Get(d.Task.Job)
@@ -164,16 +184,41 @@
 				room.Freeing = room.Freeing.Plus(r.Reserved)
 			}
 		}
-		if t.Now.Before(w.ColdUntil) {
-			room.Penalty = coldPenalty
-		}
+		room.Penalty = t.penalty(w)
 		rooms = append(rooms, room)
 	}
 	return rooms
 }
 
-// coldPenalty puts a worker that is slow after its start behind all others.
-const coldPenalty = 2.0
+const (
+	// slowPenalty puts a worker that is much slower than the others behind these.
+	slowPenalty = 4.0
+	// coldPenalty puts a worker that is slow after its start behind the others.
+	coldPenalty = 3.0
+	// speedWeight is how much a lasting difference of speed counts beside the room that is left over.
+	speedWeight = 0.3
+)
+
+// penalty tells how far a worker stands behind others with the same room.
+func (t *turn) penalty(w chutepool.Worker) float64 {
+	switch {
+	case t.speeds.Slow(w.ID, t.Now):
+		return slowPenalty
+	case t.Now.Before(w.ColdUntil):
+		return coldPenalty
+	}
+	return speedWeight * max(0, 1.3-t.speeds.Speed(w.ID, t.Now))
+}
+
+// unsaved returns the core-seconds that stopping a run wastes.
+func (t *turn) unsaved(r chutepool.Run) float64 {
+	j, ok := t.Job(r.ID.Task.Job)
+	if !ok {
+		return 0
+	}
+	step := j.Step(r.ID.Task.StepID)
+	return r.Unsaved(t.Now, step.Estimate, step.Checkpointing)
+}
 
 // groups returns the work that may be stopped for more urgent work.
 func (t *turn) groups() []chuteplacement.Group {
@@ -194,7 +239,7 @@
 			if at == len(groups) {
 				groups = append(groups, chuteplacement.Group{Priority: r.Priority})
 			}
-			groups[at].Cost += r.Unsaved(t.Now)
+			groups[at].Cost += t.unsaved(r)
 			groups[at].Members = append(groups[at].Members, chuteplacement.Member{Run: r.ID, Worker: w.ID, Reserved: r.Reserved})
 		}
 	}
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -10,6 +10,7 @@
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterun"
+	"monsoonchute.example/monsoonchute/chutespeed"
 )
 
 const part = "scheduler"
@@ -46,6 +47,8 @@
 	hasRows   bool                  // the progress of all jobs has been read
 	hasJobs   bool                  // all submissions have been read
 	hasPool   bool                  // all workers have been read
+	poolAt    time.Time             // when all workers had been read
+	speeds    chutespeed.Speeds
 	planDue   bool
 	plannedAt time.Time
 	readToken chuteaction.Token
@@ -68,7 +71,7 @@
 // New starts a scheduler for the epoch: it reads the progress of all jobs and follows the submissions.
 func New(t *chuteaction.Turn, epoch int64, former chuteaction.LeaderRow, bounds Bounds) State {
 	s := State{
-		epoch: epoch, former: former, formerEnd: former.Epoch == 0 || former.Released, bounds: bounds, takenAt: t.Now, pool: chutepool.New(),
+		epoch: epoch, former: former, formerEnd: former.Epoch == 0 || former.Released, bounds: bounds, takenAt: t.Now, pool: chutepool.New(), speeds: chutespeed.New(),
 		live:  immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
 		ended: immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
 		dirty: immutable.NewSortedMap[chutegraph.JobID, bool](nil),
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -72,6 +72,7 @@
 	}
 	if !w.Listed && !w.Holding && w.RunCount() == 0 && w.Told >= w.Durable && w.Handled == w.Durable {
 		t.pool = t.pool.Without(w.ID)
+		t.speeds = t.speeds.WithoutWorker(w.ID)
 		t.Emit(chuteaction.ForgetWorker{Worker: w.ID})
 		return
 	}
--- a/chutescheduler/worker.go
+++ b/chutescheduler/worker.go
@@ -33,6 +33,7 @@
 	}
 	if !u.hasPool {
 		u.hasPool = true
+		u.poolAt = t.Now
 		u.planDue = true
 		u.Log(part, "workers read", "", "workers", len(present))
 	}
@@ -246,6 +247,7 @@
 		if r.Phase == chutepool.RunOrdered {
 			r = r.WithPhase(chutepool.RunWorking, t.Now)
 		}
+		t.noteProgress(id, r, report.Percent)
 		t.putWorker(w.WithRun(r.WithReport(w.Life, report.Checkpoint, report.Percent, t.Now)))
 		if !t.expected(id, report.Run) {
 			t.stopRun(id, report.Run, "not-expected")
@@ -253,6 +255,14 @@
 	}
 }
 
+// noteProgress learns from a run's progress how fast its worker is.
+func (t *turn) noteProgress(id chuterun.WorkerID, r chutepool.Run, percent int) {
+	if r.ReadAt.IsZero() || percent >= 100 || r.Inherited && r.Percent == 0 {
+		return
+	}
+	t.speeds = t.speeds.WithProgress(r.ID.Task.StepID, id, float64(percent-r.Percent), t.Now.Sub(r.ReadAt), t.Now)
+}
+
 // expected reports whether the run is the one that its task should have at work on the worker.
 func (t *turn) expected(worker chuterun.WorkerID, run chutegraph.RunID) bool {
 	j, ok := t.live.Get(run.Task.Job)
@@ -260,7 +270,11 @@
 		return false
 	}
 	task, ok := j.Task(run.Task)
-	return ok && task.Phase == chuterun.TaskActive && task.Run == run.Number && task.Worker == worker
+	if !ok || task.Run != run.Number || task.Worker != worker {
+		return false
+	}
+	ending := task.Phase == chuterun.TaskDone && j.Step(run.Task.StepID).Gang // one member's end stands for all
+	return task.Phase == chuterun.TaskActive || ending
 }
 
 // adopt stops a run that nobody should have at work there; until it has ended, it takes room.
--- /dev/null
+++ b/chutespeed/speed_test.go
@@ -0,0 +1,60 @@
+package chutespeed_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuterun"
+	"monsoonchute.example/monsoonchute/chutespeed"
+)
+
+// play lets a step of one task a worker run for some readings, each a second apart, at the given speeds.
+func play(s chutespeed.Speeds, job string, now time.Time, readings int, speeds ...float64) (chutespeed.Speeds, time.Time) {
+	step := chutegraph.StepID{Job: chutegraph.JobID(job)}
+	for range readings {
+		now = now.Add(time.Second)
+		for i, speed := range speeds {
+			s = s.WithProgress(step, worker(i), 12*speed, time.Second, now)
+		}
+	}
+	return s, now
+}
+
+func worker(i int) chuterun.WorkerID {
+	return chuterun.WorkerID(fmt.Sprintf("worker-%d", i))
+}
+
+func TestSlowWorkerIsFoundAndForgiven(t *testing.T) {
+	is := is.New(t)
+	s, now := play(chutespeed.New(), "a", time.Unix(0, 0), 2, 1, 1, 1, 1)
+	for i := range 4 {
+		is.True(!s.Slow(worker(i), now))
+	}
+	s, now = play(s, "a", now, 1, 1, 1, 1, 0.15)
+	is.True(!s.Slow(worker(0), now))
+	is.True(s.Slow(worker(3), now))
+	is.True(!s.Slow(worker(3), now.Add(15*time.Second))) // without further news
+}
+
+func TestHungWorkerIsFound(t *testing.T) {
+	is := is.New(t)
+	s, now := play(chutespeed.New(), "a", time.Unix(0, 0), 1, 1, 1, 1)
+	s, now = play(s, "a", now, 1, 1, 0, 1)
+	is.True(s.Slow(worker(1), now))
+	is.True(!s.Slow(worker(0), now))
+}
+
+func TestLastingDifferencesAreLearned(t *testing.T) {
+	is := is.New(t)
+	s, now := chutespeed.New(), time.Unix(0, 0)
+	for n := range 20 {
+		s, now = play(s, fmt.Sprint(n), now, 3, 0.8, 1, 1.25)
+	}
+	now = now.Add(time.Minute)
+	is.True(s.Speed(worker(0), now) < s.Speed(worker(1), now))
+	is.True(s.Speed(worker(1), now) < s.Speed(worker(2), now))
+}
