--- a/chutescheduler/plan.go
+++ b/chutescheduler/plan.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -26,15 +28,37 @@
 		return
 	}
 	view := chuteplacement.View{Now: t.Now, Workers: t.roomView(), Groups: t.groups(), Demands: demands}
+	started := make(map[chutegraph.StepID][]chuterun.WorkerID)
 	for _, decision := range chuteplacement.Plan(view) {
 		switch d := decision.(type) {
 		case chuteplacement.Start:
+			started[d.Task.StepID] = append(started[d.Task.StepID], d.Worker)
 			t.assign(d)
 		case chuteplacement.Evict:
 			t.Log(part, "run yields", d.Run.Task.Job, "run", d.Run, "to", d.For, "wasted", d.Cost)
 			t.stopRun(d.Worker, d.Run, "yields")
 		}
 	}
+	for _, d := range demands {
+		if workers := started[d.ID]; len(workers) > 0 {
+			t.logStart(d, workers)
+		}
+	}
+}
+
+// logStart writes which workers were chosen for the tasks of a step, and out of which racks.
+func (t *turn) logStart(d chuteplacement.Demand, workers []chuterun.WorkerID) {
+	racks := make(map[string]bool)
+	slowest := math.Inf(1)
+	for _, id := range workers {
+		w, _ := t.pool.Get(id)
+		racks[w.Rack] = true
+		slowest = min(slowest, t.speeds.Speed(id, t.Now))
+	}
+	j, _ := t.Job(d.ID.Job)
+	t.Log(part, "step starts", d.ID.Job, "queue", j.Queue, "step", d.ID, "priority", d.Priority, "tasks", len(workers),
+		"waiting", len(d.Indexes), "accelerators", d.Step.Request.Accelerators, "gang", d.Step.Gang, "same-rack", d.Step.SameRack,
+		"racks", len(racks), "slowest", fmt.Sprintf("%.2f", slowest), "workers", workers, "since-seen", t.Now.Sub(j.Seen))
 }
 
 // greetLimit is how long a new scheduler waits for answers of workers before it plans without them.
@@ -68,9 +92,6 @@
 	if j.Step(d.Task.StepID).Gang {
 		number = gangRun(j, d.Task)
 	}
-	if j.Phase == chuterun.PhaseQueued {
-		t.Log(part, "job starts", j.ID, "queue", j.Queue, "waited", t.Now.Sub(j.Seen), "task", d.Task, "worker", d.Worker)
-	}
 	t.putJob(j.WithPhase(chuterun.PhaseRunning).WithTask(d.Task, task.WithRun(number, d.Worker)))
 	run := chutepool.Run{
 		ID: chutegraph.RunID{Task: d.Task, Number: number}, Reserved: j.Step(d.Task.StepID).Reserved(),
