--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -54,8 +54,9 @@
 	// announcement is the token of the write that tells which process runs; it is repeated at announceAt, if set.
 	announcement chuteaction.Token
 	announceAt   time.Time
-	peers        *immutable.SortedMap[string, string] // addresses of the other hosts, by name
-	releasing    bool                                 // the leadership is being given up
+	processes    *immutable.SortedMap[string, chuteaction.Row] // of the hosts, by their names
+	peers        *immutable.SortedMap[string, string]          // addresses of the other hosts, by name
+	releasing    bool                                          // the leadership is being given up
 	stopped      bool
 }
 
@@ -63,7 +64,8 @@
 func New(settings Settings) State {
 	settings.Bounds.UnprovedLimit = chuteleader.UnprovedLimit
 	return State{
-		settings: settings, peers: immutable.NewSortedMap[string, string](nil), zonesOut: immutable.NewSortedMap[string, chuteaction.RowVersion](nil),
+		settings: settings, peers: immutable.NewSortedMap[string, string](nil),
+		processes: immutable.NewSortedMap[string, chuteaction.Row](nil), zonesOut: immutable.NewSortedMap[string, chuteaction.RowVersion](nil),
 		leader: chuteleader.New(settings.Host, settings.Process, settings.Jitter), intake: chuteintake.New(),
 	}
 }
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -178,6 +178,7 @@
 		t.operatorChanged(e)
 	case chuteaction.TableLeaders:
 		t.state.leader = t.state.leader.WithNews(t.Turn, e.Rows)
+		t.judgeLeader()
 	case chuteaction.TableJobs:
 		if t.state.scheduler != nil {
 			t.setScheduler(t.state.scheduler.Submissions(t.Turn, t.state.environment(), e))
@@ -192,14 +193,30 @@
 	}
 }
 
+// judgeLeader compares the leader's process with the one that its host is known to run.
+func (t *turn) judgeLeader() {
+	host := t.state.leader.Row().Host
+	r, ok := t.state.processes.Get(host)
+	if !ok {
+		return
+	}
+	if row, ok := r.Value.(chuteaction.HostRow); ok {
+		t.state.leader = t.state.leader.WithProcess(t.Turn, host, row.Process, r.Version)
+	}
+}
+
 // hostsChanged learns where the other hosts take requests to the store.
 func (t *turn) hostsChanged(e chuteaction.TableChanged) {
 	known := t.state.peers
 	for _, r := range e.Rows {
+		if row, ok := r.Value.(chuteaction.HostRow); ok {
+			t.state.processes = t.state.processes.Set(row.Host, r)
+		}
 		if row, ok := r.Value.(chuteaction.HostRow); ok && row.Host != t.state.settings.Host && row.Address != "" {
 			t.state.peers = t.state.peers.Set(row.Host, row.Address)
 		}
 	}
+	t.judgeLeader()
 	if t.state.peers == known {
 		return
 	}
--- a/chuteleader/leader.go
+++ b/chuteleader/leader.go
@@ -49,10 +49,11 @@
 	jitter    time.Duration // more patience of this host before it takes over
 	role      Role
 	row       chuteaction.LeaderRow
-	former    chuteaction.LeaderRow // of the leader before this host
+	former    Former
 	version   chuteaction.RowVersion
 	changedAt time.Time // when the row was last seen to change; zero before the first news
 	heardAt   time.Time // of the latest news about the row
+	ended     string    // a process that has certainly ended; empty for none
 	inFlight  bool
 	write     chuteaction.WriteRows // the latest write, to be sent again as it is
 	put       chuteaction.LeaderRow // what the write puts
@@ -81,8 +82,14 @@
 	return s.row
 }
 
-// Former returns the row of the leader that this host took over from.
-func (s State) Former() chuteaction.LeaderRow {
+// Former is the leader that a host took over from.
+type Former struct {
+	Row     chuteaction.LeaderRow
+	Version chuteaction.RowVersion // of its latest write
+}
+
+// Former returns the leader that this host took over from.
+func (s State) Former() Former {
 	return s.former
 }
 
@@ -118,6 +125,19 @@
 	return s
 }
 
+// WithProcess returns the state after the process of a host was recorded by the version. If that was after the leader's
+// latest write, and the leader was another process of the same host, this one has ended.
+func (s State) WithProcess(t *chuteaction.Turn, host, process string, version chuteaction.RowVersion) State {
+	later := version > s.version
+	if host != s.row.Host || process == s.row.Process || s.ended == s.row.Process || s.role != RoleFollower || !later {
+		return s
+	}
+	t.Log(part, "the leader's process has ended", "", "leader", host, "epoch", s.row.Epoch)
+	s.ended = s.row.Process
+	s.changedAt = t.Now
+	return s
+}
+
 func (s State) withRow(t *chuteaction.Turn, row chuteaction.LeaderRow, version chuteaction.RowVersion) State {
 	if row.Epoch != s.row.Epoch {
 		t.Log(part, "another host leads", "", "leader", row.Host, "epoch", row.Epoch, "version", version)
@@ -147,7 +167,7 @@
 	if s.heardAt.IsZero() || now.Sub(s.heardAt) > contactLimit {
 		return false
 	}
-	if s.version == 0 || s.row.Released {
+	if s.version == 0 || s.row.Released || s.ended == s.row.Process {
 		return now.Sub(s.changedAt) >= s.jitter/4
 	}
 	return now.Sub(s.changedAt) >= lapseAfter+s.jitter
@@ -155,16 +175,19 @@
 
 func (s State) takeOver(t *chuteaction.Turn) State {
 	reason := "silent"
-	if s.version == 0 {
+	switch {
+	case s.version == 0:
 		reason = "none"
-	} else if s.row.Released {
+	case s.row.Released:
 		reason = "released"
+	case s.ended == s.row.Process:
+		reason = "ended"
 	}
 	t.Count("takeover", reason)
 	t.Log(part, "takeover tried", "", "former", s.row.Host, "epoch", s.row.Epoch+1, "reason", reason,
 		"unchanged", t.Now.Sub(s.changedAt), "version", s.version)
 	s.role = RoleCandidate
-	s.former = s.row
+	s.former = Former{Row: s.row, Version: s.version}
 	row := chuteaction.LeaderRow{Epoch: s.row.Epoch + 1, Host: s.host, Process: s.process, Pending: s.row.Pending}
 	return s.send(t, row, nil, nil)
 }
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -34,7 +34,8 @@
 	u := s.turn(t, environment)
 	u.hasHosts = true
 	for _, r := range e.Rows {
-		if row, ok := r.Value.(chuteaction.HostRow); ok && row.Host == u.former.Host && row.Process != u.former.Process {
+		row, ok := r.Value.(chuteaction.HostRow)
+		if ok && row.Host == u.former.Row.Host && row.Process != u.former.Row.Process && r.Version > u.former.Version {
 			u.formerEnd = true
 		}
 	}
@@ -103,7 +104,7 @@
 	}
 	t.progress = nil
 	t.Log(part, "jobs read", "", "live", t.live.Len(), "ended", t.ended.Len(), "runs", runs,
-		"former", t.former.Host, "former-ended", t.formerEnd)
+		"former", t.former.Row.Host, "former-ended", t.formerEnd)
 	t.Emit(chuteaction.FollowTable{Table: chuteaction.TableWorkers, Pause: workersPause, Wait: followWait})
 }
 
--- a/chutescheduler/run.go
+++ b/chutescheduler/run.go
@@ -11,7 +11,7 @@
 
 const (
 	// maxStartOrders is how often a start is ordered before the run is given up.
-	maxStartOrders = 3
+	maxStartOrders = 5
 	// leaseDrift is the share by which a worker's clock may be slow, with a margin.
 	leaseDrift = 0.03
 	// leaseMargin is added to every lease before it counts as run out.
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -8,6 +8,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecatalog"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteleader"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterun"
 	"monsoonchute.example/monsoonchute/chutespeed"
@@ -40,14 +41,14 @@
 	pool      chutepool.Pool
 	dirty     *immutable.SortedMap[chutegraph.JobID, bool] // jobs whose progress is to be recorded
 	batch     batch
-	former    chuteaction.LeaderRow // the scheduler before this one
-	formerEnd bool                  // its process has certainly ended
-	progress  []chuteaction.Row     // read before the submissions were
-	hasHosts  bool                  // the processes of all hosts have been read
-	hasRows   bool                  // the progress of all jobs has been read
-	hasJobs   bool                  // all submissions have been read
-	hasPool   bool                  // all workers have been read
-	poolAt    time.Time             // when all workers had been read
+	former    chuteleader.Former // the scheduler before this one
+	formerEnd bool               // its process has certainly ended
+	progress  []chuteaction.Row  // read before the submissions were
+	hasHosts  bool               // the processes of all hosts have been read
+	hasRows   bool               // the progress of all jobs has been read
+	hasJobs   bool               // all submissions have been read
+	hasPool   bool               // all workers have been read
+	poolAt    time.Time          // when all workers had been read
 	speeds    chutespeed.Speeds
 	planDue   bool
 	plannedAt time.Time
@@ -69,9 +70,9 @@
 }
 
 // New starts a scheduler for the epoch: it reads the progress of all jobs and follows the submissions.
-func New(t *chuteaction.Turn, epoch int64, former chuteaction.LeaderRow, bounds Bounds) State {
+func New(t *chuteaction.Turn, epoch int64, former chuteleader.Former, bounds Bounds) State {
 	s := State{
-		epoch: epoch, former: former, formerEnd: former.Epoch == 0 || former.Released, bounds: bounds, takenAt: t.Now, pool: chutepool.New(), speeds: chutespeed.New(),
+		epoch: epoch, former: former, formerEnd: former.Row.Epoch == 0 || former.Row.Released, bounds: bounds, takenAt: t.Now, pool: chutepool.New(), speeds: chutespeed.New(),
 		live:  immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
 		ended: immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
 		dirty: immutable.NewSortedMap[chutegraph.JobID, bool](nil),
