Run lasting, timed and approved steps, pace filling tasks and carry out waves of maintenance

Change: lasting tasks are started again however they end; occurrences start at their times; steps of queues with an approval run only where a ticket allows it; filling tasks are held back as soon as a serving task beside them comes close to its limit (chutepacing); waves take the emptiest machines down, never more than allowed (chutewave).

Not built: speculative copies (such steps run once), moves of machines between pools.

--- a/chuteaction/effect.go
+++ b/chuteaction/effect.go
@@ -94,13 +94,19 @@
 	Run chutegraph.RunID
 }
 
+// PaceRun lets a run work at a share of its full speed.
+type PaceRun struct {
+	WorkerTarget
+	Run     chutegraph.RunID
+	Percent int
+}
+
 // RenewLease lets everything on a worker run on, and asks what runs there and what has ended.
 type RenewLease struct {
 	WorkerTarget
-	LeaseEnd  time.Duration // on the worker's clock; 0 to ask only
-	Forget    int64         // number of the latest end that the worker may forget
-	Wait      time.Duration // how long the worker may wait for an end
-	AnyWorker bool          // whoever answers at the address
+	LeaseEnd time.Duration // on the worker's clock; 0 to ask only
+	Forget   int64         // number of the latest end that the worker may forget
+	Wait     time.Duration // how long the worker may wait for an end
 }
 
 // ForgetWorker closes the connections to a worker.
@@ -112,6 +118,16 @@
 	Workers []chuterun.WorkerID
 }
 
+// ListMachines asks for the platform's list of machines.
+type ListMachines struct{}
+
+// MaintainMachine takes a machine down for its maintenance.
+type MaintainMachine struct {
+	Machine string
+	Wave    int
+	Epoch   int64
+}
+
 // Count adds one to a counter.
 type Count struct {
 	Counter string
@@ -143,18 +159,21 @@
 // Stopped tells that the planned stop is complete.
 type Stopped struct{}
 
-func (AnswerCall) sealedEffect()    {}
-func (WriteRows) sealedEffect()     {}
-func (ReadRows) sealedEffect()      {}
-func (FollowTable) sealedEffect()   {}
-func (UnfollowTable) sealedEffect() {}
-func (KnowPeers) sealedEffect()     {}
-func (StartRun) sealedEffect()      {}
-func (StopRun) sealedEffect()       {}
-func (RenewLease) sealedEffect()    {}
-func (ForgetWorker) sealedEffect()  {}
-func (AskApproval) sealedEffect()   {}
-func (Count) sealedEffect()         {}
-func (Observe) sealedEffect()       {}
-func (LogLine) sealedEffect()       {}
-func (Stopped) sealedEffect()       {}
+func (AnswerCall) sealedEffect()      {}
+func (WriteRows) sealedEffect()       {}
+func (ReadRows) sealedEffect()        {}
+func (FollowTable) sealedEffect()     {}
+func (UnfollowTable) sealedEffect()   {}
+func (KnowPeers) sealedEffect()       {}
+func (StartRun) sealedEffect()        {}
+func (StopRun) sealedEffect()         {}
+func (PaceRun) sealedEffect()         {}
+func (RenewLease) sealedEffect()      {}
+func (ForgetWorker) sealedEffect()    {}
+func (AskApproval) sealedEffect()     {}
+func (ListMachines) sealedEffect()    {}
+func (MaintainMachine) sealedEffect() {}
+func (Count) sealedEffect()           {}
+func (Observe) sealedEffect()         {}
+func (LogLine) sealedEffect()         {}
+func (Stopped) sealedEffect()         {}
--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -5,6 +5,7 @@
 
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuterun"
+	"monsoonchute.example/monsoonchute/chutewave"
 )
 
 // Token names one request of the core to the outside, so that its answer can be matched.
@@ -173,18 +174,35 @@
 	Validity time.Duration
 }
 
+// MachinesListed is the platform's list of machines.
+type MachinesListed struct {
+	Answered bool
+	Machines []chutewave.Machine
+}
+
+// MachineMaintained is the end of an order to maintain a machine. OrderElsewhere tells that there is no such machine.
+type MachineMaintained struct {
+	Epoch   int64
+	Machine string
+	Wave    int
+	Outcome OrderOutcome
+	Reason  string
+}
+
 // StopWanted asks for a planned stop.
 type StopWanted struct{}
 
-func (Tick) sealedEvent()         {}
-func (CallArrived) sealedEvent()  {}
-func (CallLeft) sealedEvent()     {}
-func (RowsWritten) sealedEvent()  {}
-func (RowsRead) sealedEvent()     {}
-func (TableChanged) sealedEvent() {}
-func (TableSilent) sealedEvent()  {}
-func (RunStarted) sealedEvent()   {}
-func (RunStopped) sealedEvent()   {}
-func (LeaseRenewed) sealedEvent() {}
-func (StepApproved) sealedEvent() {}
-func (StopWanted) sealedEvent()   {}
+func (Tick) sealedEvent()              {}
+func (CallArrived) sealedEvent()       {}
+func (CallLeft) sealedEvent()          {}
+func (RowsWritten) sealedEvent()       {}
+func (RowsRead) sealedEvent()          {}
+func (TableChanged) sealedEvent()      {}
+func (TableSilent) sealedEvent()       {}
+func (RunStarted) sealedEvent()        {}
+func (RunStopped) sealedEvent()        {}
+func (LeaseRenewed) sealedEvent()      {}
+func (StepApproved) sealedEvent()      {}
+func (MachinesListed) sealedEvent()    {}
+func (MachineMaintained) sealedEvent() {}
+func (StopWanted) sealedEvent()        {}
--- a/chuteaction/row.go
+++ b/chuteaction/row.go
@@ -1,6 +1,7 @@
 package chuteaction
 
 import (
+	"strconv"
 	"time"
 
 	"monsoonchute.example/monsoonchute/chutecatalog"
@@ -151,6 +152,11 @@
 	return RowKey{Table: TableHosts, Part: HostsPart, Key: host}
 }
 
+// WaveKey names the row that tells how far a wave has come.
+func WaveKey(wave int) RowKey {
+	return RowKey{Table: TableWaves, Key: "wave/" + strconv.Itoa(wave)}
+}
+
 // LeaderKey names the row of the scheduler.
 func LeaderKey() RowKey {
 	return RowKey{Table: TableLeaders, Part: ShardPart, Key: "leader"}
--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -49,10 +49,30 @@
 	Stop(ctx context.Context, order chuteaction.StopRun) chuteaction.RunStopped
 	// Renew renews a lease and asks what runs.
 	Renew(ctx context.Context, order chuteaction.RenewLease) chuteaction.LeaseRenewed
+	// Pace lets a run work at a share of its full speed.
+	Pace(ctx context.Context, order chuteaction.PaceRun) error
+	// Approve asks which workers may run a step.
+	Approve(ctx context.Context, question chuteaction.AskApproval) chuteaction.StepApproved
 	// Forget closes the connections to a worker.
 	Forget(worker chuterun.WorkerID)
 }
 
+// Machines is the platform's service that lists machines and takes them down.
+type Machines interface {
+	// List returns all machines.
+	List(ctx context.Context) chuteaction.MachinesListed
+	// Maintain takes a machine down for its maintenance.
+	Maintain(ctx context.Context, order chuteaction.MaintainMachine) chuteaction.MachineMaintained
+}
+
+// Outside is all that an entry host speaks to.
+type Outside struct {
+	Store    Store
+	Workers  Workers
+	Machines Machines
+	Peers    Peers
+}
+
 // Peers are the other entry hosts, through which the store may be reached.
 type Peers interface {
 	// SetPeers sets their addresses.
@@ -68,6 +88,7 @@
 	followers *followers
 	renewers  *renewers
 	workers   Workers
+	machines  Machines
 	peers     Peers
 	metrics   *chutemetric.Metrics
 	log       *slog.Logger
@@ -79,19 +100,19 @@
 }
 
 // New starts the duties of an entry host, and returns a clean-up function that stops it as planned, within the limit.
-func New(settings chuteentry.Settings, store Store, workers Workers, peers Peers, metrics *chutemetric.Metrics, log *slog.Logger, stopLimit time.Duration) (*Daemon, func()) {
+func New(settings chuteentry.Settings, outside Outside, metrics *chutemetric.Metrics, log *slog.Logger, stopLimit time.Duration) (*Daemon, func()) {
 	group, endDuties := chuteduty.New(log)
 	d := &Daemon{
 		events: chutering.NewEntryEvents("core", eventRingSize), exchange: newExchange(),
 		store: chutering.NewEntryEffects("store", storeRingSize), orders: chutering.NewEntryEffects("orders", orderRingSize),
-		workers: workers, peers: peers, metrics: metrics, log: log, group: group, stopped: make(chan struct{}),
+		workers: outside.Workers, machines: outside.Machines, peers: outside.Peers, metrics: metrics, log: log, group: group, stopped: make(chan struct{}),
 	}
-	d.followers = newFollowers(group, store, d.events, log)
-	d.renewers = newRenewers(group, workers, d.events)
+	d.followers = newFollowers(group, outside.Store, d.events, log)
+	d.renewers = newRenewers(group, outside.Workers, d.events)
 	d.logs = newLogWriter(log, metrics)
 	group.Go("log", d.logs.run)
 	for range storeDuties {
-		group.Go("store", func(ctx context.Context) { d.runStore(ctx, store) })
+		group.Go("store", func(ctx context.Context) { d.runStore(ctx, outside.Store) })
 	}
 	for range orderDuties {
 		group.Go("orders", d.runOrders)
@@ -184,7 +205,16 @@
 	case chuteaction.ForgetWorker:
 		d.renewers.forget(f.Worker)
 		d.workers.Forget(f.Worker)
+	case chuteaction.PaceRun:
+		d.carryOrder(f, nil)
 	case chuteaction.AskApproval:
+		d.carryOrder(f, chuteaction.StepApproved{Step: f.Step, Asked: f.Workers})
+	case chuteaction.ListMachines:
+		d.carryOrder(f, chuteaction.MachinesListed{})
+	case chuteaction.MaintainMachine:
+		d.carryOrder(f, chuteaction.MachineMaintained{
+			Epoch: f.Epoch, Machine: f.Machine, Wave: f.Wave, Outcome: chuteaction.OrderUnhealthy, Reason: "ring-full",
+		})
 	case chuteaction.Count:
 		d.metrics.Count(f.Counter, f.Reason)
 	case chuteaction.Observe:
@@ -206,7 +236,9 @@
 func (d *Daemon) carryOrder(effect chuteaction.Effect, refusal chuteaction.Event) {
 	if !d.orders.Offer(effect) {
 		d.metrics.Count("order-refused", "ring-full")
-		d.refused = append(d.refused, refusal)
+		if refusal != nil {
+			d.refused = append(d.refused, refusal)
+		}
 	}
 }
 
@@ -264,6 +296,17 @@
 			d.events.Put(ctx, d.workers.Stop(ctx, f))
 		case chuteaction.RenewLease:
 			d.events.Put(ctx, d.workers.Renew(ctx, f))
+		case chuteaction.PaceRun:
+			if err := d.workers.Pace(ctx, f); err != nil {
+				d.metrics.Count("pace-missed", "no-answer")
+				d.log.Warn("worker: a pace order failed", "worker", f.Worker, "run", f.Run.String(), "error", err.Error())
+			}
+		case chuteaction.ListMachines:
+			d.events.Put(ctx, d.machines.List(ctx))
+		case chuteaction.MaintainMachine:
+			d.events.Put(ctx, d.machines.Maintain(ctx, f))
+		case chuteaction.AskApproval:
+			d.events.Put(ctx, d.workers.Approve(ctx, f))
 		default:
 			d.log.Error("daemon: an effect is not for workers", "type", effect)
 		}
--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -39,6 +39,7 @@
 	alone   bool // waits for the rest of its gang
 	resumed time.Duration
 	ended   bool
+	pace    int // percent
 }
 
 func (w *world) addWorker(name string, i int) *fakeWorker {
@@ -215,7 +216,7 @@
 	}
 	step := job.spec.Steps[o.Run.Task.Step]
 	w.checkStart(k, o, job, step)
-	r := &fakeRun{id: o.Run, step: step, job: job, began: w.now, alone: step.Gang}
+	r := &fakeRun{id: o.Run, step: step, job: job, began: w.now, alone: step.Gang, pace: 100}
 	k.runs[o.Run] = r
 	if step.Gang {
 		w.after(gangTimeout, func() {
@@ -316,7 +317,7 @@
 		Epoch: o.Epoch, Worker: o.Worker, SentAt: sent, Outcome: chuteaction.OrderTaken, Clock: k.clock(), Life: k.listing.Life,
 	}
 	for _, r := range k.sorted() {
-		renewed.Running = append(renewed.Running, chuterun.RunReport{Run: r.id})
+		renewed.Running = append(renewed.Running, chuterun.RunReport{Run: r.id, Usage: k.tail(r)})
 	}
 	renewed.Ended = slices.Clone(k.ends)
 	return renewed
@@ -330,6 +331,9 @@
 			continue
 		}
 		job := k.world.clients.jobs[e.Run.Task.Job]
+		if job.spec.Steps[e.Run.Task.Step].LongRunning {
+			continue // is started again however it ends
+		}
 		job.noted[e.Run.Task] = true
 		if job.started[e.Run.Task].After(k.endedAt[e.Run]) {
 			k.world.broken("%s was noted as done, but its task had been started again", e.Run)
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -45,6 +45,7 @@
 	token     chuteaction.Token
 	started   bool
 	catalog   chutecatalog.Catalog
+	waves     *immutable.SortedMap[int, chuteaction.WaveRow]
 	zonesOut  *immutable.SortedMap[string, chuteaction.RowVersion]
 	contactAt time.Time // of the store's latest answer
 	leader    chuteleader.State
@@ -64,7 +65,7 @@
 func New(settings Settings) State {
 	settings.Bounds.UnprovedLimit = chuteleader.UnprovedLimit
 	return State{
-		settings: settings, peers: immutable.NewSortedMap[string, string](nil),
+		settings: settings, waves: immutable.NewSortedMap[int, chuteaction.WaveRow](nil), peers: immutable.NewSortedMap[string, string](nil),
 		processes: immutable.NewSortedMap[string, chuteaction.Row](nil), zonesOut: immutable.NewSortedMap[string, chuteaction.RowVersion](nil),
 		leader: chuteleader.New(settings.Host, settings.Process, settings.Jitter), intake: chuteintake.New(),
 	}
@@ -91,7 +92,12 @@
 		zone, _, _ := i.Next()
 		out[zone] = true
 	}
-	return chutescheduler.Environment{Catalog: s.catalog, ZonesOut: out}
+	var waves []chuteaction.WaveRow
+	for i := s.waves.Iterator(); !i.Done(); {
+		_, w, _ := i.Next()
+		waves = append(waves, w)
+	}
+	return chutescheduler.Environment{Catalog: s.catalog, ZonesOut: out, Waves: waves, ProvedAt: s.leader.ProvedAt()}
 }
 
 func (s State) intakeView(now time.Time) chuteintake.View {
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -40,6 +40,17 @@
 			return c.Renewed(t.Turn, t.state.environment(), e)
 		})
 	case chuteaction.StepApproved:
+		if t.state.scheduler != nil {
+			t.setScheduler(t.state.scheduler.Approved(t.Turn, t.state.environment(), e))
+		}
+	case chuteaction.MachinesListed:
+		if t.state.scheduler != nil {
+			t.setScheduler(t.state.scheduler.Machines(t.Turn, t.state.environment(), e))
+		}
+	case chuteaction.MachineMaintained:
+		if t.state.scheduler != nil {
+			t.setScheduler(t.state.scheduler.Maintained(t.Turn, t.state.environment(), e))
+		}
 	case chuteaction.StopWanted:
 		t.stop()
 	}
@@ -239,6 +250,8 @@
 					"queues", len(row.Queues), "workspaces", len(row.Workspaces))
 				t.state.catalog = row.Catalog
 			}
+		case chuteaction.WaveRow:
+			t.state.waves = t.state.waves.Set(row.Wave, row)
 		case chuteaction.EvacuationRow:
 			if row.Back {
 				t.zoneBack(row.Zone, r.Version)
--- a/chuteentry/world_test.go
+++ b/chuteentry/world_test.go
@@ -239,7 +239,17 @@
 		w.clients.answered(f)
 	case chuteaction.LogLine:
 		w.trace = append(w.trace, fmt.Sprintf("%9s %s %s: %s %s %v", w.since().Round(time.Millisecond), h.name, f.Part, f.Text, f.Job, f.Fields))
-	case chuteaction.KnowPeers, chuteaction.ForgetWorker, chuteaction.Count, chuteaction.Observe, chuteaction.Stopped, chuteaction.AskApproval:
+	case chuteaction.ListMachines:
+		w.after(w.delay(storeDelay), func() { h.deliver(chuteaction.MachinesListed{Answered: true, Machines: w.machineList()}) })
+	case chuteaction.MaintainMachine:
+		w.after(w.delay(storeDelay), func() { h.deliver(w.maintain(f)) })
+	case chuteaction.AskApproval:
+		w.after(100*time.Millisecond, func() { h.deliver(w.approve(f)) })
+	case chuteaction.PaceRun:
+		if k := w.workers[string(f.Worker)]; k != nil && k.runs[f.Run] != nil {
+			k.runs[f.Run].pace = f.Percent
+		}
+	case chuteaction.KnowPeers, chuteaction.ForgetWorker, chuteaction.Count, chuteaction.Observe, chuteaction.Stopped:
 	}
 }
 
--- /dev/null
+++ b/chutepacing/doc.go
@@ -0,0 +1,2 @@
+// Package chutepacing decides how fast filling tasks may work beside tasks that serve users.
+package chutepacing
--- /dev/null
+++ b/chutepacing/pace_test.go
@@ -0,0 +1,58 @@
+package chutepacing_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"monsoonchute.example/monsoonchute/chutepacing"
+)
+
+func TestNext(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	cases := []struct {
+		name        string
+		pace        int
+		tail        time.Duration
+		limit       time.Duration
+		sinceChange time.Duration
+		want        int
+	}{
+		{"over the limit", 80, 150 * time.Millisecond, limit, 0, 0},
+		{"close to the limit", 80, 95 * time.Millisecond, limit, time.Minute, 0},
+		{"a little below", 50, 80 * time.Millisecond, limit, time.Minute, 50},
+		{"far below", 50, 20 * time.Millisecond, limit, time.Minute, 60},
+		{"far below, but it has just risen", 50, 20 * time.Millisecond, limit, 100 * time.Millisecond, 50},
+		{"never over full", 95, 20 * time.Millisecond, limit, time.Minute, 100},
+		{"no limit", 0, time.Hour, 0, 0, 100},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(chutepacing.Next(c.pace, c.tail, c.limit, c.sinceChange), c.want)
+		})
+	}
+}
+
+// TestServingTaskIsRelievedInTime plays a serving task whose tail grows with the pace of what fills beside it.
+func TestServingTaskIsRelievedInTime(t *testing.T) {
+	is := is.New(t)
+	const limit = 100 * time.Millisecond
+	pace, since, over := chutepacing.Full, time.Duration(0), time.Duration(0)
+	for range 200 {
+		tail := 60*time.Millisecond + time.Duration(pace)*time.Millisecond
+		if tail > limit {
+			over += 500 * time.Millisecond
+		} else {
+			over = 0
+		}
+		is.True(over < 4*time.Second)
+		next := chutepacing.Next(pace, tail, limit, since)
+		since += 500 * time.Millisecond
+		if next != pace {
+			pace, since = next, 0
+		}
+	}
+	is.True(pace < 50)
+}
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -86,7 +86,7 @@
 }
 
 func constrained(d Demand) bool {
-	return d.Step.Label != "" || d.Step.DataRack != "" || d.Step.AntiAffinity > 0 || len(d.Avoid) > 0
+	return d.Step.Label != "" || d.Step.DataRack != "" || d.Step.AntiAffinity > 0 || len(d.Avoid) > 0 || d.Tickets != nil
 }
 
 // remember carries what a single task of a step added to the load of workers over to the rest of the step.
--- a/chuteplacement/room.go
+++ b/chuteplacement/room.go
@@ -149,7 +149,9 @@
 	var workers []int
 	consider := func(i int) {
 		w := p.rooms[i]
-		if w.Service == d.Service && !d.Avoid[w.ID] && (d.Step.Label == "" || slices.Contains(w.Labels, d.Step.Label)) {
+		_, allowed := d.Tickets[w.ID]
+		allowed = allowed || d.Tickets == nil
+		if allowed && w.Service == d.Service && !d.Avoid[w.ID] && (d.Step.Label == "" || slices.Contains(w.Labels, d.Step.Label)) {
 			workers = append(workers, i)
 		}
 	}
--- a/chuteplacement/view.go
+++ b/chuteplacement/view.go
@@ -51,7 +51,8 @@
 	Indexes  []int                     // of the tasks that wait
 	Present  map[chuterun.WorkerID]int // tasks of the step that hold room, by worker
 	Avoid    map[chuterun.WorkerID]bool
-	Preempts bool // running work of lower priority may be stopped for it
+	Tickets  map[chuterun.WorkerID]string // of the workers that may run the step; nil where any may
+	Preempts bool                         // running work of lower priority may be stopped for it
 }
 
 // Decision is an outcome of a planning pass: one of the types below.
--- a/chutepool/run.go
+++ b/chutepool/run.go
@@ -5,6 +5,7 @@
 
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuterun"
 )
 
 // RunPhase is the stage of a run on its worker.
@@ -37,6 +38,9 @@
 	ReadAt      time.Time // when its progress was last read
 	Checkpoint  string
 	Percent     int
+	Usage       int       // as the worker last reported it: see chuterun.RunReport
+	held        int       // by how much it is held back, in percent
+	PacedAt     time.Time // when that last changed
 	Advanced    time.Time // when its progress last changed
 	Ticket      string    // that approves the worker, where the queue asks for one
 }
@@ -76,6 +80,21 @@
 	return r
 }
 
+// Pace returns the share at which the run may work, in percent.
+func (r Run) Pace() int {
+	return fullPace - r.held
+}
+
+// WithPace returns the run with the pace, in percent, from the moment on.
+func (r Run) WithPace(percent int, now time.Time) Run {
+	r.held = fullPace - percent
+	r.PacedAt = now
+	return r
+}
+
+// fullPace is the pace of a run that is not held back, in percent.
+const fullPace = 100
+
 // WithTicket returns the run with the ticket that approves its worker.
 func (r Run) WithTicket(ticket string) Run {
 	r.Ticket = ticket
@@ -83,8 +102,10 @@
 }
 
 // WithReport returns the run with what its worker, in one of its lives, says of it at the moment.
-func (r Run) WithReport(life int64, checkpoint string, percent int, now time.Time) Run {
+func (r Run) WithReport(life int64, report chuterun.RunReport, now time.Time) Run {
+	checkpoint, percent := report.Checkpoint, report.Percent
 	r.Life = life
+	r.Usage = report.Usage
 	if checkpoint != r.Checkpoint {
 		r.Checkpoint = checkpoint
 		r.Saved = now
--- a/chuterow/row.go
+++ b/chuterow/row.go
@@ -11,12 +11,11 @@
 
 // form is the encoded form of a row: exactly one field is set.
 type form struct {
-	Submission *chuterun.Submission      `cbor:"1,keyasint,omitempty"`
-	Cancel     *chutegraph.JobID         `cbor:"2,keyasint,omitempty"`
-	Progress   *progressForm             `cbor:"3,keyasint,omitempty"`
-	Leader     *leaderForm               `cbor:"4,keyasint,omitempty"`
-	Host       *chuteaction.HostRow      `cbor:"6,keyasint,omitempty"`
-	WaveState  *chuteaction.WaveStateRow `cbor:"5,keyasint,omitempty"`
+	Submission *chuterun.Submission `cbor:"1,keyasint,omitempty"`
+	Cancel     *chutegraph.JobID    `cbor:"2,keyasint,omitempty"`
+	Progress   *progressForm        `cbor:"3,keyasint,omitempty"`
+	Leader     *leaderForm          `cbor:"4,keyasint,omitempty"`
+	Host       *chuteaction.HostRow `cbor:"6,keyasint,omitempty"`
 }
 
 type progressForm struct {
@@ -62,9 +61,7 @@
 		}
 	case chuteaction.HostRow:
 		f.Host = &v
-	case chuteaction.WaveStateRow:
-		f.WaveState = &v
-	case chuteaction.CatalogRow, chuteaction.EvacuationRow, chuteaction.WaveRow, chuteaction.WorkerRow:
+	case chuteaction.CatalogRow, chuteaction.EvacuationRow, chuteaction.WaveRow, chuteaction.WaveStateRow, chuteaction.WorkerRow:
 		return nil, errors.Errorf("row of type %T is not written by entry hosts", value)
 	}
 	body, err := cbor.Marshal(f)
@@ -91,8 +88,6 @@
 		}, nil
 	case f.Host != nil:
 		return *f.Host, nil
-	case f.WaveState != nil:
-		return *f.WaveState, nil
 	}
 	return nil, errors.New("row: holds nothing that is known")
 }
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -166,6 +166,10 @@
 
 // taskDone enters the good end of a task; in a gang it stands for all members.
 func (t *turn) taskDone(j chuterun.Job, id chutegraph.TaskID, task chuterun.Task) {
+	if j.Step(id.StepID).LongRunning { // runs until its job is cancelled, however it ends
+		t.putJob(j.WithTask(id, task.WithPhase(chuterun.TaskWaiting)))
+		return
+	}
 	if j.Step(id.StepID).Gang {
 		j = j.WithStepDone(id.StepID)
 		t.speeds = t.speeds.WithoutStep(id.StepID)
--- a/chutescheduler/plan.go
+++ b/chutescheduler/plan.go
@@ -97,6 +97,9 @@
 		ID: chutegraph.RunID{Task: d.Task, Number: number}, Reserved: j.Step(d.Task.StepID).Reserved(),
 		Priority: t.priority(j), Checkpoint: task.Checkpoint,
 	}
+	if a, ok := t.approvals.Get(d.Task.StepID); ok {
+		run = run.WithTicket(a.tickets[d.Worker])
+	}
 	t.putWorker(w.WithRun(run.WithPhase(chutepool.RunPlanned, t.Now)))
 }
 
@@ -187,6 +190,10 @@
 	if len(d.Indexes) == 0 || step.Gang && len(d.Indexes) < len(tasks) || !j.StepOpen(id) {
 		return chuteplacement.Demand{}, false
 	}
+	if q, ok := t.environment.Catalog.Queue(j.Queue); ok && q.Approval != nil {
+		d.Tickets = t.approved(j, id)
+		return d, len(d.Tickets) > 0
+	}
 	return d, true
 }
 
@@ -231,6 +238,12 @@
 	return speedWeight * max(0, 1.3-t.speeds.Speed(w.ID, t.Now))
 }
 
+// lasting reports whether the run serves until its job is cancelled: such runs never yield.
+func (t *turn) lasting(r chutepool.Run) bool {
+	j, ok := t.Job(r.ID.Task.Job)
+	return ok && j.Step(r.ID.Task.StepID).LongRunning
+}
+
 // unsaved returns the core-seconds that stopping a run wastes.
 func (t *turn) unsaved(r chutepool.Run) float64 {
 	j, ok := t.Job(r.ID.Task.Job)
@@ -247,7 +260,7 @@
 	gangs := make(map[chutegraph.StepID]int)
 	for _, w := range t.pool.All() {
 		for _, r := range w.Runs() {
-			if r.Priority == 0 || r.Phase == chutepool.RunStopping || r.Phase == chutepool.RunWriting {
+			if r.Priority == 0 || r.Phase == chutepool.RunStopping || r.Phase == chutepool.RunWriting || t.lasting(r) {
 				continue
 			}
 			at := len(groups)
--- a/chutescheduler/run.go
+++ b/chutescheduler/run.go
@@ -111,6 +111,9 @@
 	w.RestUntil = t.Now.Add(restAfterRefusal)
 	w.HoldAfter = t.Now
 	t.putWorker(w.WithRun(r))
+	if e.Reason == chuteaction.RefusedTicket {
+		t.approvals = t.approvals.Delete(r.ID.Task.StepID)
+	}
 	if r.Unanswered && e.Reason != chuteaction.RefusedOld {
 		t.stopRun(w.ID, r.ID, "start-refused")
 		return
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -12,6 +12,7 @@
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterun"
 	"monsoonchute.example/monsoonchute/chutespeed"
+	"monsoonchute.example/monsoonchute/chutewave"
 )
 
 const part = "scheduler"
@@ -29,6 +30,8 @@
 type Environment struct {
 	Catalog  chutecatalog.Catalog
 	ZonesOut map[string]bool // zones in which nothing may start
+	Waves    []chuteaction.WaveRow
+	ProvedAt time.Time // of the latest successful write as leader
 }
 
 // State is the immutable state of a shard's scheduler.
@@ -50,10 +53,16 @@
 	hasPool   bool               // all workers have been read
 	poolAt    time.Time          // when all workers had been read
 	speeds    chutespeed.Speeds
-	planDue   bool
-	plannedAt time.Time
-	readToken chuteaction.Token
-	hostToken chuteaction.Token
+	approvals *immutable.SortedMap[chutegraph.StepID, approval]
+	waves     *immutable.SortedMap[int, waveState]
+	machines  []chutewave.Machine // as last listed
+	// machinesAskedAt is when the machines were last asked for.
+	machinesAskedAt time.Time
+	questions       int // to the approval service that are on the way
+	planDue         bool
+	plannedAt       time.Time
+	readToken       chuteaction.Token
+	hostToken       chuteaction.Token
 }
 
 // batch is a write that is on the way.
@@ -76,6 +85,10 @@
 		live:  immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
 		ended: immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
 		dirty: immutable.NewSortedMap[chutegraph.JobID, bool](nil),
+
+		waves: immutable.NewSortedMap[int, waveState](nil),
+
+		approvals: immutable.NewSortedMap[chutegraph.StepID, approval](stepOrder{}),
 	}
 	t.Emit(chuteaction.FollowTable{Table: chuteaction.TableJobs, Wait: followWait})
 	return s.readHosts(t).readProgress(t)
@@ -148,6 +161,13 @@
 	return s.readToken == token && !s.hasRows || s.hostToken == token && !s.hasHosts
 }
 
+type stepOrder struct{}
+
+// Compare orders steps by their ids.
+func (stepOrder) Compare(a, b chutegraph.StepID) int {
+	return a.Compare(b)
+}
+
 // turn is the handling of one event.
 type turn struct {
 	*chuteaction.Turn
@@ -169,6 +189,7 @@
 // keepJob stores a changed job.
 func (t *turn) keepJob(j chuterun.Job) {
 	if j.Phase.Ended() {
+		t.forgetSteps(j)
 		t.live = t.live.Delete(j.ID)
 		t.ended = t.ended.Set(j.ID, j)
 		return
@@ -176,6 +197,17 @@
 	t.live = t.live.Set(j.ID, j)
 }
 
+// forgetSteps drops what is known of the steps of a job that has ended.
+func (t *turn) forgetSteps(j chuterun.Job) {
+	for k, steps := range j.Occurrences {
+		for s := range steps {
+			id := chutegraph.StepID{Job: j.ID, Occurrence: k, Step: s}
+			t.approvals = t.approvals.Delete(id)
+			t.speeds = t.speeds.WithoutStep(id)
+		}
+	}
+}
+
 func (t *turn) putWorker(w chutepool.Worker) {
 	t.pool = t.pool.With(w)
 }
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -12,6 +12,8 @@
 const (
 	// renewWait is how long a worker may keep a renewal open for an end.
 	renewWait = 2 * time.Second
+	// mixedWait is the same for a worker on which filling tasks may disturb serving ones.
+	mixedWait = 800 * time.Millisecond
 	// renewLatest is the age of the latest renewal at which the next is sent although ends are still to be recorded.
 	renewLatest = 1500 * time.Millisecond
 	// stopAgainAfter is the wait before an unanswered stop order is repeated.
@@ -30,6 +32,7 @@
 	for _, w := range u.pool.All() {
 		u.visit(w)
 	}
+	u.driveWaves()
 	u.plan()
 	return u.State
 }
@@ -106,6 +109,8 @@
 	case unrecorded && t.Now.Sub(w.HeldAt) < renewLatest:
 	case works && unrecorded:
 		t.renew(w, 0)
+	case works && t.mixed(w):
+		t.renew(w, mixedWait)
 	case works:
 		t.renew(w, renewWait)
 	case w.Told < w.Durable:
--- a/chutescheduler/worker.go
+++ b/chutescheduler/worker.go
@@ -223,6 +223,7 @@
 	}
 	t.enterRunning(w.ID, e.Running)
 	t.findAbsent(w.ID, e, first)
+	t.paceWorker(w.ID)
 }
 
 func (t *turn) enterEnds(id chuterun.WorkerID, ends []chuterun.RunEnd) {
@@ -248,7 +249,7 @@
 			r = r.WithPhase(chutepool.RunWorking, t.Now)
 		}
 		t.noteProgress(id, r, report.Percent)
-		t.putWorker(w.WithRun(r.WithReport(w.Life, report.Checkpoint, report.Percent, t.Now)))
+		t.putWorker(w.WithRun(r.WithReport(w.Life, report, t.Now)))
 		if !t.expected(id, report.Run) {
 			t.stopRun(id, report.Run, "not-expected")
 		}
@@ -333,5 +334,5 @@
 
 // mayStartOn reports whether new work may go to the worker.
 func (t *turn) mayStartOn(w chutepool.Worker) bool {
-	return w.Listed && !w.Draining && !w.Lost && !t.environment.ZonesOut[w.Zone]
+	return w.Listed && !w.Draining && !w.Lost && !t.environment.ZonesOut[w.Zone] && !t.closing(w.ID)
 }
--- /dev/null
+++ b/chutewave/wave_test.go
@@ -0,0 +1,52 @@
+package chutewave_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"monsoonchute.example/monsoonchute/chuterun"
+	"monsoonchute.example/monsoonchute/chutewave"
+)
+
+func TestNext(t *testing.T) {
+	up := func(id string) chutewave.Machine {
+		return chutewave.Machine{ID: id, State: chutewave.MachineUp, Worker: chuterun.WorkerID(id)}
+	}
+	down := chutewave.Machine{ID: "b", State: chutewave.MachineMaintained}
+	costs := map[chuterun.WorkerID]float64{"a": 3, "b": 1, "c": 2}
+	wave := func(limit int) chutewave.Wave { return chutewave.New(1, []string{"a", "b", "c"}, limit) }
+	cases := []struct {
+		name     string
+		wave     chutewave.Wave
+		machines []chutewave.Machine
+		kept     chuterun.WorkerID // its work must not end
+		want     []string
+	}{
+		{"cheapest first", wave(1), []chutewave.Machine{up("a"), up("b"), up("c")}, "", []string{"b"}},
+		{"up to the limit", wave(2), []chutewave.Machine{up("a"), up("b"), up("c")}, "", []string{"b", "c"}},
+		{"one is down", wave(1), []chutewave.Machine{up("a"), down, up("c")}, "", nil},
+		{"one is down, two may be", wave(2), []chutewave.Machine{up("a"), down, up("c")}, "", []string{"c"}},
+		{"one is being emptied", wave(1).WithClosing("a"), []chutewave.Machine{up("a"), up("b"), up("c")}, "", nil},
+		{"one is done and back", wave(1).WithDone("b"), []chutewave.Machine{up("a"), up("b"), up("c")}, "", []string{"c"}},
+		{"work that must go on", wave(1), []chutewave.Machine{up("a"), up("b"), up("c")}, "b", []string{"c"}},
+		{"all done", wave(1).WithDone("a").WithDone("b").WithDone("c"), []chutewave.Machine{up("a"), up("b"), up("c")}, "", nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got := c.wave.Next(c.machines, func(w chuterun.WorkerID) (float64, bool) { return costs[w], w != c.kept || c.kept == "" })
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+func TestCompleted(t *testing.T) {
+	is := is.New(t)
+	w := chutewave.New(1, []string{"a", "b"}, 1)
+	is.True(!w.Completed())
+	w = w.WithDone("a")
+	is.True(!w.Completed())
+	w = w.WithListed([]chutewave.Machine{{ID: "a", State: chutewave.MachineUp}}) // b is gone
+	is.True(w.Completed())
+}
--- a/cmd/monsoonchuted/platform.go
+++ b/cmd/monsoonchuted/platform.go
@@ -91,12 +91,15 @@
 	metrics, endMetrics := chutemetric.New()
 	direct, endDirect := platform.NewDirectStore(settings.StoreAddress)
 	paths, endPaths := chuterelay.New(listeners.relay, direct, log)
-	workers, endWorkers := platform.NewWorkers()
+	workers, endWorkers := platform.NewWorkers(settings.AdviceAddress)
+	machines, endMachines := platform.NewMachines(settings.Host, settings.MachineAddress)
 	core := chuteentry.Settings{
 		Host: settings.Host, Process: process, Relay: settings.RelayAddress, Jitter: jitterOf(settings.Host), Bounds: settings.Bounds,
 	}
 	finish := time.Duration(float64(settings.Grace) * finishShare)
-	daemon, endDaemon := chutedaemon.New(core, platform.NewStore(paths), workers, paths, metrics, log, finish)
+	daemon, endDaemon := chutedaemon.New(core, chutedaemon.Outside{
+		Store: platform.NewStore(paths), Workers: workers, Machines: machines, Peers: paths,
+	}, metrics, log, finish)
 	group, endGroup := chuteduty.New(log)
 	front, endFront := platform.NewFront(listeners.front, daemon, log, group.Go)
 	endReady := platform.ServeReady(listeners.ready, daemon, log, group.Go)
@@ -112,6 +115,7 @@
 		endReady()
 		endDaemon()
 		endWorkers()
+		endMachines()
 		endPaths()
 		endDirect()
 		endMetrics()
