Split the scheduler and the adapter into packages of one job each

Change: chuterunner drives runs on workers, chuteplanner brings waiting tasks before the placement, chutescheduler takes over, records and keeps time; platform/ holds the settings, with call, store, fleet and front below it. No behaviour changes.

--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -9,6 +9,7 @@
 	"monsoonchute.example/monsoonchute/chutecatalog"
 	"monsoonchute.example/monsoonchute/chuteintake"
 	"monsoonchute.example/monsoonchute/chuteleader"
+	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutescheduler"
 )
 
@@ -36,7 +37,7 @@
 	Process string        // new at each start
 	Relay   string        // address where this host takes requests to the store from others; empty for none
 	Jitter  time.Duration // more patience of this host before it takes over
-	Bounds  chutescheduler.Bounds
+	Bounds  chuterunner.Bounds
 }
 
 // State is the immutable state of an entry host.
@@ -86,7 +87,7 @@
 	return !s.contactAt.IsZero() && now.Sub(s.contactAt) <= contactLimit
 }
 
-func (s State) environment() chutescheduler.Environment {
+func (s State) environment() chuterunner.Environment {
 	out := make(map[string]bool)
 	for i := s.zonesOut.Iterator(); !i.Done(); {
 		zone, _, _ := i.Next()
@@ -97,7 +98,7 @@
 		_, w, _ := i.Next()
 		waves = append(waves, w)
 	}
-	return chutescheduler.Environment{Catalog: s.catalog, ZonesOut: out, Waves: waves, ProvedAt: s.leader.ProvedAt()}
+	return chuterunner.Environment{Catalog: s.catalog, ZonesOut: out, Waves: waves, ProvedAt: s.leader.ProvedAt()}
 }
 
 func (s State) intakeView(now time.Time) chuteintake.View {
--- a/chuteentry/world_test.go
+++ b/chuteentry/world_test.go
@@ -11,7 +11,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecatalog"
 	"monsoonchute.example/monsoonchute/chuteentry"
-	"monsoonchute.example/monsoonchute/chutescheduler"
+	"monsoonchute.example/monsoonchute/chuterunner"
 )
 
 // world plays entry hosts against a store, workers and clients in virtual time. Nothing in it uses a network.
@@ -139,7 +139,7 @@
 	h := &fakeHost{world: w, name: name, process: fmt.Sprintf("%s-%d", name, w.count), follows: make(map[chuteaction.Table]int)}
 	h.state = chuteentry.New(chuteentry.Settings{
 		Host: name, Process: h.process, Jitter: time.Duration(w.random.Int64N(int64(400 * time.Millisecond))),
-		Bounds: chutescheduler.Bounds{MaxLease: maxLease, GangTimeout: gangTimeout, StopTimeout: stopTimeout},
+		Bounds: chuterunner.Bounds{MaxLease: maxLease, GangTimeout: gangTimeout, StopTimeout: stopTimeout},
 	})
 	w.hosts[name] = h
 	h.tick()
--- a/chutescheduler/approval.go
+++ b/chuteplanner/approval.go
@@ -1,4 +1,4 @@
-package chutescheduler
+package chuteplanner
 
 import (
 	"cmp"
@@ -9,6 +9,7 @@
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterun"
+	"monsoonchute.example/monsoonchute/chuterunner"
 )
 
 const (
@@ -79,8 +80,8 @@
 		return known[:min(len(known), approvalBatch)]
 	}
 	var free []chutepool.Worker
-	for _, w := range t.pool.All() {
-		if w.Service == t.service(j) && w.Usable(t.Now) && t.mayStartOn(w) && !a.asked[w.ID] {
+	for _, w := range t.Pool.All() {
+		if w.Service == t.Service(j) && w.Usable(t.Now) && t.MayStartOn(w) && !a.asked[w.ID] {
 			free = append(free, w)
 		}
 	}
@@ -95,25 +96,40 @@
 }
 
 // Approved takes the answer of the approval service.
-func (s State) Approved(t *chuteaction.Turn, environment Environment, e chuteaction.StepApproved) State {
-	u := s.turn(t, environment)
-	a, ok := u.approvals.Get(e.Step)
-	u.questions = max(0, u.questions-1)
+func (m Memory) Approved(r *chuterunner.Turn, e chuteaction.StepApproved) Memory {
+	a, ok := m.approvals.Get(e.Step)
+	m.questions = max(0, m.questions-1)
 	if !ok {
-		return u.State
+		return m
 	}
 	a.asking = false
 	if !e.Answered {
-		t.Count("approval-missed", "no-answer")
-		a.again = t.Now.Add(approvalPause)
+		r.Count("approval-missed", "no-answer")
+		a.again = r.Now.Add(approvalPause)
 		a.asked = nil
-		u.approvals = u.approvals.Set(e.Step, a)
-		return u.State
+		m.approvals = m.approvals.Set(e.Step, a)
+		return m
 	}
-	t.Log(part, "approval given", e.Step.Job, "step", e.Step, "asked", len(e.Asked), "approved", len(e.Tickets))
+	r.Log(part, "approval given", e.Step.Job, "step", e.Step, "asked", len(e.Asked), "approved", len(e.Tickets))
 	a.tickets = e.Tickets
-	a.until = t.Now.Add(e.Validity)
-	u.approvals = u.approvals.Set(e.Step, a)
-	u.planDue = true
-	return u.State
+	a.until = r.Now.Add(e.Validity)
+	m.approvals = m.approvals.Set(e.Step, a)
+	r.PlanDue = true
+	return m
+}
+
+// WithoutStep returns the memory without the approvals for the step.
+func (m Memory) WithoutStep(id chutegraph.StepID) Memory {
+	m.approvals = m.approvals.Delete(id)
+	return m
+}
+
+// WithoutJob returns the memory without the approvals for the steps of a job that has ended.
+func (m Memory) WithoutJob(j chuterun.Job) Memory {
+	for k, steps := range j.Occurrences {
+		for step := range steps {
+			m = m.WithoutStep(chutegraph.StepID{Job: j.ID, Occurrence: k, Step: step})
+		}
+	}
+	return m
 }
--- /dev/null
+++ b/chuteplanner/memory.go
@@ -0,0 +1,48 @@
+package chuteplanner
+
+import (
+	"time"
+
+	"github.com/benbjohnson/immutable"
+
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuterunner"
+)
+
+const (
+	part = "scheduler"
+	// planInterval is the longest time between two planning passes.
+	planInterval = 500 * time.Millisecond
+)
+
+// Memory is what the planner keeps between its passes.
+type Memory struct {
+	plannedAt time.Time
+	listedAt  time.Time // when all workers had been read
+	approvals *immutable.SortedMap[chutegraph.StepID, approval]
+	questions int // to the approval service that are on the way
+}
+
+// New returns the memory of a planner that has not planned yet.
+func New() Memory {
+	return Memory{approvals: immutable.NewSortedMap[chutegraph.StepID, approval](stepOrder{})}
+}
+
+// WithWorkersListed returns the memory after all workers had been read at the moment.
+func (m Memory) WithWorkersListed(now time.Time) Memory {
+	m.listedAt = now
+	return m
+}
+
+type stepOrder struct{}
+
+// Compare orders steps by their ids.
+func (stepOrder) Compare(a, b chutegraph.StepID) int {
+	return a.Compare(b)
+}
+
+// turn is one planning pass.
+type turn struct {
+	*chuterunner.Turn
+	Memory
+}
--- a/chutescheduler/pacing.go
+++ b/chuteplanner/pacing.go
@@ -1,4 +1,4 @@
-package chutescheduler
+package chuteplanner
 
 import (
 	"time"
@@ -7,17 +7,18 @@
 	"monsoonchute.example/monsoonchute/chutepacing"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterun"
+	"monsoonchute.example/monsoonchute/chuterunner"
 )
 
-// paceWorker adjusts the filling tasks on a worker to the tails of the serving tasks beside them, as just reported.
-func (t *turn) paceWorker(id chuterun.WorkerID) {
-	w, ok := t.pool.Get(id)
+// PaceWorker adjusts the filling tasks on a worker to the tails of the serving tasks beside them, as just reported.
+func PaceWorker(t *chuterunner.Turn, id chuterun.WorkerID) {
+	w, ok := t.Pool.Get(id)
 	if !ok {
 		return
 	}
-	tail, limit, serves := t.worstTail(w)
+	tail, limit, serves := worstTail(t, w)
 	for _, r := range w.Runs() {
-		if r.Phase != chutepool.RunWorking || !t.fills(r) {
+		if r.Phase != chutepool.RunWorking || !fills(t, r) {
 			continue
 		}
 		next := chutepacing.Full
@@ -25,21 +26,21 @@
 			next = chutepacing.Next(r.Pace(), tail, limit, t.Now.Sub(r.PacedAt))
 		}
 		if next != r.Pace() {
-			t.orderPace(id, r.WithPace(next, t.Now), tail, limit)
+			orderPace(t, id, r.WithPace(next, t.Now), tail, limit)
 		}
 	}
 }
 
-func (t *turn) orderPace(id chuterun.WorkerID, r chutepool.Run, tail, limit time.Duration) {
-	w, _ := t.pool.Get(id)
-	t.putWorker(w.WithRun(r))
+func orderPace(t *chuterunner.Turn, id chuterun.WorkerID, r chutepool.Run, tail, limit time.Duration) {
+	w, _ := t.Pool.Get(id)
+	t.PutWorker(w.WithRun(r))
 	t.Count("run-paced", "tail")
 	t.Log(part, "filling run is paced", r.ID.Task.Job, "run", r.ID, "worker", id, "percent", r.Pace(), "tail", tail, "limit", limit)
-	t.Emit(chuteaction.PaceRun{WorkerTarget: t.target(w), Run: r.ID, Percent: r.Pace()})
+	t.Emit(chuteaction.PaceRun{WorkerTarget: t.Target(w), Run: r.ID, Percent: r.Pace()})
 }
 
 // worstTail returns the tail that is closest to its limit, or furthest over it, of the serving tasks on a worker.
-func (t *turn) worstTail(w chutepool.Worker) (tail, limit time.Duration, serves bool) {
+func worstTail(t *chuterunner.Turn, w chutepool.Worker) (tail, limit time.Duration, serves bool) {
 	for _, r := range w.Runs() {
 		j, ok := t.Job(r.ID.Task.Job)
 		if !ok || r.Phase != chutepool.RunWorking {
@@ -57,19 +58,19 @@
 	return tail, limit, serves
 }
 
-func (t *turn) fills(r chutepool.Run) bool {
+func fills(t *chuterunner.Turn, r chutepool.Run) bool {
 	j, ok := t.Job(r.ID.Task.Job)
 	return ok && j.Step(r.ID.Task.StepID).Fill
 }
 
-// mixed reports whether filling and serving tasks share the worker, so that its tails must be read often.
-func (t *turn) mixed(w chutepool.Worker) bool {
-	_, _, serves := t.worstTail(w)
+// Mixed reports whether filling and serving tasks share the worker, so that its tails must be read often.
+func Mixed(t *chuterunner.Turn, w chutepool.Worker) bool {
+	_, _, serves := worstTail(t, w)
 	if !serves {
 		return false
 	}
 	for _, r := range w.Runs() {
-		if t.fills(r) {
+		if fills(t, r) {
 			return true
 		}
 	}
--- a/chutescheduler/plan.go
+++ b/chuteplanner/plan.go
@@ -1,4 +1,4 @@
-package chutescheduler
+package chuteplanner
 
 import (
 	"cmp"
@@ -11,18 +11,23 @@
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterun"
+	"monsoonchute.example/monsoonchute/chuterunner"
 )
 
-// plan gives room to tasks that wait and takes it from work that must yield.
-func (t *turn) plan() {
-	if !t.planDue && t.Now.Sub(t.plannedAt) < planInterval {
-		return
+// Plan gives room to tasks that wait and takes it from work that must yield, if something has changed or the latest pass
+// is old.
+func (m Memory) Plan(r *chuterunner.Turn) Memory {
+	if !r.PlanDue && r.Now.Sub(m.plannedAt) < planInterval || !m.greeted(r) {
+		return m
 	}
-	if !t.greeted() {
-		return
-	}
-	t.planDue = false
+	t := &turn{Turn: r, Memory: m}
+	t.PlanDue = false
 	t.plannedAt = t.Now
+	t.plan()
+	return t.Memory
+}
+
+func (t *turn) plan() {
 	demands := t.demands()
 	if len(demands) == 0 {
 		return
@@ -36,7 +41,7 @@
 			t.assign(d)
 		case chuteplacement.Evict:
 			t.Log(part, "run yields", d.Run.Task.Job, "run", d.Run, "to", d.For, "wasted", d.Cost)
-			t.stopRun(d.Worker, d.Run, "yields")
+			t.StopRun(d.Worker, d.Run, "yields")
 		}
 	}
 	for _, d := range demands {
@@ -51,9 +56,9 @@
 	racks := make(map[string]bool)
 	slowest := math.Inf(1)
 	for _, id := range workers {
-		w, _ := t.pool.Get(id)
+		w, _ := t.Pool.Get(id)
 		racks[w.Rack] = true
-		slowest = min(slowest, t.speeds.Speed(id, t.Now))
+		slowest = min(slowest, t.Speeds.Speed(id, t.Now))
 	}
 	j, _ := t.Job(d.ID.Job)
 	t.Log(part, "step starts", d.ID.Job, "queue", j.Queue, "step", d.ID, "priority", d.Priority, "tasks", len(workers),
@@ -65,11 +70,11 @@
 const greetLimit = 400 * time.Millisecond
 
 // greeted reports whether the workers have told what they run, or had the time to.
-func (t *turn) greeted() bool {
-	if t.Now.Sub(t.poolAt) >= greetLimit {
+func (m Memory) greeted(r *chuterunner.Turn) bool {
+	if r.Now.Sub(m.listedAt) >= greetLimit {
 		return true
 	}
-	for _, w := range t.pool.All() {
+	for _, w := range r.Pool.All() {
 		if w.Listed && !w.Greeted {
 			return false
 		}
@@ -79,11 +84,11 @@
 
 // assign gives a task its next run on the worker; it is recorded before its order leaves.
 func (t *turn) assign(d chuteplacement.Start) {
-	j, ok := t.live.Get(d.Task.Job)
+	j, ok := t.Live.Get(d.Task.Job)
 	if !ok {
 		return
 	}
-	w, ok := t.pool.Get(d.Worker)
+	w, ok := t.Pool.Get(d.Worker)
 	if !ok {
 		return
 	}
@@ -92,15 +97,15 @@
 	if j.Step(d.Task.StepID).Gang {
 		number = gangRun(j, d.Task)
 	}
-	t.putJob(j.WithPhase(chuterun.PhaseRunning).WithTask(d.Task, task.WithRun(number, d.Worker)))
+	t.PutJob(j.WithPhase(chuterun.PhaseRunning).WithTask(d.Task, task.WithRun(number, d.Worker)))
 	run := chutepool.Run{
 		ID: chutegraph.RunID{Task: d.Task, Number: number}, Reserved: j.Step(d.Task.StepID).Reserved(),
-		Priority: t.priority(j), Checkpoint: task.Checkpoint,
+		Priority: t.Priority(j), Checkpoint: task.Checkpoint,
 	}
 	if a, ok := t.approvals.Get(d.Task.StepID); ok {
 		run = run.WithTicket(a.tickets[d.Worker])
 	}
-	t.putWorker(w.WithRun(run.WithPhase(chutepool.RunPlanned, t.Now)))
+	t.PutWorker(w.WithRun(run.WithPhase(chutepool.RunPlanned, t.Now)))
 }
 
 // gangRun returns the number of the run that all members of a gang share: one more than any member had, or that of the
@@ -119,22 +124,6 @@
 	return highest + 1
 }
 
-// priority returns the priority of a job's queue in force.
-func (t *turn) priority(j chuterun.Job) int {
-	if q, ok := t.environment.Catalog.Queue(j.Queue); ok {
-		return q.Priority
-	}
-	return j.Priority
-}
-
-// service returns the service whose workers run the job.
-func (t *turn) service(j chuterun.Job) string {
-	if q, ok := t.environment.Catalog.Queue(j.Queue); ok {
-		return q.Service
-	}
-	return j.Service
-}
-
 // ranked is a demand with what decides on its turn.
 type ranked struct {
 	demand chuteplacement.Demand
@@ -144,7 +133,7 @@
 // demands returns the steps that wait for room, in the order in which they are served.
 func (t *turn) demands() []chuteplacement.Demand {
 	var list []ranked
-	for i := t.live.Iterator(); !i.Done(); {
+	for i := t.Live.Iterator(); !i.Done(); {
 		_, j, _ := i.Next()
 		list = t.appendDemands(list, j)
 	}
@@ -173,9 +162,9 @@
 func (t *turn) demand(j chuterun.Job, id chutegraph.StepID) (chuteplacement.Demand, bool) {
 	step := j.Step(id)
 	tasks := j.Tasks(id)
-	priority := t.priority(j)
+	priority := t.Priority(j)
 	d := chuteplacement.Demand{
-		ID: id, Step: step, Service: t.service(j), Priority: priority, Preempts: priority == 0,
+		ID: id, Step: step, Service: t.Service(j), Priority: priority, Preempts: priority == 0,
 		Present: make(map[chuterun.WorkerID]int),
 	}
 	for i, task := range tasks {
@@ -190,7 +179,7 @@
 	if len(d.Indexes) == 0 || step.Gang && len(d.Indexes) < len(tasks) || !j.StepOpen(id) {
 		return chuteplacement.Demand{}, false
 	}
-	if q, ok := t.environment.Catalog.Queue(j.Queue); ok && q.Approval != nil {
+	if q, ok := t.Environment.Catalog.Queue(j.Queue); ok && q.Approval != nil {
 		d.Tickets = t.approved(j, id)
 		return d, len(d.Tickets) > 0
 	}
@@ -200,8 +189,8 @@
 // roomView returns the workers that may be given work.
 func (t *turn) roomView() []chuteplacement.Worker {
 	var rooms []chuteplacement.Worker
-	for _, w := range t.pool.All() {
-		if !w.Usable(t.Now) || !t.mayStartOn(w) {
+	for _, w := range t.Pool.All() {
+		if !w.Usable(t.Now) || !t.MayStartOn(w) {
 			continue
 		}
 		room := chuteplacement.Worker{
@@ -230,37 +219,21 @@
 // penalty tells how far a worker stands behind others with the same room.
 func (t *turn) penalty(w chutepool.Worker) float64 {
 	switch {
-	case t.speeds.Slow(w.ID, t.Now):
+	case t.Speeds.Slow(w.ID, t.Now):
 		return slowPenalty
 	case t.Now.Before(w.ColdUntil):
 		return coldPenalty
 	}
-	return speedWeight * max(0, 1.3-t.speeds.Speed(w.ID, t.Now))
-}
-
-// lasting reports whether the run serves until its job is cancelled: such runs never yield.
-func (t *turn) lasting(r chutepool.Run) bool {
-	j, ok := t.Job(r.ID.Task.Job)
-	return ok && j.Step(r.ID.Task.StepID).LongRunning
-}
-
-// unsaved returns the core-seconds that stopping a run wastes.
-func (t *turn) unsaved(r chutepool.Run) float64 {
-	j, ok := t.Job(r.ID.Task.Job)
-	if !ok {
-		return 0
-	}
-	step := j.Step(r.ID.Task.StepID)
-	return r.Unsaved(t.Now, step.Estimate, step.Checkpointing)
+	return speedWeight * max(0, 1.3-t.Speeds.Speed(w.ID, t.Now))
 }
 
 // groups returns the work that may be stopped for more urgent work.
 func (t *turn) groups() []chuteplacement.Group {
 	var groups []chuteplacement.Group
 	gangs := make(map[chutegraph.StepID]int)
-	for _, w := range t.pool.All() {
+	for _, w := range t.Pool.All() {
 		for _, r := range w.Runs() {
-			if r.Priority == 0 || r.Phase == chutepool.RunStopping || r.Phase == chutepool.RunWriting || t.lasting(r) {
+			if r.Priority == 0 || r.Phase == chutepool.RunStopping || r.Phase == chutepool.RunWriting || t.Lasting(r) {
 				continue
 			}
 			at := len(groups)
@@ -273,7 +246,7 @@
 			if at == len(groups) {
 				groups = append(groups, chuteplacement.Group{Priority: r.Priority})
 			}
-			groups[at].Cost += t.unsaved(r)
+			groups[at].Cost += t.Unsaved(r)
 			groups[at].Members = append(groups[at].Members, chuteplacement.Member{Run: r.ID, Worker: w.ID, Reserved: r.Reserved})
 		}
 	}
--- /dev/null
+++ b/chuterunner/state.go
@@ -0,0 +1,146 @@
+package chuterunner
+
+import (
+	"time"
+
+	"github.com/benbjohnson/immutable"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutecatalog"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chuterun"
+	"monsoonchute.example/monsoonchute/chutespeed"
+)
+
+const part = "scheduler"
+
+// State is the immutable state of a scheduler's jobs, runs and workers.
+type State struct {
+	Epoch   int64 // under which orders are given
+	Bounds  Bounds
+	TakenAt time.Time // when this host became the scheduler
+	Live    *immutable.SortedMap[chutegraph.JobID, chuterun.Job]
+	Ended   *immutable.SortedMap[chutegraph.JobID, chuterun.Job]
+	Pool    chutepool.Pool
+	Dirty   *immutable.SortedMap[chutegraph.JobID, bool] // jobs whose progress is to be recorded
+	Speeds  chutespeed.Speeds
+	Closing map[chuterun.WorkerID]bool // workers whose machines go down soon; never changed once stored
+	PlanDue bool                       // something changed since the latest planning pass
+}
+
+// New returns a state without jobs and workers.
+func New(epoch int64, bounds Bounds, now time.Time) State {
+	return State{
+		Epoch: epoch, Bounds: bounds, TakenAt: now, Pool: chutepool.New(), Speeds: chutespeed.New(),
+		Live:  immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
+		Ended: immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
+		Dirty: immutable.NewSortedMap[chutegraph.JobID, bool](nil),
+	}
+}
+
+// Turn is the handling of one event. It is thrown away with it.
+type Turn struct {
+	*chuteaction.Turn
+	State
+	Environment Environment
+	Fenced      bool // a worker has seen a higher epoch
+}
+
+// NewTurn returns a turn that begins with the state.
+func NewTurn(t *chuteaction.Turn, state State, environment Environment) *Turn {
+	return &Turn{Turn: t, State: state, Environment: environment}
+}
+
+// Priority returns the priority of a job's queue in force.
+func (t *Turn) Priority(j chuterun.Job) int {
+	if q, ok := t.Environment.Catalog.Queue(j.Queue); ok {
+		return q.Priority
+	}
+	return j.Priority
+}
+
+// Service returns the service whose workers run the job.
+func (t *Turn) Service(j chuterun.Job) string {
+	if q, ok := t.Environment.Catalog.Queue(j.Queue); ok {
+		return q.Service
+	}
+	return j.Service
+}
+
+// Lasting reports whether the run serves until its job is cancelled: such runs never yield.
+func (t *Turn) Lasting(r chutepool.Run) bool {
+	j, ok := t.Job(r.ID.Task.Job)
+	return ok && j.Step(r.ID.Task.StepID).LongRunning
+}
+
+// Unsaved returns the core-seconds that stopping a run wastes.
+func (t *Turn) Unsaved(r chutepool.Run) float64 {
+	j, ok := t.Job(r.ID.Task.Job)
+	if !ok {
+		return 0
+	}
+	step := j.Step(r.ID.Task.StepID)
+	return r.Unsaved(t.Now, step.Estimate, step.Checkpointing)
+}
+
+// Bounds are the limits that the workers and the operators set.
+type Bounds struct {
+	MaxLease    time.Duration // longest lease that a worker grants
+	GangTimeout time.Duration // how long members of a gang wait for the others
+	StopTimeout time.Duration // how long a stop takes at most
+	// UnprovedLimit is how long a scheduler renews leases without a successful write to the store.
+	UnprovedLimit time.Duration
+}
+
+// Environment is what the scheduler is told with each event.
+type Environment struct {
+	Catalog  chutecatalog.Catalog
+	ZonesOut map[string]bool // zones in which nothing may start
+	Waves    []chuteaction.WaveRow
+	ProvedAt time.Time // of the latest successful write as leader
+}
+
+// Job returns the job, ended or not, and false if it does not exist.
+func (s State) Job(id chutegraph.JobID) (chuterun.Job, bool) {
+	if j, ok := s.Live.Get(id); ok {
+		return j, true
+	}
+	return s.Ended.Get(id)
+}
+
+// PutJob stores a changed job whose progress is to be recorded.
+func (t *Turn) PutJob(j chuterun.Job) {
+	t.KeepJob(j)
+	t.Dirty = t.Dirty.Set(j.ID, true)
+}
+
+// KeepJob stores a changed job.
+func (t *Turn) KeepJob(j chuterun.Job) {
+	if j.Phase.Ended() {
+		for k, steps := range j.Occurrences {
+			for step := range steps {
+				t.Speeds = t.Speeds.WithoutStep(chutegraph.StepID{Job: j.ID, Occurrence: k, Step: step})
+			}
+		}
+		t.Live = t.Live.Delete(j.ID)
+		t.Ended = t.Ended.Set(j.ID, j)
+		return
+	}
+	t.Live = t.Live.Set(j.ID, j)
+}
+
+// PutWorker stores a changed worker.
+func (t *Turn) PutWorker(w chutepool.Worker) {
+	t.Pool = t.Pool.With(w)
+}
+
+// Target returns where orders for the worker go, under the authority of this scheduler.
+func (t *Turn) Target(w chutepool.Worker) chuteaction.WorkerTarget {
+	return chuteaction.WorkerTarget{Worker: w.ID, Address: w.Address, Epoch: t.Epoch}
+}
+
+// MayStartOn reports whether new work may go to the worker.
+func (t *Turn) MayStartOn(w chutepool.Worker) bool {
+	return w.Listed && !w.Draining && !w.Lost && !t.Environment.ZonesOut[w.Zone] && !t.Closing[w.ID]
+}
--- /dev/null
+++ b/chuterunner/worker.go
@@ -0,0 +1,255 @@
+package chuterunner
+
+import (
+	"time"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chuterun"
+)
+
+// LifeBegan enters that a worker was started anew: what it ran is gone, but orders that are on the way may still
+// reach it.
+func (t *Turn) LifeBegan(w chutepool.Worker, life int64) {
+	t.Count("worker-restarted", "new-life")
+	t.Log(part, "worker has a new life", "", "worker", w.ID, "runs", w.RunCount(), "life", life)
+	former := w
+	w = w.WithNewLife(life)
+	w.HoldAfter = t.Now
+	t.PutWorker(w)
+	for _, r := range former.Runs() {
+		t.outliveRun(w.ID, r)
+	}
+}
+
+// outliveRun draws the consequence of a worker's new life for a run. One that the worker never listed may have been
+// started in the new life, although the answer to its order came before the news.
+func (t *Turn) outliveRun(id chuterun.WorkerID, r chutepool.Run) {
+	switch r.Phase {
+	case chutepool.RunWorking:
+		if r.Life != 0 {
+			t.ReleaseRun(id, r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndLost})
+			return
+		}
+		w, _ := t.Pool.Get(id)
+		t.PutWorker(w.WithRun(r.WithPhase(chutepool.RunWorking, t.Now)))
+	case chutepool.RunStopping:
+		if r.Life != 0 && !r.Unanswered {
+			t.ReleaseRun(id, r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndLost})
+		}
+	case chutepool.RunOrdered, chutepool.RunPlanned, chutepool.RunWriting:
+		t.StopRun(id, r.ID, "worker-restarted")
+	}
+}
+
+// workerReplaced enters that another worker answers at the address: this one is gone with all that it ran.
+func (t *Turn) workerReplaced(id chuterun.WorkerID) {
+	w, ok := t.Pool.Get(id)
+	if !ok {
+		return
+	}
+	t.Count("worker-lost", "replaced")
+	t.Log(part, "another worker answers at the address", "", "worker", id, "address", w.Address, "runs", w.RunCount())
+	t.LoseWorker(w.WithUnlisted())
+}
+
+// LoseWorker ends all runs of a worker that certainly works no longer under its lease.
+func (t *Turn) LoseWorker(w chutepool.Worker) {
+	w.Greeted = false
+	w.Lost = true
+	t.PutWorker(w)
+	for _, r := range w.Runs() {
+		if r.Phase == chutepool.RunWriting {
+			continue // the end of the write finds the worker lost
+		}
+		t.ReleaseRun(w.ID, r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndLost})
+	}
+}
+
+// Renewed handles the end of a renewal.
+func (t *Turn) Renewed(e chuteaction.LeaseRenewed) {
+	w, ok := t.Pool.Get(e.Worker)
+	if e.Epoch != t.Epoch || !ok {
+		return
+	}
+	w.Holding = false
+	switch e.Outcome {
+	case chuteaction.OrderTaken:
+		t.renewed(w, e)
+	case chuteaction.OrderElsewhere:
+		t.PutWorker(w)
+		t.workerReplaced(w.ID)
+	case chuteaction.OrderRefused:
+		t.Fenced = e.Reason == chuteaction.RefusedFence
+		t.renewalMissed(w, e.Reason.String())
+	case chuteaction.OrderUnhealthy:
+		t.renewalMissed(w, "unhealthy")
+	case chuteaction.OrderUnknown:
+		t.renewalMissed(w, "no-answer")
+	}
+}
+
+func (t *Turn) renewalMissed(w chutepool.Worker, reason string) {
+	if w.Misses == 0 {
+		t.Log(part, "worker does not answer", "", "worker", w.ID, "reason", reason, "runs", w.RunCount(),
+			"lease-left", w.LeaseUntil.Sub(t.Now))
+	}
+	t.Count("renewal-missed", reason)
+	w.Misses++
+	if w.Left {
+		t.PutWorker(w)
+		t.Count("worker-lost", "left")
+		t.Log(part, "worker has left", "", "worker", w.ID, "runs", w.RunCount())
+		t.LoseWorker(w)
+		return
+	}
+	w.HoldAfter = t.Now.Add(missPause(w))
+	t.PutWorker(w)
+}
+
+// missPause returns the wait before the next renewal to a worker that did not answer.
+func missPause(w chutepool.Worker) time.Duration {
+	if w.Working() {
+		return 200 * time.Millisecond
+	}
+	return min(time.Duration(w.Misses)*500*time.Millisecond, 3*time.Second)
+}
+
+func (t *Turn) renewed(w chutepool.Worker, e chuteaction.LeaseRenewed) {
+	if w.Life != 0 && e.Life != 0 && e.Life < w.Life {
+		t.PutWorker(w)
+		return // a late answer of an earlier life
+	}
+	if w.Life != 0 && e.Life > w.Life {
+		t.LifeBegan(w, e.Life)
+		w, _ = t.Pool.Get(w.ID)
+	}
+	if w.Misses > 0 || !w.Greeted {
+		t.Log(part, "worker answers", "", "worker", w.ID, "missed", w.Misses, "running", len(e.Running), "ended", len(e.Ended))
+		t.PlanDue = true
+	}
+	if e.Life != 0 {
+		w.Life = e.Life
+	}
+	stale := w.Greeted && e.Clock < w.SeenAt // answers may overtake each other
+	w.SeenAt = max(w.SeenAt, e.Clock)
+	w.Clock = chutepool.Clock{Reading: e.Clock, At: t.Now}
+	w.Misses, w.Lost = 0, false
+	w.AnsweredAt = t.Now
+	first := !w.Greeted
+	w.Greeted = true
+	t.PutWorker(w)
+	t.enterEnds(w.ID, e.Ended)
+	if stale {
+		return
+	}
+	t.enterRunning(w.ID, e.Running)
+	t.findAbsent(w.ID, e, first)
+}
+
+func (t *Turn) enterEnds(id chuterun.WorkerID, ends []chuterun.RunEnd) {
+	for _, end := range ends {
+		w, _ := t.Pool.Get(id)
+		if end.Number <= w.Handled {
+			continue
+		}
+		w.Handled = end.Number
+		t.PutWorker(w)
+		t.runEnded(w, end)
+	}
+}
+
+func (t *Turn) enterRunning(id chuterun.WorkerID, reports []chuterun.RunReport) {
+	for _, report := range reports {
+		w, r, ok := t.Pool.Find(id, report.Run)
+		if !ok {
+			t.adopt(id, report)
+			continue
+		}
+		if r.Phase == chutepool.RunOrdered {
+			r = r.WithPhase(chutepool.RunWorking, t.Now)
+		}
+		t.noteProgress(id, r, report.Percent)
+		t.PutWorker(w.WithRun(r.WithReport(w.Life, report, t.Now)))
+		if !t.expected(id, report.Run) {
+			t.StopRun(id, report.Run, "not-expected")
+		}
+	}
+}
+
+// noteProgress learns from a run's progress how fast its worker is.
+func (t *Turn) noteProgress(id chuterun.WorkerID, r chutepool.Run, percent int) {
+	if r.ReadAt.IsZero() || percent >= 100 || r.Inherited && r.Percent == 0 {
+		return
+	}
+	t.Speeds = t.Speeds.WithProgress(r.ID.Task.StepID, id, float64(percent-r.Percent), t.Now.Sub(r.ReadAt), t.Now)
+}
+
+// expected reports whether the run is the one that its task should have at work on the worker.
+func (t *Turn) expected(worker chuterun.WorkerID, run chutegraph.RunID) bool {
+	j, ok := t.Live.Get(run.Task.Job)
+	if !ok {
+		return false
+	}
+	task, ok := j.Task(run.Task)
+	if !ok || task.Run != run.Number || task.Worker != worker {
+		return false
+	}
+	ending := task.Phase == chuterun.TaskDone && j.Step(run.Task.StepID).Gang // one member's end stands for all
+	return task.Phase == chuterun.TaskActive || ending
+}
+
+// adopt stops a run that nobody should have at work there; until it has ended, it takes room.
+func (t *Turn) adopt(id chuterun.WorkerID, report chuterun.RunReport) {
+	w, _ := t.Pool.Get(id)
+	r := chutepool.Run{ID: report.Run}
+	if j, ok := t.Job(report.Run.Task.Job); ok && report.Run.Task.Step < len(j.Spec.Steps) {
+		r.Reserved = j.Step(report.Run.Task.StepID).Reserved()
+		r.Priority = j.Priority
+	}
+	t.Count("run-stopped", "not-expected")
+	t.Log(part, "run is stopped that is not expected there", report.Run.Task.Job, "run", report.Run, "worker", id)
+	t.OrderStop(w, r.WithPhase(chutepool.RunStopping, t.Now))
+}
+
+// findAbsent looks for runs that the worker should list but does not.
+func (t *Turn) findAbsent(id chuterun.WorkerID, e chuteaction.LeaseRenewed, first bool) {
+	listed := make(map[chutegraph.RunID]bool, len(e.Running))
+	for _, report := range e.Running {
+		listed[report.Run] = true
+	}
+	w, _ := t.Pool.Get(id)
+	for _, r := range w.Runs() {
+		if listed[r.ID] {
+			continue
+		}
+		switch r.Phase {
+		case chutepool.RunWorking:
+			if !e.SentAt.Before(r.Since) {
+				t.Count("run-ended", "absent")
+				t.ReleaseRun(id, r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndLost})
+			}
+		case chutepool.RunStopping:
+			if !r.StoppedAt.IsZero() && !e.SentAt.Before(r.StoppedAt) {
+				t.ReleaseRun(id, r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndStopped})
+			}
+		case chutepool.RunOrdered:
+			if first && !r.Outstanding {
+				t.resume(id, r)
+			}
+		case chutepool.RunPlanned, chutepool.RunWriting:
+		}
+	}
+}
+
+// resume goes on with a run that a former scheduler recorded and the worker does not list.
+func (t *Turn) resume(id chuterun.WorkerID, r chutepool.Run) {
+	w, _ := t.Pool.Get(id)
+	j, ok := t.Job(r.ID.Task.Job)
+	if !ok || j.Phase.Ended() || !t.MayStartOn(w) {
+		t.StopRun(id, r.ID, "not-resumed")
+		return
+	}
+	t.OrderStart(w, r)
+}
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -5,8 +5,10 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteplanner"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterun"
+	"monsoonchute.example/monsoonchute/chuterunner"
 )
 
 const (
@@ -18,38 +20,36 @@
 	renewLatest = 1500 * time.Millisecond
 	// stopAgainAfter is the wait before an unanswered stop order is repeated.
 	stopAgainAfter = 300 * time.Millisecond
-	// planInterval is the longest time between two planning passes.
-	planInterval = 500 * time.Millisecond
 )
 
 // Tick lets time pass: due occurrences, leases, stops and the plan.
-func (s State) Tick(t *chuteaction.Turn, environment Environment) State {
+func (s State) Tick(t *chuteaction.Turn, environment chuterunner.Environment) State {
 	u := s.turn(t, environment)
 	if !u.Ready() {
-		return u.State
+		return u.state()
 	}
 	u.beginDue()
-	for _, w := range u.pool.All() {
+	for _, w := range u.Pool.All() {
 		u.visit(w)
 	}
 	u.driveWaves()
-	u.plan()
-	return u.State
+	u.planner = u.planner.Plan(u.Turn)
+	return u.state()
 }
 
 // Advance plans if something has changed and renews the leases that are due.
-func (s State) Advance(t *chuteaction.Turn, environment Environment) State {
+func (s State) Advance(t *chuteaction.Turn, environment chuterunner.Environment) State {
 	u := s.turn(t, environment)
-	if u.Ready() && u.planDue {
-		u.plan()
+	if u.Ready() && u.PlanDue {
+		u.planner = u.planner.Plan(u.Turn)
 	}
-	return u.State
+	return u.state()
 }
 
 // beginDue gives tasks to the occurrences whose time has come.
 func (t *turn) beginDue() {
 	wall := time.Duration(t.Now.UnixNano())
-	for i := t.live.Iterator(); !i.Done(); {
+	for i := t.Live.Iterator(); !i.Done(); {
 		_, j, _ := i.Next()
 		changed := false
 		for k := range j.Occurrences {
@@ -59,8 +59,8 @@
 			}
 		}
 		if changed {
-			t.keepJob(j)
-			t.planDue = true
+			t.KeepJob(j)
+			t.PlanDue = true
 		}
 	}
 }
@@ -70,22 +70,22 @@
 	if !w.Lost && w.RunCount() > 0 && t.leaseOver(w) {
 		t.Count("worker-lost", "lease-over")
 		t.Warn(part, "worker is lost, its lease is over", "", "worker", w.ID, "missed", w.Misses, "runs", w.RunCount())
-		t.loseWorker(w)
-		w, _ = t.pool.Get(w.ID)
+		t.LoseWorker(w)
+		w, _ = t.Pool.Get(w.ID)
 	}
 	if !w.Listed && !w.Holding && w.RunCount() == 0 && w.Told >= w.Durable && w.Handled == w.Durable {
-		t.pool = t.pool.Without(w.ID)
-		t.speeds = t.speeds.WithoutWorker(w.ID)
+		t.Pool = t.Pool.Without(w.ID)
+		t.Speeds = t.Speeds.WithoutWorker(w.ID)
 		t.Emit(chuteaction.ForgetWorker{Worker: w.ID})
 		return
 	}
 	for _, r := range w.Runs() {
 		if r.Phase == chutepool.RunStopping && !r.Outstanding && r.StoppedAt.IsZero() && t.Now.Sub(r.Since) >= stopAgainAfter {
-			w, _ = t.pool.Get(w.ID)
-			t.orderStop(w, r)
+			w, _ = t.Pool.Get(w.ID)
+			t.OrderStop(w, r)
 		}
 	}
-	w, _ = t.pool.Get(w.ID)
+	w, _ = t.Pool.Get(w.ID)
 	t.renewIfDue(w)
 }
 
@@ -109,7 +109,7 @@
 	case unrecorded && t.Now.Sub(w.HeldAt) < renewLatest:
 	case works && unrecorded:
 		t.renew(w, 0)
-	case works && t.mixed(w):
+	case works && chuteplanner.Mixed(t.Turn, w):
 		t.renew(w, mixedWait)
 	case works:
 		t.renew(w, renewWait)
@@ -121,15 +121,15 @@
 func (t *turn) renew(w chutepool.Worker, wait time.Duration) {
 	end := time.Duration(0)
 	if w.Greeted {
-		w = t.leased(w)
+		w = t.Leased(w)
 		end = w.LeaseEnd
 	}
 	w.Holding = true
 	w.LookAgain = false
 	w.HeldAt = t.Now
 	w.Told = w.Durable
-	t.putWorker(w)
-	t.Emit(chuteaction.RenewLease{WorkerTarget: t.target(w), LeaseEnd: end, Forget: w.Durable, Wait: wait})
+	t.PutWorker(w)
+	t.Emit(chuteaction.RenewLease{WorkerTarget: t.Target(w), LeaseEnd: end, Forget: w.Durable, Wait: wait})
 }
 
 // Flush returns the rows that must be recorded now, at most limit, and the state with their write on the way.
@@ -137,15 +137,15 @@
 	if s.batch.active {
 		return s, nil
 	}
-	if s.dirty.Len() == 0 {
+	if s.runner.Dirty.Len() == 0 {
 		return s.withNothingOwed(), nil
 	}
 	b := batch{active: true}
 	var rows []chuteaction.Row
-	for i := s.dirty.Iterator(); !i.Done() && len(rows) < limit; {
+	for i := s.runner.Dirty.Iterator(); !i.Done() && len(rows) < limit; {
 		id, _, _ := i.Next()
-		j, ok := s.Job(id)
-		s.dirty = s.dirty.Delete(id)
+		j, ok := s.runner.Job(id)
+		s.runner.Dirty = s.runner.Dirty.Delete(id)
 		if !ok {
 			continue
 		}
@@ -153,7 +153,7 @@
 		rows = append(rows, chuteaction.Row{RowKey: chuteaction.ProgressKey(id), Value: chuteaction.ProgressRow{Job: id, Progress: j.Progress}})
 		s = s.withWriting(j)
 	}
-	if s.dirty.Len() == 0 {
+	if s.runner.Dirty.Len() == 0 {
 		b.acks = s.owed()
 	}
 	s.batch = b
@@ -163,7 +163,7 @@
 // owed returns the ends that were handled and are not known to be recorded.
 func (s State) owed() []ack {
 	var acks []ack
-	for _, w := range s.pool.All() {
+	for _, w := range s.runner.Pool.All() {
 		if w.Handled > w.Durable {
 			acks = append(acks, ack{worker: w.ID, number: w.Handled})
 		}
@@ -174,9 +174,9 @@
 // withNothingOwed returns the state after ends that changed no job: there is nothing to record for them.
 func (s State) withNothingOwed() State {
 	for _, a := range s.owed() {
-		w, _ := s.pool.Get(a.worker)
+		w, _ := s.runner.Pool.Get(a.worker)
 		w.Durable = a.number
-		s.pool = s.pool.With(w)
+		s.runner.Pool = s.runner.Pool.With(w)
 	}
 	return s
 }
@@ -187,33 +187,36 @@
 		if task.Phase != chuterun.TaskActive {
 			return
 		}
-		w, r, ok := s.pool.Find(task.Worker, chutegraph.RunID{Task: id, Number: task.Run})
+		w, r, ok := s.runner.Pool.Find(task.Worker, chutegraph.RunID{Task: id, Number: task.Run})
 		if ok && r.Phase == chutepool.RunPlanned {
 			r.Phase = chutepool.RunWriting
-			s.pool = s.pool.With(w.WithRun(r))
+			s.runner.Pool = s.runner.Pool.With(w.WithRun(r))
 		}
 	})
 	return s
 }
 
 // Committed goes on with what the latest write has recorded: starts may leave, ends may be forgotten.
-func (s State) Committed(t *chuteaction.Turn, environment Environment) State {
+func (s State) Committed(t *chuteaction.Turn, environment chuterunner.Environment) State {
 	u := s.turn(t, environment)
 	b := u.batch
 	u.batch = batch{}
 	for _, a := range b.acks {
-		if w, ok := u.pool.Get(a.worker); ok && w.Handled >= a.number {
+		if w, ok := u.Pool.Get(a.worker); ok && w.Handled >= a.number {
 			w.Durable = max(w.Durable, a.number)
-			u.putWorker(w)
+			u.PutWorker(w)
 			u.renewIfDue(w)
 		}
 	}
 	for _, id := range b.jobs {
 		if j, ok := u.Job(id); ok {
 			u.launch(j)
+			if j.Phase.Ended() {
+				u.planner = u.planner.WithoutJob(j)
+			}
 		}
 	}
-	return u.State
+	return u.state()
 }
 
 // launch orders the recorded runs of a job to start, where that is still right. A gang starts whole or not at all.
@@ -222,31 +225,31 @@
 	var ready []chutepool.Run
 	var workers []chuterun.WorkerID
 	j.ForEachTask(func(id chutegraph.TaskID, task chuterun.Task) {
-		w, r, ok := t.pool.Find(task.Worker, chutegraph.RunID{Task: id, Number: task.Run})
+		w, r, ok := t.Pool.Find(task.Worker, chutegraph.RunID{Task: id, Number: task.Run})
 		if !ok || r.Phase != chutepool.RunWriting {
 			return
 		}
 		r = r.WithPhase(chutepool.RunOrdered, t.Now)
-		t.putWorker(w.WithRun(r))
+		t.PutWorker(w.WithRun(r))
 		ready = append(ready, r)
 		workers = append(workers, w.ID)
-		if j.Phase.Ended() || !w.Greeted || !t.mayStartOn(w) {
+		if j.Phase.Ended() || !w.Greeted || !t.MayStartOn(w) {
 			wrong[id.StepID] = true
 		}
 	})
 	for i, r := range ready {
 		if wrong[r.ID.Task.StepID] && (j.Phase.Ended() || j.Step(r.ID.Task.StepID).Gang || !t.startable(workers[i])) {
 			t.Count("start-dropped", "no-longer-right")
-			t.releaseRun(workers[i], r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndStopped})
+			t.ReleaseRun(workers[i], r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndStopped})
 			continue
 		}
-		if w, current, ok := t.pool.Find(workers[i], r.ID); ok && current.Phase == chutepool.RunOrdered {
-			t.orderStart(w, current)
+		if w, current, ok := t.Pool.Find(workers[i], r.ID); ok && current.Phase == chutepool.RunOrdered {
+			t.OrderStart(w, current)
 		}
 	}
 }
 
 func (t *turn) startable(id chuterun.WorkerID) bool {
-	w, ok := t.pool.Get(id)
-	return ok && w.Greeted && t.mayStartOn(w)
+	w, ok := t.Pool.Get(id)
+	return ok && w.Greeted && t.MayStartOn(w)
 }
--- a/chutescheduler/wave.go
+++ b/chutescheduler/wave.go
@@ -7,6 +7,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterun"
+	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutewave"
 )
 
@@ -31,13 +32,13 @@
 
 // driveWaves carries out the waves that the operators ask for.
 func (t *turn) driveWaves() {
-	for _, row := range t.environment.Waves {
+	for _, row := range t.Environment.Waves {
 		if _, known := t.waves.Get(row.Wave); !known {
 			t.Log(part, "wave asked for", "", "wave", row.Wave, "machines", len(row.Machines), "limit", row.Limit)
 			t.waves = t.waves.Set(row.Wave, waveState{Wave: chutewave.New(row.Wave, row.Machines, row.Limit)})
 		}
 	}
-	if !t.wavesOpen() || t.Now.Sub(t.takenAt) < machineWait || t.Now.Sub(t.environment.ProvedAt) > machineProof {
+	if !t.wavesOpen() || t.Now.Sub(t.TakenAt) < machineWait || t.Now.Sub(t.Environment.ProvedAt) > machineProof {
 		return
 	}
 	if t.Now.Sub(t.machinesAskedAt) >= machineInterval {
@@ -61,18 +62,19 @@
 }
 
 // Machines takes the platform's list of machines.
-func (s State) Machines(t *chuteaction.Turn, environment Environment, e chuteaction.MachinesListed) State {
+func (s State) Machines(t *chuteaction.Turn, environment chuterunner.Environment, e chuteaction.MachinesListed) State {
 	u := s.turn(t, environment)
 	if !e.Answered {
 		t.Count("machines-missed", "no-answer")
-		return u.State
+		return u.state()
 	}
 	u.machines = e.Machines
 	for i := u.waves.Iterator(); !i.Done(); {
 		_, w, _ := i.Next()
 		u.advanceWave(w)
 	}
-	return u.State
+	u.closeWorkers()
+	return u.state()
 }
 
 // advanceWave chooses the machines that go down next, and tells how far the wave has come.
@@ -108,14 +110,14 @@
 
 // endCost returns what the end of the work on a worker wastes, and false if serving work there must go on.
 func (t *turn) endCost(id chuterun.WorkerID) (float64, bool) {
-	w, ok := t.pool.Get(id)
+	w, ok := t.Pool.Get(id)
 	if !ok {
 		return 0, true
 	}
 	cost := 0.0
 	for _, r := range w.Runs() {
-		cost += t.unsaved(r)
-		if t.lasting(r) && !t.mayMiss(r) {
+		cost += t.Unsaved(r)
+		if t.Lasting(r) && !t.mayMiss(r) {
 			return 0, false
 		}
 	}
@@ -144,7 +146,7 @@
 		if !ok || w.ordered[id] {
 			continue
 		}
-		worker, known := t.pool.Get(m.Worker)
+		worker, known := t.Pool.Get(m.Worker)
 		if known && worker.RunCount() > 0 && t.Now.Sub(w.closedAt[id]) < emptyLimit {
 			t.emptyWorker(worker)
 			continue
@@ -161,16 +163,16 @@
 		w.ordered = ordered
 		t.waves = t.waves.Set(w.Number, w)
 		t.Log(part, "machine goes down for its maintenance", "", "wave", w.Number, "machine", id, "worker", m.Worker)
-		t.Emit(chuteaction.MaintainMachine{Machine: id, Wave: w.Number, Epoch: t.epoch})
+		t.Emit(chuteaction.MaintainMachine{Machine: id, Wave: w.Number, Epoch: t.Epoch})
 	}
 }
 
 func (t *turn) emptyWorker(w chutepool.Worker) {
 	for _, r := range w.Runs() {
-		if r.Phase == chutepool.RunStopping || t.lasting(r) && !t.mayMiss(r) {
+		if r.Phase == chutepool.RunStopping || t.Lasting(r) && !t.mayMiss(r) {
 			continue
 		}
-		t.stopRun(w.ID, r.ID, "maintenance")
+		t.StopRun(w.ID, r.ID, "maintenance")
 	}
 }
 
@@ -182,28 +184,26 @@
 	return t.machines[at], true
 }
 
-// closing reports whether the worker's machine is about to go down.
-func (t *turn) closing(id chuterun.WorkerID) bool {
-	if t.waves.Len() == 0 {
-		return false
-	}
+// closeWorkers keeps new work off the workers whose machines are about to go down.
+func (t *turn) closeWorkers() {
+	closing := make(map[chuterun.WorkerID]bool)
 	for i := t.waves.Iterator(); !i.Done(); {
 		_, w, _ := i.Next()
 		for _, machine := range w.Closing {
-			if m, ok := t.machine(machine); ok && m.Worker == id {
-				return true
+			if m, ok := t.machine(machine); ok {
+				closing[m.Worker] = true
 			}
 		}
 	}
-	return false
+	t.Closing = closing
 }
 
 // Maintained takes the end of an order to maintain a machine.
-func (s State) Maintained(t *chuteaction.Turn, environment Environment, e chuteaction.MachineMaintained) State {
+func (s State) Maintained(t *chuteaction.Turn, environment chuterunner.Environment, e chuteaction.MachineMaintained) State {
 	u := s.turn(t, environment)
 	w, ok := u.waves.Get(e.Wave)
-	if !ok || e.Epoch != u.epoch {
-		return u.State
+	if !ok || e.Epoch != u.Epoch {
+		return u.state()
 	}
 	ordered := make(map[string]bool)
 	for k, v := range w.ordered {
@@ -221,5 +221,6 @@
 	}
 	u.waves = u.waves.Set(w.Number, w)
 	u.tellWave(w)
-	return u.State
+	u.closeWorkers()
+	return u.state()
 }
--- a/cmd/monsoonchuted/platform.go
+++ b/cmd/monsoonchuted/platform.go
@@ -20,6 +20,9 @@
 	"monsoonchute.example/monsoonchute/chutemetric"
 	"monsoonchute.example/monsoonchute/chuterelay"
 	"monsoonchute.example/monsoonchute/platform"
+	"monsoonchute.example/monsoonchute/platform/fleet"
+	"monsoonchute.example/monsoonchute/platform/front"
+	"monsoonchute.example/monsoonchute/platform/store"
 )
 
 const (
@@ -89,25 +92,25 @@
 	}
 	process := uuid.NewString()
 	metrics, endMetrics := chutemetric.New()
-	direct, endDirect := platform.NewDirectStore(settings.StoreAddress)
+	direct, endDirect := store.NewDirectStore(settings.StoreAddress)
 	paths, endPaths := chuterelay.New(listeners.relay, direct, log)
-	workers, endWorkers := platform.NewWorkers(settings.AdviceAddress)
-	machines, endMachines := platform.NewMachines(settings.Host, settings.MachineAddress)
+	workers, endWorkers := fleet.NewWorkers(settings.AdviceAddress)
+	machines, endMachines := fleet.NewMachines(settings.Host, settings.MachineAddress)
 	core := chuteentry.Settings{
 		Host: settings.Host, Process: process, Relay: settings.RelayAddress, Jitter: jitterOf(settings.Host), Bounds: settings.Bounds,
 	}
 	finish := time.Duration(float64(settings.Grace) * finishShare)
 	daemon, endDaemon := chutedaemon.New(core, chutedaemon.Outside{
-		Store: platform.NewStore(paths), Workers: workers, Machines: machines, Peers: paths,
+		Store: store.NewStore(paths), Workers: workers, Machines: machines, Peers: paths,
 	}, metrics, log, finish)
 	group, endGroup := chuteduty.New(log)
-	front, endFront := platform.NewFront(listeners.front, daemon, log, group.Go)
-	endReady := platform.ServeReady(listeners.ready, daemon, log, group.Go)
+	clients, endFront := front.New(listeners.front, daemon, log, group.Go)
+	endReady := front.ServeReady(listeners.ready, daemon, log, group.Go)
 	serveMetrics(listeners.metrics, metrics, group, log)
 	log.Info("daemon: started", "process", process, "zone", settings.Zone, "front", settings.FrontAddress, "store", settings.StoreAddress)
 	return daemon.Failed(), func() {
 		daemon.Leave()
-		front.Leave()
+		clients.Leave()
 		drain := time.NewTimer(time.Duration(float64(settings.Grace) * drainShare))
 		defer drain.Stop()
 		<-drain.C
