--- a/chuteaction/effect.go
+++ b/chuteaction/effect.go
@@ -13,6 +13,23 @@
 //sumtype:decl
 type Effect interface{ sealedEffect() }
 
+// StoreEffect is a request to the store: one of WriteRows and ReadRows.
+//
+//sumtype:decl
+type StoreEffect interface {
+	Effect
+	sealedStoreEffect()
+}
+
+// OrderEffect is a request to a worker, or to a service about workers: one of StartRun, StopRun, PaceRun, RenewLease,
+// AskApproval, ListMachines and MaintainMachine.
+//
+//sumtype:decl
+type OrderEffect interface {
+	Effect
+	sealedOrderEffect()
+}
+
 // AnswerCall answers a call of a client.
 type AnswerCall struct {
 	ID         CallID
@@ -159,6 +176,16 @@
 // Stopped tells that the planned stop is complete.
 type Stopped struct{}
 
+func (WriteRows) sealedStoreEffect()       {}
+func (ReadRows) sealedStoreEffect()        {}
+func (StartRun) sealedOrderEffect()        {}
+func (StopRun) sealedOrderEffect()         {}
+func (PaceRun) sealedOrderEffect()         {}
+func (RenewLease) sealedOrderEffect()      {}
+func (AskApproval) sealedOrderEffect()     {}
+func (ListMachines) sealedOrderEffect()    {}
+func (MaintainMachine) sealedOrderEffect() {}
+
 func (AnswerCall) sealedEffect()      {}
 func (WriteRows) sealedEffect()       {}
 func (ReadRows) sealedEffect()        {}
--- a/chuteaction/row.go
+++ b/chuteaction/row.go
@@ -57,6 +57,22 @@
 //sumtype:decl
 type RowValue interface{ sealedRowValue() }
 
+// JobRow is a row about a job that entry hosts write for their callers: one of SubmissionRow and CancelRow.
+//
+//sumtype:decl
+type JobRow interface {
+	RowValue
+	sealedJobRow()
+}
+
+// OperatorRow is a row that the operators write: one of CatalogRow, EvacuationRow and WaveRow.
+//
+//sumtype:decl
+type OperatorRow interface {
+	RowValue
+	sealedOperatorRow()
+}
+
 // SubmissionRow records an accepted job.
 type SubmissionRow struct{ chuterun.Submission }
 
@@ -112,6 +128,12 @@
 // WorkerRow is what a worker says of itself.
 type WorkerRow struct{ chutepool.Listing }
 
+func (SubmissionRow) sealedJobRow()      {}
+func (CancelRow) sealedJobRow()          {}
+func (CatalogRow) sealedOperatorRow()    {}
+func (EvacuationRow) sealedOperatorRow() {}
+func (WaveRow) sealedOperatorRow()       {}
+
 func (SubmissionRow) sealedRowValue() {}
 func (CancelRow) sealedRowValue()     {}
 func (ProgressRow) sealedRowValue()   {}
--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -261,7 +262,12 @@
 		if !ok {
 			return
 		}
-		switch f := effect.(type) {
+		request, ok := effect.(chuteaction.StoreEffect)
+		if !ok {
+			d.log.Error("daemon: an effect is not for the store", "type", fmt.Sprintf("%T", effect))
+			continue
+		}
+		switch f := request.(type) {
 		case chuteaction.WriteRows:
 			start := time.Now()
 			written := store.Write(ctx, f)
@@ -272,8 +278,6 @@
 			read := store.Read(ctx, f)
 			d.metrics.ObserveKind("store-read", outcomeNames[read.Outcome], time.Since(start))
 			d.events.Put(ctx, read)
-		default:
-			d.log.Error("daemon: an effect is not for the store", "type", effect)
 		}
 	}
 }
@@ -289,7 +293,12 @@
 		if !ok {
 			return
 		}
-		switch f := effect.(type) {
+		order, ok := effect.(chuteaction.OrderEffect)
+		if !ok {
+			d.log.Error("daemon: an effect is no order", "type", fmt.Sprintf("%T", effect))
+			continue
+		}
+		switch f := order.(type) {
 		case chuteaction.StartRun:
 			d.events.Put(ctx, d.workers.Start(ctx, f))
 		case chuteaction.StopRun:
@@ -307,8 +316,6 @@
 			d.events.Put(ctx, d.machines.Maintain(ctx, f))
 		case chuteaction.AskApproval:
 			d.events.Put(ctx, d.workers.Approve(ctx, f))
-		default:
-			d.log.Error("daemon: an effect is not for workers", "type", effect)
 		}
 	}
 }
--- a/chutedaemon/follow.go
+++ b/chutedaemon/follow.go
@@ -91,7 +91,7 @@
 		*lost = true
 	}
 	f.events.Offer(chuteaction.TableSilent{Table: table})
-	jitter := time.Duration(rand.Int64N(int64(followPause))) //nolint:forbidigo // spreads the hosts' questions, decides nothing
+	jitter := time.Duration(rand.Int64N(int64(followPause))) // spreads the hosts' questions
 	sleep(ctx, followPause+jitter)
 }
 
--- a/chuteentry/fakeclients_test.go
+++ b/chuteentry/fakeclients_test.go
@@ -13,12 +13,11 @@
 
 // fakeClients hand in jobs, repeat calls that were not served, cancel some jobs and ask for states.
 type fakeClients struct {
-	world   *world
-	jobs    map[chutegraph.JobID]*fakeJob
-	order   []chutegraph.JobID
-	calls   map[chuteaction.CallID]func(chuteaction.AnswerCall)
-	last    chuteaction.CallID
-	queries int
+	world *world
+	jobs  map[chutegraph.JobID]*fakeJob
+	order []chutegraph.JobID
+	calls map[chuteaction.CallID]func(chuteaction.AnswerCall)
+	last  chuteaction.CallID
 }
 
 type fakeJob struct {
--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -32,14 +32,13 @@
 }
 
 type fakeRun struct {
-	id      chutegraph.RunID
-	step    chutegraph.Step
-	job     *fakeJob
-	began   time.Time
-	alone   bool // waits for the rest of its gang
-	resumed time.Duration
-	ended   bool
-	pace    int // percent
+	id    chutegraph.RunID
+	step  chutegraph.Step
+	job   *fakeJob
+	began time.Time
+	alone bool // waits for the rest of its gang
+	ended bool
+	pace  int // percent
 }
 
 func (w *world) addWorker(name string, i int) *fakeWorker {
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -243,7 +243,11 @@
 func (t *turn) operatorChanged(e chuteaction.TableChanged) {
 	present := make(map[string]bool)
 	for _, r := range e.Rows {
-		switch row := r.Value.(type) {
+		value, ok := r.Value.(chuteaction.OperatorRow)
+		if !ok {
+			continue
+		}
+		switch row := value.(type) {
 		case chuteaction.CatalogRow:
 			if row.Version > t.state.catalog.Version {
 				t.Log(part, "configuration in force", "", "version", row.Version, "former", t.state.catalog.Version,
--- a/chuteintake/answer.go
+++ b/chuteintake/answer.go
@@ -77,7 +77,11 @@
 func (s State) submissionRead(t *chuteaction.Turn, c call, rows []chuteaction.Row) State {
 	found, cancelled := false, false
 	for _, r := range rows {
-		switch r.Value.(type) {
+		value, ok := r.Value.(chuteaction.JobRow)
+		if !ok {
+			continue
+		}
+		switch value.(type) {
 		case chuteaction.SubmissionRow:
 			found = true
 		case chuteaction.CancelRow:
--- a/chuterun/job.go
+++ b/chuterun/job.go
@@ -67,8 +67,10 @@
 func New(submission Submission, order int64, seen time.Time) Job {
 	return Job{
 		Submission: submission, Order: order, Seen: seen,
-		Progress: Progress{Occurrences: make([][][]Task, submission.Spec.Occurrences()),
-			Finished: make([]bool, submission.Spec.Occurrences())},
+		Progress: Progress{
+			Occurrences: make([][][]Task, submission.Spec.Occurrences()),
+			Finished:    make([]bool, submission.Spec.Occurrences()),
+		},
 	}
 }
 
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -134,6 +134,7 @@
 	t.OrderStop(w, r.WithPhase(chutepool.RunStopping, t.Now))
 }
 
+// OrderStop sends the stop order of a run.
 func (t *Turn) OrderStop(w chutepool.Worker, r chutepool.Run) {
 	t.PutWorker(w.WithRun(r.WithOrder().WithOutstanding(true)))
 	t.Emit(chuteaction.StopRun{WorkerTarget: t.Target(w), Run: r.ID})
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -143,21 +143,21 @@
 	if e.Reason == chuteaction.RefusedTicket {
 		u.planner = u.planner.WithoutStep(e.Run.Task.StepID)
 	}
-	u.Turn.Started(e)
+	u.Started(e)
 	return u.state(), u.Fenced
 }
 
 // Stopped handles the end of a stop order, and reports whether a worker has seen a higher epoch.
 func (s State) Stopped(t *chuteaction.Turn, environment chuterunner.Environment, e chuteaction.RunStopped) (State, bool) {
 	u := s.turn(t, environment)
-	u.Turn.Stopped(e)
+	u.Stopped(e)
 	return u.state(), u.Fenced
 }
 
 // Renewed handles the end of a renewal, and reports whether a worker has seen a higher epoch.
 func (s State) Renewed(t *chuteaction.Turn, environment chuterunner.Environment, e chuteaction.LeaseRenewed) (State, bool) {
 	u := s.turn(t, environment)
-	u.Turn.Renewed(e)
+	u.Renewed(e)
 	chuteplanner.PaceWorker(u.Turn, e.Worker)
 	return u.state(), u.Fenced
 }
