Bound the log, keep refusals apart from other lines, and tell a job's story from several logs

Cause: a flood of one kind of line could fill the ring of the log and crowd out the lines of refused work; on-call engineers had to join the logs of several hosts by hand.

Change: warnings have a ring and a duty of their own; at most 100 lines of one kind (300 warnings) are written in a second, and what was left out is counted in a line; 'monsoonchute story ID LOG...' prints the lines about one job in the order of time, with takeovers, configurations and lost stores in between.

Measured: tests with a flood of 1,000 lines (101 written) and with an output that stalls (nothing waits).

--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -111,7 +111,8 @@
 	d.followers = newFollowers(group, outside.Store, d.events, log)
 	d.renewers = newRenewers(group, outside.Workers, d.events)
 	d.logs = newLogWriter(log, metrics)
-	group.Go("log", d.logs.run)
+	group.Go("log-info", d.logs.runInfo)
+	group.Go("log-warn", d.logs.runWarn)
 	for range storeDuties {
 		group.Go("store", func(ctx context.Context) { d.runStore(ctx, outside.Store) })
 	}
--- a/chutedaemon/log.go
+++ b/chutedaemon/log.go
@@ -3,50 +3,117 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
-	"monsoonchute.example/monsoonchute/chutemetric"
 	"monsoonchute.example/monsoonchute/chutering"
 )
 
-// logRingSize is the number of lines that may wait to be written; more are counted and dropped.
-const logRingSize = 2048
+const (
+	// logRingSize is the number of lines of one level that may wait to be written; more are counted and dropped.
+	logRingSize = 2048
+	// logWindow is the time over which the lines of one kind are counted.
+	logWindow = time.Second
+	// maxInfoLines and maxWarnLines are the numbers of lines of one kind that are written in a window.
+	maxInfoLines = 100
+	maxWarnLines = 300
+)
 
-// logWriter writes the lines of the core, so that a slow output never delays it.
+// logWriter writes the lines of the core on duties of its own, so that a slow output never delays it. Warnings, which
+// tell of refused and failed work, have a ring of their own, so that other lines cannot crowd them out.
 type logWriter struct {
-	ring    chutering.EntryEffects
-	log     *slog.Logger
-	metrics *chutemetric.Metrics
+	info    *logLane
+	warn    *logLane
+	metrics counter
 }
 
-func newLogWriter(log *slog.Logger, metrics *chutemetric.Metrics) *logWriter {
-	return &logWriter{ring: chutering.NewEntryEffects("log", logRingSize), log: log, metrics: metrics}
+// counter counts by reason.
+type counter interface {
+	Count(counter, reason string)
+}
+
+func newLogWriter(log *slog.Logger, metrics counter) *logWriter {
+	return &logWriter{
+		info:    newLogLane("log-info", log, slog.LevelInfo, maxInfoLines),
+		warn:    newLogLane("log-warn", log, slog.LevelWarn, maxWarnLines),
+		metrics: metrics,
+	}
 }
 
 func (w *logWriter) offer(line chuteaction.LogLine) {
-	if !w.ring.Offer(line) {
+	lane := w.info
+	if line.Warning {
+		lane = w.warn
+	}
+	if !lane.ring.Offer(line) {
 		w.metrics.Count("log-dropped", line.Part)
 	}
 }
 
-func (w *logWriter) run(ctx context.Context) {
-	dropped := int64(0)
+func (w *logWriter) runInfo(ctx context.Context) { w.info.run(ctx) }
+
+func (w *logWriter) runWarn(ctx context.Context) { w.warn.run(ctx) }
+
+// logLane writes the lines of one level.
+type logLane struct {
+	ring    chutering.EntryEffects
+	log     *slog.Logger
+	level   slog.Level
+	most    int   // lines of one kind in a window
+	refused int64 // by the ring, as far as was told
+	began   time.Time
+	written map[string]int // by kind, in the present window
+	omitted map[string]int
+}
+
+func newLogLane(name string, log *slog.Logger, level slog.Level, most int) *logLane {
+	return &logLane{
+		ring: chutering.NewEntryEffects(name, logRingSize), log: log, level: level, most: most,
+		written: make(map[string]int), omitted: make(map[string]int),
+	}
+}
+
+func (l *logLane) run(ctx context.Context) {
 	for {
-		effect, ok := w.ring.Take(ctx)
+		effect, ok := l.ring.Take(ctx)
 		if !ok {
 			return
 		}
 		if line, ok := effect.(chuteaction.LogLine); ok {
-			w.write(line)
-		}
-		if refused := w.ring.Gauge().Refused; refused > dropped {
-			w.log.Warn("log: lines were dropped", "count", refused-dropped)
-			dropped = refused
+			l.enter(line)
 		}
 	}
 }
 
-func (w *logWriter) write(line chuteaction.LogLine) {
+// enter writes a line unless too many of its kind were written in the window.
+func (l *logLane) enter(line chuteaction.LogLine) {
+	if now := time.Now(); now.Sub(l.began) >= logWindow {
+		l.closeWindow(now)
+	}
+	kind := line.Part + ": " + line.Text
+	if l.written[kind] >= l.most {
+		l.omitted[kind]++
+		return
+	}
+	l.written[kind]++
+	l.write(kind, line)
+}
+
+// closeWindow tells what was left out, and begins a new window.
+func (l *logLane) closeWindow(now time.Time) {
+	for kind, count := range l.omitted {
+		l.log.Warn("log: lines were left out", "kind", kind, "count", count)
+	}
+	if refused := l.ring.Gauge().Refused; refused > l.refused {
+		l.log.Warn("log: lines were dropped, the output is too slow", "count", refused-l.refused)
+		l.refused = refused
+	}
+	l.began = now
+	clear(l.written)
+	clear(l.omitted)
+}
+
+func (l *logLane) write(text string, line chuteaction.LogLine) {
 	arguments := make([]any, 0, 2*len(line.Fields)+2)
 	if line.Job != "" {
 		arguments = append(arguments, "job", string(line.Job))
@@ -54,9 +121,5 @@
 	for _, f := range line.Fields {
 		arguments = append(arguments, f.Name, f.Value)
 	}
-	level := slog.LevelInfo
-	if line.Warning {
-		level = slog.LevelWarn
-	}
-	w.log.Log(context.Background(), level, line.Part+": "+line.Text, arguments...)
+	l.log.Log(context.Background(), l.level, text, arguments...)
 }
--- /dev/null
+++ b/cmd/monsoonchute/story.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"monsoonchute.example/monsoonchute/chutestory"
+)
+
+// storyCommand reads logs; it calls no entry host.
+type storyCommand struct {
+	ID   string   `arg:"" help:"Id of the job."`
+	Logs []string `arg:"" optional:"" help:"Log files of entry hosts; standard input if none is given." type:"existingfile"`
+}
+
+// Run prints the lines about the job in the order of time.
+func (c storyCommand) Run(e environment) error {
+	lines, err := c.read(e)
+	if err != nil {
+		return err
+	}
+	story := chutestory.Of(lines, c.ID)
+	if len(story) == 0 {
+		return errors.Errorf("no line about %s", c.ID)
+	}
+	for _, l := range story {
+		e.printf("%s\n", l)
+	}
+	return nil
+}
+
+func (c storyCommand) read(e environment) ([]chutestory.Line, error) {
+	if len(c.Logs) == 0 {
+		return c.add(e, nil, "standard input", os.Stdin)
+	}
+	var lines []chutestory.Line
+	for _, path := range c.Logs {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "log")
+		}
+		lines, err = c.add(e, lines, path, file)
+		_ = file.Close()
+		if err != nil {
+			return nil, err
+		}
+	}
+	return lines, nil
+}
+
+func (storyCommand) add(e environment, lines []chutestory.Line, name string, from io.Reader) ([]chutestory.Line, error) {
+	lines, skipped, err := chutestory.Read(lines, from)
+	if skipped > 0 {
+		e.printf("%s: %d lines are no log lines\n", name, skipped)
+	}
+	return lines, err
+}
