Make a step of the core cost what changed, not what the deployment has

Cause: on the grown deployments the leader's processor share was used up by planning passes over hundreds of waiting demands and by loops over all workers at each event; its heartbeats came late, and leaders took turns without end.

--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -46,9 +46,9 @@
 	token     chuteaction.Token
 	started   bool
 	catalog   chutecatalog.Catalog
-	waves     *immutable.SortedMap[int, chuteaction.WaveRow]
-	zonesOut  *immutable.SortedMap[string, chuteaction.RowVersion]
-	contactAt time.Time // of the store's latest answer
+	waves     []chuteaction.WaveRow // never changed once stored
+	zonesOut  map[string]bool       // zones in which nothing may start; never changed once stored
+	contactAt time.Time             // of the store's latest answer
 	leader    chuteleader.State
 	intake    chuteintake.State
 	scheduler *chutescheduler.State // nil unless this host leads
@@ -66,8 +66,8 @@
 func New(settings Settings) State {
 	settings.Bounds.UnprovedLimit = chuteleader.UnprovedLimit
 	return State{
-		settings: settings, waves: immutable.NewSortedMap[int, chuteaction.WaveRow](nil), peers: immutable.NewSortedMap[string, string](nil),
-		processes: immutable.NewSortedMap[string, chuteaction.Row](nil), zonesOut: immutable.NewSortedMap[string, chuteaction.RowVersion](nil),
+		settings: settings, peers: immutable.NewSortedMap[string, string](nil),
+		processes: immutable.NewSortedMap[string, chuteaction.Row](nil), zonesOut: make(map[string]bool),
 		leader: chuteleader.New(settings.Host, settings.Process, settings.Jitter), intake: chuteintake.New(),
 	}
 }
@@ -88,17 +88,7 @@
 }
 
 func (s State) environment() chuterunner.Environment {
-	out := make(map[string]bool)
-	for i := s.zonesOut.Iterator(); !i.Done(); {
-		zone, _, _ := i.Next()
-		out[zone] = true
-	}
-	var waves []chuteaction.WaveRow
-	for i := s.waves.Iterator(); !i.Done(); {
-		_, w, _ := i.Next()
-		waves = append(waves, w)
-	}
-	return chuterunner.Environment{Catalog: s.catalog, ZonesOut: out, Waves: waves, ProvedAt: s.leader.ProvedAt()}
+	return chuterunner.Environment{Catalog: s.catalog, ZonesOut: s.zonesOut, Waves: s.waves, ProvedAt: s.leader.ProvedAt()}
 }
 
 func (s State) intakeView(now time.Time) chuteintake.View {
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -1,6 +1,8 @@
 package chuteentry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
@@ -255,7 +257,7 @@
 				t.state.catalog = row.Catalog
 			}
 		case chuteaction.WaveRow:
-			t.state.waves = t.state.waves.Set(row.Wave, row)
+			t.state.waves = append(slices.Clone(t.state.waves), row)
 		case chuteaction.EvacuationRow:
 			if row.Back {
 				t.zoneBack(row.Zone, r.Version)
@@ -268,7 +270,7 @@
 	if !e.Whole {
 		return
 	}
-	for zone := range t.state.environment().ZonesOut {
+	for zone := range t.state.zonesOut {
 		if !present[zone] {
 			t.zoneBack(zone, 0)
 		}
@@ -276,17 +278,23 @@
 }
 
 func (t *turn) zoneOut(zone string, version chuteaction.RowVersion) {
-	if _, known := t.state.zonesOut.Get(zone); !known {
-		t.Log(part, "zone is out", "", "zone", zone, "version", version)
+	if t.state.zonesOut[zone] {
+		return
 	}
-	t.state.zonesOut = t.state.zonesOut.Set(zone, version)
+	t.Log(part, "zone is out", "", "zone", zone, "version", version)
+	out := maps.Clone(t.state.zonesOut)
+	out[zone] = true
+	t.state.zonesOut = out
 }
 
 func (t *turn) zoneBack(zone string, version chuteaction.RowVersion) {
-	if _, out := t.state.zonesOut.Get(zone); out {
-		t.Log(part, "zone is back", "", "zone", zone, "version", version)
-		t.state.zonesOut = t.state.zonesOut.Delete(zone)
+	if !t.state.zonesOut[zone] {
+		return
 	}
+	t.Log(part, "zone is back", "", "zone", zone, "version", version)
+	out := maps.Clone(t.state.zonesOut)
+	delete(out, zone)
+	t.state.zonesOut = out
 }
 
 // stop begins a planned stop: the leadership is given up and calls in progress are answered.
--- a/chuteplacement/evict.go
+++ b/chuteplacement/evict.go
@@ -14,8 +14,9 @@
 	cost   float64
 }
 
-// preempt stops the work of lower priority whose end costs least and makes room for the demand.
-func (p *pass) preempt(d Demand) {
+// preempt stops the work of lower priority whose end costs least and makes room for the demand, and reports whether
+// there is such work.
+func (p *pass) preempt(d Demand) bool {
 	var best removal
 	found := false
 	for _, workers := range p.scopes(d) {
@@ -25,12 +26,13 @@
 		}
 	}
 	if !found {
-		return
+		return false
 	}
 	for _, g := range best.groups {
 		p.evict(g, d)
 	}
 	p.reserve(d, best.placed)
+	return true
 }
 
 func (p *pass) evict(group int, d Demand) {
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -14,44 +14,59 @@
 	return p.decisions
 }
 
+// maxPreemptTries bounds how many demands of one pass may look for work to stop.
+const maxPreemptTries = 24
+
 func (p *pass) serve(d Demand) {
+	if p.hopeless(d) {
+		return
+	}
 	if d.Step.Gang {
 		p.serveWhole(d)
 		return
 	}
-	for _, index := range d.Indexes {
-		if p.cannotFit(d) {
+	p.serveEach(d)
+}
+
+// serveEach starts as many of the waiting tasks as there is room for, one by one.
+func (p *pass) serveEach(d Demand) {
+	single := d
+	for i := range d.Indexes {
+		single.Indexes = d.Indexes[i : i+1]
+		if !p.serveWhole(single) {
 			return
 		}
-		single := d
-		single.Indexes = []int{index}
-		p.serveWhole(single)
-		p.remember(d, single)
 	}
 }
 
-// serveWhole starts all waiting tasks of the demand at once, or none of them.
-func (p *pass) serveWhole(d Demand) {
+// serveWhole starts all waiting tasks of the demand at once, or none of them, and reports whether it has found room,
+// be it now or once other work has stopped.
+func (p *pass) serveWhole(d Demand) bool {
 	if placed, ok := p.place(d, roomNow); ok {
 		p.start(d, placed)
-		return
-	}
-	if !d.Preempts {
-		p.noteFull(d)
-		return
+		return true
 	}
-	if placed, ok := p.place(d, roomLater); ok {
-		p.reserve(d, placed)
-		return
+	if d.Preempts && p.preemptTries < maxPreemptTries {
+		if placed, ok := p.place(d, roomLater); ok {
+			p.reserve(d, placed)
+			return true
+		}
+		p.preemptTries++
+		if p.preempt(d) {
+			return true
+		}
 	}
-	p.preempt(d)
+	p.failures = append(p.failures, d)
+	return false
 }
 
 func (p *pass) start(d Demand, placed []int) {
 	for i, w := range placed {
 		id := chutegraph.TaskID{StepID: d.ID, Index: d.Indexes[i]}
 		p.decisions = append(p.decisions, Start{Task: id, Worker: p.rooms[w].ID})
-		p.placedOn[d.ID] = append(p.placedOn[d.ID], w)
+		if d.Step.AntiAffinity > 0 {
+			d.Present[p.rooms[w].ID]++
+		}
 	}
 	p.reserve(d, placed)
 }
@@ -65,37 +80,36 @@
 	}
 }
 
-// noteFull remembers that nothing of this request fits any more, so that later demands of the kind are not tried.
-func (p *pass) noteFull(d Demand) {
-	if !d.Step.Gang && !constrained(d) {
-		p.full = append(p.full, fullRequest{service: d.Service, request: d.Step.Reserved()})
+// hopeless reports whether a demand that asked for no more, and had no fewer rights, has failed in this pass. Room only
+// shrinks during a pass.
+func (p *pass) hopeless(d Demand) bool {
+	for _, f := range p.failures {
+		if dominates(f, d) {
+			return true
+		}
 	}
+	return false
 }
 
-func (p *pass) cannotFit(d Demand) bool {
-	if d.Preempts {
+// dominates reports whether whatever has no room for the failed demand has none for the other.
+func dominates(failed, d Demand) bool {
+	switch {
+	case failed.Service != d.Service:
+		return false
+	case failed.Step.SameRack && len(failed.Indexes) > 1 && !sameShape(failed, d):
+		return false // one that is too large for any rack may be spread
+	case constrained(failed) || failed.Priority > d.Priority || d.Preempts && !failed.Preempts:
+		return false
+	case failed.Step.Gang && (!d.Step.Gang || len(failed.Indexes) > len(d.Indexes)):
 		return false
 	}
-	need := d.Step.Reserved()
-	for _, f := range p.full {
-		if f.service == d.Service && f.request.Fits(need) {
-			return true
-		}
-	}
-	return false
+	return failed.Step.Reserved().Fits(d.Step.Reserved())
 }
 
-func constrained(d Demand) bool {
-	return d.Step.Label != "" || d.Step.DataRack != "" || d.Step.AntiAffinity > 0 || len(d.Avoid) > 0 || d.Tickets != nil
+func sameShape(a, b Demand) bool {
+	return b.Step.SameRack && len(a.Indexes) == len(b.Indexes) && a.Step.Reserved() == b.Step.Reserved()
 }
 
-// remember carries what a single task of a step added to the load of workers over to the rest of the step.
-func (p *pass) remember(d, single Demand) {
-	if d.Step.AntiAffinity == 0 {
-		return
-	}
-	for _, w := range p.placedOn[single.ID] {
-		d.Present[p.rooms[w].ID]++
-	}
-	delete(p.placedOn, single.ID)
+func constrained(d Demand) bool {
+	return d.Step.Label != "" || d.Step.DataRack != "" || d.Step.AntiAffinity > 0 || len(d.Avoid) > 0 || d.Tickets != nil
 }
--- a/chuteplacement/room.go
+++ b/chuteplacement/room.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"monsoonchute.example/monsoonchute/chutecapacity"
-	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuterun"
 )
 
@@ -17,9 +16,10 @@
 	groups    []Group
 	gone      []bool // by group: it is being stopped by this pass
 	onWorker  map[chuterun.WorkerID][]int
-	placedOn  map[chutegraph.StepID][]int
-	full      []fullRequest
+	failures  []Demand // that found no room
 	decisions []Decision
+	// preemptTries is the number of demands that looked for work to stop.
+	preemptTries int
 }
 
 // room is what a worker has left during the pass.
@@ -34,11 +34,6 @@
 	workers []int
 }
 
-type fullRequest struct {
-	service string
-	request chutecapacity.Amount
-}
-
 // horizon tells which room counts.
 type horizon int
 
@@ -51,7 +46,7 @@
 func newPass(view View) *pass {
 	p := &pass{
 		index: make(map[chuterun.WorkerID]int), groups: view.Groups, gone: make([]bool, len(view.Groups)),
-		onWorker: make(map[chuterun.WorkerID][]int), placedOn: make(map[chutegraph.StepID][]int),
+		onWorker: make(map[chuterun.WorkerID][]int),
 	}
 	byRack := make(map[string]int)
 	for i, w := range view.Workers {
@@ -170,6 +165,9 @@
 // placeWithin finds room for all waiting tasks among the workers; each task goes where the least is left over.
 func (p *pass) placeWithin(d Demand, workers []int, h horizon) ([]int, bool) {
 	need := d.Step.Reserved()
+	if !p.enough(d, workers, h) {
+		return nil, false
+	}
 	taken := make(map[int]int, len(d.Indexes))
 	placed := make([]int, 0, len(d.Indexes))
 	for range d.Indexes {
@@ -193,6 +191,19 @@
 	return placed, true
 }
 
+// enough reports whether the workers have room for as many tasks as wait, without looking at where each one goes.
+func (p *pass) enough(d Demand, workers []int, h horizon) bool {
+	need := d.Step.Reserved()
+	missing := len(d.Indexes)
+	for _, i := range workers {
+		missing -= need.Copies(p.rooms[i].at(h), missing)
+		if missing <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *pass) affinityAllows(d Demand, worker, taken int) bool {
 	return d.Step.AntiAffinity == 0 || d.Present[p.rooms[worker].ID]+taken < d.Step.AntiAffinity
 }
--- a/chuteplanner/memory.go
+++ b/chuteplanner/memory.go
@@ -13,6 +13,8 @@
 	part = "scheduler"
 	// planInterval is the longest time between two planning passes.
 	planInterval = 500 * time.Millisecond
+	// planPause is the least time between two planning passes.
+	planPause = 20 * time.Millisecond
 )
 
 // Memory is what the planner keeps between its passes.
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -17,7 +17,8 @@
 // Plan gives room to tasks that wait and takes it from work that must yield, if something has changed or the latest pass
 // is old.
 func (m Memory) Plan(r *chuterunner.Turn) Memory {
-	if !r.PlanDue && r.Now.Sub(m.plannedAt) < planInterval || !m.greeted(r) {
+	since := r.Now.Sub(m.plannedAt)
+	if since < planPause || !r.PlanDue && since < planInterval || !m.greeted(r) {
 		return m
 	}
 	t := &turn{Turn: r, Memory: m}
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -92,6 +92,14 @@
 	return w
 }
 
+// Differs reports whether the list says anything new of the worker.
+func (w Worker) Differs(l Listing) bool {
+	known := w.Listing
+	return !w.Listed || known.Service != l.Service || known.Address != l.Address || known.Zone != l.Zone ||
+		known.Rack != l.Rack || !slices.Equal(known.Labels, l.Labels) || known.Capacity != l.Capacity ||
+		known.Draining != l.Draining || l.Cold > 0 || known.Life != l.Life
+}
+
 // WithUnlisted returns the worker as one that the list no longer names.
 func (w Worker) WithUnlisted() Worker {
 	w.Listed = false
--- a/chuterunner/state.go
+++ b/chuterunner/state.go
@@ -23,7 +23,8 @@
 	Live    *immutable.SortedMap[chutegraph.JobID, chuterun.Job]
 	Ended   *immutable.SortedMap[chutegraph.JobID, chuterun.Job]
 	Pool    chutepool.Pool
-	Dirty   *immutable.SortedMap[chutegraph.JobID, bool] // jobs whose progress is to be recorded
+	Dirty   *immutable.SortedMap[chutegraph.JobID, bool]  // jobs whose progress is to be recorded
+	Owing   *immutable.SortedMap[chuterun.WorkerID, bool] // workers with ends that are not known to be recorded
 	Speeds  chutespeed.Speeds
 	Closing map[chuterun.WorkerID]bool // workers whose machines go down soon; never changed once stored
 	PlanDue bool                       // something changed since the latest planning pass
@@ -36,6 +37,7 @@
 		Live:  immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
 		Ended: immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
 		Dirty: immutable.NewSortedMap[chutegraph.JobID, bool](nil),
+		Owing: immutable.NewSortedMap[chuterun.WorkerID, bool](nil),
 	}
 }
 
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -155,6 +155,7 @@
 			continue
 		}
 		w.Handled = end.Number
+		t.Owing = t.Owing.Set(id, true)
 		t.PutWorker(w)
 		t.runEnded(w, end)
 	}
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -68,7 +68,13 @@
 	if _, known := t.Job(submission.ID); known {
 		return
 	}
-	t.KeepJob(chuterun.New(submission, int64(version), t.Now))
+	j := chuterun.New(submission, int64(version), t.Now)
+	if submission.Spec.Timed() {
+		t.timed = t.timed.Set(j.ID, true)
+	} else {
+		j = j.WithOccurrence(0)
+	}
+	t.KeepJob(j)
 	t.PlanDue = true
 	if t.Ready() {
 		t.Log(part, "job learned of", submission.ID, "queue", submission.Queue, "priority", submission.Priority, "version", version)
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -25,13 +25,17 @@
 // memory is what the scheduler knows beside its jobs, runs and workers.
 type memory struct {
 	batch     batch
-	former    chuteleader.Former // the scheduler before this one
-	formerEnd bool               // its process has certainly ended
-	progress  []chuteaction.Row  // read before the submissions were
-	hasHosts  bool               // the processes of all hosts have been read
-	hasRows   bool               // the progress of all jobs has been read
-	hasJobs   bool               // all submissions have been read
-	hasPool   bool               // all workers have been read
+	former    chuteleader.Former                           // the scheduler before this one
+	formerEnd bool                                         // its process has certainly ended
+	progress  []chuteaction.Row                            // read before the submissions were
+	hasHosts  bool                                         // the processes of all hosts have been read
+	hasRows   bool                                         // the progress of all jobs has been read
+	hasJobs   bool                                         // all submissions have been read
+	hasPool   bool                                         // all workers have been read
+	timed     *immutable.SortedMap[chutegraph.JobID, bool] // live jobs with set times
+	visits    int                                          // ticks, by which the workers are visited in turn
+	pending   map[string]int                               // by queue; never changed once stored
+	countedAt time.Time                                    // when pending jobs were last counted
 	planner   chuteplanner.Memory
 	readToken chuteaction.Token
 	hostToken chuteaction.Token
@@ -61,6 +65,7 @@
 		memory: memory{
 			former: former, formerEnd: former.Row.Epoch == 0 || former.Row.Released,
 			planner: chuteplanner.New(),
+			timed:   immutable.NewSortedMap[chutegraph.JobID, bool](nil),
 			waves:   immutable.NewSortedMap[int, waveState](nil),
 		},
 	}
@@ -105,16 +110,28 @@
 	return m.hasRows && m.hasJobs && m.hasPool
 }
 
-// Pending returns by queue how many jobs have no started task. Jobs with set times are not counted.
+// Pending returns by queue how many jobs had no started task when they were last counted. Jobs with set times are not
+// counted.
 func (s State) Pending() map[string]int {
+	return s.pending
+}
+
+// countInterval is the least time between two counts of the pending jobs.
+const countInterval = 200 * time.Millisecond
+
+func (t *turn) countPending() {
+	if t.Now.Sub(t.countedAt) < countInterval {
+		return
+	}
+	t.countedAt = t.Now
 	pending := make(map[string]int)
-	for i := s.runner.Live.Iterator(); !i.Done(); {
+	for i := t.Live.Iterator(); !i.Done(); {
 		_, j, _ := i.Next()
 		if j.Phase == chuterun.PhaseQueued && !j.Spec.Timed() {
 			pending[j.Queue]++
 		}
 	}
-	return pending
+	t.pending = pending
 }
 
 // Owns reports whether the token belongs to a read of the scheduler.
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -16,6 +16,8 @@
 	renewWait = 2 * time.Second
 	// mixedWait is the same for a worker on which filling tasks may disturb serving ones.
 	mixedWait = 800 * time.Millisecond
+	// visitShare is the number of ticks in which every worker is visited once.
+	visitShare = 3
 	// renewLatest is the age of the latest renewal at which the next is sent although ends are still to be recorded.
 	renewLatest = 1500 * time.Millisecond
 	// stopAgainAfter is the wait before an unanswered stop order is repeated.
@@ -29,9 +31,13 @@
 		return u.state()
 	}
 	u.beginDue()
-	for _, w := range u.Pool.All() {
-		u.visit(w)
+	u.visits++
+	for i, w := range u.Pool.All() {
+		if (i+u.visits)%visitShare == 0 {
+			u.visit(w)
+		}
 	}
+	u.countPending()
 	u.driveWaves()
 	u.planner = u.planner.Plan(u.Turn)
 	return u.state()
@@ -49,8 +55,13 @@
 // beginDue gives tasks to the occurrences whose time has come.
 func (t *turn) beginDue() {
 	wall := time.Duration(t.Now.UnixNano())
-	for i := t.Live.Iterator(); !i.Done(); {
-		_, j, _ := i.Next()
+	for i := t.timed.Iterator(); !i.Done(); {
+		id, _, _ := i.Next()
+		j, ok := t.Live.Get(id)
+		if !ok {
+			t.timed = t.timed.Delete(id)
+			continue
+		}
 		changed := false
 		for k := range j.Occurrences {
 			if !j.Begun(k) && j.Spec.Due(k) <= wall {
@@ -163,9 +174,10 @@
 // owed returns the ends that were handled and are not known to be recorded.
 func (s State) owed() []ack {
 	var acks []ack
-	for _, w := range s.runner.Pool.All() {
-		if w.Handled > w.Durable {
-			acks = append(acks, ack{worker: w.ID, number: w.Handled})
+	for i := s.runner.Owing.Iterator(); !i.Done(); {
+		id, _, _ := i.Next()
+		if w, ok := s.runner.Pool.Get(id); ok && w.Handled > w.Durable {
+			acks = append(acks, ack{worker: id, number: w.Handled})
 		}
 	}
 	return acks
@@ -177,6 +189,7 @@
 		w, _ := s.runner.Pool.Get(a.worker)
 		w.Durable = a.number
 		s.runner.Pool = s.runner.Pool.With(w)
+		s.runner.Owing = s.runner.Owing.Delete(a.worker)
 	}
 	return s
 }
@@ -205,6 +218,9 @@
 		if w, ok := u.Pool.Get(a.worker); ok && w.Handled >= a.number {
 			w.Durable = max(w.Durable, a.number)
 			u.PutWorker(w)
+			if w.Durable == w.Handled {
+				u.Owing = u.Owing.Delete(w.ID)
+			}
 			u.renewIfDue(w)
 		}
 	}
--- a/chutescheduler/worker.go
+++ b/chutescheduler/worker.go
@@ -60,6 +60,9 @@
 	if moved {
 		t.Emit(chuteaction.ForgetWorker{Worker: w.ID})
 	}
+	if !w.Differs(listing) {
+		return
+	}
 	w = w.WithListing(listing, t.Now)
 	t.PutWorker(w)
 	if drains {
