--- a/chuteentry/entry_test.go
+++ b/chuteentry/entry_test.go
@@ -76,6 +76,18 @@
 	}
 }
 
+func TestGangIsNotStoppedAtItsEnd(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 3, 8)
+	w.run(3 * time.Second)
+	for range 20 {
+		w.clients.submit("normal", time.Second, gangOf(4, 8))
+		w.run(4 * time.Second)
+	}
+	is.Equal(w.story("run is stopped"), "")
+	w.check(t)
+}
+
 func TestCancelledJobStopsOnItsWorkers(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(1, 3, 8)
--- a/chuterelay/peer.go
+++ b/chuterelay/peer.go
@@ -106,7 +106,7 @@
 		return other, nil
 	}
 	p.links[address] = l
-	p.log.Info("relay: requests to the store go through a peer", "peer", address)
+	p.log.Debug("relay: connected to a peer", "peer", address)
 	p.group.Go("relay-link", func(ctx context.Context) {
 		l.receive(ctx)
 		p.drop(address, l)
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -189,8 +189,8 @@
 
 // expected reports whether the run is the one that its task should have at work on the worker.
 func (t *Turn) expected(worker chuterun.WorkerID, run chutegraph.RunID) bool {
-	j, ok := t.Live.Get(run.Task.Job)
-	if !ok {
+	j, ok := t.Job(run.Task.Job)
+	if !ok || j.Phase == chuterun.PhaseCancelled || j.Phase == chuterun.PhaseFailed {
 		return false
 	}
 	task, ok := j.Task(run.Task)
