--- /dev/null
+++ b/chutegraph/graph_test.go
@@ -0,0 +1,48 @@
+package chutegraph_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"monsoonchute.example/monsoonchute/chutegraph"
+)
+
+func TestParseTask(t *testing.T) {
+	cases := []struct {
+		text string
+		ok   bool
+	}{
+		{"5c0e7a21d94b36f8.0.1.17", true},
+		{"5c0e7a21d94b36f8.12.0.0", true},
+		{"5c0e7a21d94b36f8.0.1", false},
+		{"5c0e7a21d94b36f8.0.1.-1", false},
+		{"5c0e7a21d94b36f8.0.1.x", false},
+		{"short.0.1.1", false},
+		{"", false},
+	}
+	for _, c := range cases {
+		t.Run(c.text, func(t *testing.T) {
+			is := is.New(t)
+			id, err := chutegraph.ParseTask(c.text)
+			is.Equal(err == nil, c.ok)
+			if c.ok {
+				is.Equal(id.String(), c.text)
+			}
+		})
+	}
+}
+
+func FuzzParseTask(f *testing.F) {
+	f.Add("5c0e7a21d94b36f8.0.1.17")
+	f.Fuzz(func(t *testing.T, text string) {
+		id, err := chutegraph.ParseTask(text)
+		if err != nil {
+			return
+		}
+		again, err := chutegraph.ParseTask(id.String())
+		if err != nil || again != id {
+			t.Fatalf("%q is read as %v and then as %v", text, id, again)
+		}
+	})
+}
--- a/chuteplacement/evict.go
+++ b/chuteplacement/evict.go
@@ -41,6 +41,7 @@
 		p.decisions = append(p.decisions, Evict{Run: m.Run, Worker: m.Worker, For: d.ID, Cost: p.groups[group].Cost})
 		if w, ok := p.index[m.Worker]; ok {
 			p.rooms[w].later = p.rooms[w].later.Plus(m.Reserved)
+			p.rooms[w].soon = p.rooms[w].soon.Plus(m.Reserved)
 		}
 	}
 }
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -47,9 +47,11 @@
 		return true
 	}
 	if d.Preempts && p.preemptTries < maxPreemptTries {
-		if placed, ok := p.place(d, roomLater); ok {
-			p.reserve(d, placed)
-			return true
+		for _, h := range []horizon{roomLater, roomSoon} {
+			if placed, ok := p.place(d, h); ok {
+				p.reserve(d, placed)
+				return true
+			}
 		}
 		p.preemptTries++
 		if p.preempt(d) {
@@ -77,6 +79,7 @@
 	for _, w := range placed {
 		p.rooms[w].now = p.rooms[w].now.Minus(need)
 		p.rooms[w].later = p.rooms[w].later.Minus(need)
+		p.rooms[w].soon = p.rooms[w].soon.Minus(need)
 	}
 }
 
--- a/chuteplacement/room.go
+++ b/chuteplacement/room.go
@@ -27,6 +27,7 @@
 	Worker
 	now   chutecapacity.Amount // free at this moment
 	later chutecapacity.Amount // free once all that is being stopped has ended
+	soon  chutecapacity.Amount // free once all that is expected to end soon has ended as well
 }
 
 type rack struct {
@@ -40,6 +41,7 @@
 const (
 	roomNow horizon = iota
 	roomLater
+	roomSoon
 	roomEmpty // as if nothing ran
 )
 
@@ -50,7 +52,9 @@
 	}
 	byRack := make(map[string]int)
 	for i, w := range view.Workers {
-		p.rooms = append(p.rooms, room{Worker: w, now: w.Free, later: w.Free.Plus(w.Freeing)})
+		p.rooms = append(p.rooms, room{
+			Worker: w, now: w.Free, later: w.Free.Plus(w.Freeing), soon: w.Free.Plus(w.Freeing).Plus(w.Ending),
+		})
 		p.index[w.ID] = i
 		at, ok := byRack[w.Rack]
 		if !ok {
@@ -74,6 +78,8 @@
 		return r.now
 	case roomLater:
 		return r.later
+	case roomSoon:
+		return r.soon
 	case roomEmpty:
 		return r.Capacity
 	}
--- a/chuteplacement/view.go
+++ b/chuteplacement/view.go
@@ -25,6 +25,7 @@
 	Capacity chutecapacity.Amount
 	Free     chutecapacity.Amount
 	Freeing  chutecapacity.Amount // held by runs that are being stopped
+	Ending   chutecapacity.Amount // held by runs that are expected to end very soon
 	Penalty  float64              // 0 for a sound worker; greater ones are taken later
 }
 
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutepool"
@@ -33,7 +34,7 @@
 	if len(demands) == 0 {
 		return
 	}
-	view := chuteplacement.View{Now: t.Now, Workers: t.roomView(), Groups: t.groups(), Demands: demands}
+	view := chuteplacement.View{Now: t.Now, Workers: t.roomView(t.ending()), Groups: t.groups(), Demands: demands}
 	started := make(map[chutegraph.StepID][]chuterun.WorkerID)
 	for _, decision := range chuteplacement.Plan(view) {
 		switch d := decision.(type) {
@@ -188,7 +189,7 @@
 }
 
 // roomView returns the workers that may be given work.
-func (t *turn) roomView() []chuteplacement.Worker {
+func (t *turn) roomView(ending map[chuterun.WorkerID]chutecapacity.Amount) []chuteplacement.Worker {
 	var rooms []chuteplacement.Worker
 	for _, w := range t.Pool.All() {
 		if !w.Usable(t.Now) || !t.MayStartOn(w) {
@@ -196,6 +197,7 @@
 		}
 		room := chuteplacement.Worker{
 			ID: w.ID, Service: w.Service, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.Free(),
+			Ending: ending[w.ID],
 		}
 		for _, r := range w.Runs() {
 			if r.Phase == chutepool.RunStopping {
@@ -217,6 +219,54 @@
 	speedWeight = 0.3
 )
 
+const (
+	// soon is the time within which work counts as ending soon.
+	soon = 500 * time.Millisecond
+	// overdue is how long after its expected end work still counts as ending soon.
+	overdue = 300 * time.Millisecond
+	// unknownRemaining stands for the time that work goes on of which nothing tells its end.
+	unknownRemaining = 24 * time.Hour
+)
+
+// ending returns by worker what is held by runs that are expected to end soon. A gang ends when its last member does.
+func (t *turn) ending() map[chuterun.WorkerID]chutecapacity.Amount {
+	last := make(map[chutegraph.StepID]time.Duration) // of gangs
+	for _, w := range t.Pool.All() {
+		for _, r := range w.Runs() {
+			if j, ok := t.Job(r.ID.Task.Job); ok && j.Step(r.ID.Task.StepID).Gang {
+				remaining := t.remaining(w.ID, r)
+				if known, seen := last[r.ID.Task.StepID]; seen {
+					remaining = max(remaining, known)
+				}
+				last[r.ID.Task.StepID] = remaining
+			}
+		}
+	}
+	held := make(map[chuterun.WorkerID]chutecapacity.Amount)
+	for _, w := range t.Pool.All() {
+		for _, r := range w.Runs() {
+			remaining, isGang := last[r.ID.Task.StepID]
+			if !isGang {
+				remaining = t.remaining(w.ID, r)
+			}
+			if r.Phase == chutepool.RunWorking && remaining <= soon && remaining >= -overdue {
+				held[w.ID] = held[w.ID].Plus(r.Reserved)
+			}
+		}
+	}
+	return held
+}
+
+// remaining returns the expected time until a run ends by itself, negative if that has passed.
+func (t *turn) remaining(worker chuterun.WorkerID, r chutepool.Run) time.Duration {
+	rate, known := t.Speeds.Rate(r.ID.Task.StepID, worker, t.Now)
+	if r.Phase != chutepool.RunWorking || !known || r.ReadAt.IsZero() || t.Lasting(r) {
+		return unknownRemaining
+	}
+	left := float64(100-r.Percent)/rate - t.Now.Sub(r.ReadAt).Seconds()
+	return time.Duration(min(left, unknownRemaining.Seconds()) * float64(time.Second))
+}
+
 // penalty tells how far a worker stands behind others with the same room.
 func (t *turn) penalty(w chutepool.Worker) float64 {
 	switch {
--- /dev/null
+++ b/chuterow/row_test.go
@@ -0,0 +1,57 @@
+package chuterow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuterow"
+	"monsoonchute.example/monsoonchute/chuterun"
+)
+
+func TestRowsAreReadAsWritten(t *testing.T) {
+	spec := chutegraph.Spec{Payload: "p", Steps: []chutegraph.Step{
+		{Count: 2, Gang: true, Estimate: time.Second}, {Count: 1, After: []int{0}, Label: "a"},
+	}}
+	job := chuterun.New(chuterun.Submission{ID: "0123456789abcdef", Spec: spec}, 1, time.Time{}).WithOccurrence(0)
+	id := chutegraph.TaskID{StepID: chutegraph.StepID{Job: job.ID}, Index: 1}
+	job = job.WithTask(id, chuterun.Task{}.WithRun(3, "w").WithCheckpoint("c").WithFailure())
+	cases := []chuteaction.RowValue{
+		chuteaction.SubmissionRow{Submission: job.Submission},
+		chuteaction.CancelRow{Job: job.ID},
+		chuteaction.ProgressRow{Job: job.ID, Progress: job.Progress},
+		chuteaction.LeaderRow{Epoch: 4, Host: "h", Process: "p", Sequence: 9, Released: true, Pending: map[string]int{"q": 2}},
+		chuteaction.HostRow{Host: "h", Process: "p", Address: "127.0.0.1:1"},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		body, err := chuterow.Encode(c)
+		is.NoErr(err)
+		read, err := chuterow.Decode(body)
+		is.NoErr(err)
+		is.Equal(read, c)
+	}
+}
+
+func TestRowsOfOthersAreNotWritten(t *testing.T) {
+	is := is.New(t)
+	_, err := chuterow.Encode(chuteaction.CatalogRow{})
+	is.True(err != nil)
+}
+
+func FuzzDecode(f *testing.F) {
+	body, err := chuterow.Encode(chuteaction.CancelRow{Job: "0123456789abcdef"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		value, err := chuterow.Decode(body)
+		if err == nil && value == nil {
+			t.Fatal("neither a row nor an error")
+		}
+	})
+}
