Do not take entries that lapse with the store for workers that left, and bound inherited leases by the former leader's latest write

Change: a leader gives up after 8 s without a write, counted from when its latest write was seen; a worker only counts as left if the store has answered for 8 s without a gap.

--- a/chuteentry/entry_test.go
+++ b/chuteentry/entry_test.go
@@ -162,6 +162,32 @@
 	return nil
 }
 
+func TestEntriesThatLapseWithTheStoreDoNotEndWork(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 3, 8)
+	w.run(12 * time.Second)
+	j := w.clients.submit("normal", 8*time.Second, chutegraph.Step{Count: 4, Request: oneTask(4).Request})
+	w.run(time.Second)
+	w.store.down = true
+	w.run(3 * time.Second)
+	for _, k := range w.workers {
+		w.store.drop(k.key(), nil)
+	}
+	w.store.down = false
+	w.run(200 * time.Millisecond)
+	k := w.workerOf(j)
+	k.cut = true // for a moment, while it is not listed
+	w.run(3500 * time.Millisecond)
+	for _, k := range w.workers {
+		k.list()
+	}
+	w.run(500 * time.Millisecond)
+	k.cut = false
+	w.run(12 * time.Second)
+	is.Equal(w.phase(j), "completed")
+	w.check(t)
+}
+
 func TestAllHostsLosePowerWhileAWorkerLeaves(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(1, 3, 8)
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -16,6 +16,8 @@
 const (
 	// contactLimit is the age of the store's latest answer over which calls that need it are refused.
 	contactLimit = 2500 * time.Millisecond
+	// steadyGap is the time without an answer of the store that counts as a gap.
+	steadyGap = 2 * time.Second
 	// operatorWait is how long the store may wait for a change by the operators.
 	operatorWait = 1500 * time.Millisecond
 	// leaderPause is the least time between two questions about the leader's row.
@@ -49,6 +51,7 @@
 	waves     []chuteaction.WaveRow // never changed once stored
 	zonesOut  map[string]bool       // zones in which nothing may start; never changed once stored
 	contactAt time.Time             // of the store's latest answer
+	steadyAt  time.Time             // since when it has answered without a gap
 	leader    chuteleader.State
 	intake    chuteintake.State
 	scheduler *chutescheduler.State // nil unless this host leads
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// contact notes an answer of the store.
+func (t *turn) contact() {
+	if t.Now.Sub(t.state.contactAt) > steadyGap {
+		t.state.steadyAt = t.Now
+	}
+	t.state.contactAt = t.Now
+}
+
 func (t *turn) setScheduler(c chutescheduler.State) {
 	t.state.scheduler = &c
 }
@@ -125,7 +133,7 @@
 
 func (t *turn) written(e chuteaction.RowsWritten) {
 	if e.Outcome == chuteaction.StoreDone || e.Outcome == chuteaction.StoreConflict {
-		t.state.contactAt = t.Now
+		t.contact()
 	}
 	if e.Token == t.state.announcement {
 		if e.Outcome != chuteaction.StoreDone {
@@ -175,7 +183,7 @@
 
 func (t *turn) read(e chuteaction.RowsRead) {
 	if e.Outcome == chuteaction.StoreDone {
-		t.state.contactAt = t.Now
+		t.contact()
 	}
 	if t.state.scheduler != nil && t.state.scheduler.Owns(e.Token) {
 		t.setScheduler(t.state.scheduler.Read(t.Turn, t.state.environment(), e))
@@ -185,7 +193,7 @@
 }
 
 func (t *turn) changed(e chuteaction.TableChanged) {
-	t.state.contactAt = t.Now
+	t.contact()
 	switch e.Table {
 	case chuteaction.TableOperator:
 		t.operatorChanged(e)
--- a/chuteleader/leader.go
+++ b/chuteleader/leader.go
@@ -17,7 +17,7 @@
 	resendAfter = 100 * time.Millisecond
 	// UnprovedLimit is how long a leader goes on without a successful write. Its successor waits as long for workers
 	// that it cannot reach.
-	UnprovedLimit = 12 * time.Second
+	UnprovedLimit = 8 * time.Second
 	part          = "leader"
 )
 
@@ -86,6 +86,7 @@
 type Former struct {
 	Row     chuteaction.LeaderRow
 	Version chuteaction.RowVersion // of its latest write
+	SeenAt  time.Time              // when that write was seen
 }
 
 // Former returns the leader that this host took over from.
@@ -187,7 +188,7 @@
 	t.Log(part, "takeover tried", "", "former", s.row.Host, "epoch", s.row.Epoch+1, "reason", reason,
 		"unchanged", t.Now.Sub(s.changedAt), "version", s.version)
 	s.role = RoleCandidate
-	s.former = Former{Row: s.row, Version: s.version}
+	s.former = Former{Row: s.row, Version: s.version, SeenAt: s.changedAt}
 	row := chuteaction.LeaderRow{Epoch: s.row.Epoch + 1, Host: s.host, Process: s.process, Pending: s.row.Pending}
 	return s.send(t, row, nil, nil)
 }
--- a/chuterunner/state.go
+++ b/chuterunner/state.go
@@ -101,6 +101,7 @@
 	ZonesOut map[string]bool // zones in which nothing may start
 	Waves    []chuteaction.WaveRow
 	ProvedAt time.Time // of the latest successful write as leader
+	SteadyAt time.Time // since when the store has answered without a gap
 }
 
 // Job returns the job, ended or not, and false if it does not exist.
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -138,13 +138,13 @@
 }
 
 // inheritedLease returns when the lease of a worker is over that this scheduler cannot reach. A former scheduler that
-// may still live may go on renewing it for a while.
+// may still live may go on renewing it for a while after its latest write.
 func (t *turn) inheritedLease() time.Time {
-	until := t.TakenAt.Add(t.LongestLease())
-	if !t.formerEnd {
-		until = until.Add(t.Bounds.UnprovedLimit)
+	last := t.TakenAt
+	if renewed := t.former.SeenAt.Add(t.Bounds.UnprovedLimit); !t.formerEnd && renewed.After(last) {
+		last = renewed
 	}
-	return until
+	return last.Add(t.LongestLease())
 }
 
 // cancelled ends a job whose cancellation is recorded.
--- a/chutescheduler/worker.go
+++ b/chutescheduler/worker.go
@@ -79,10 +79,13 @@
 	t.Log(part, "worker is listed no longer", "", "worker", id, "reason", reason, "runs", w.RunCount())
 	w = w.WithUnlisted()
 	w.HoldAfter = t.Now
-	w.Left = w.Greeted && t.Now.Sub(w.AnsweredAt) < leftLimit
+	w.Left = w.Greeted && t.Now.Sub(w.AnsweredAt) < leftLimit && t.Now.Sub(t.Environment.SteadyAt) > lapseTime
 	t.PutWorker(w)
 }
 
+// lapseTime is how long after a gap of the store entries of workers that live may be missing.
+const lapseTime = 8 * time.Second
+
 // leftLimit is the age of a worker's latest answer under which its entry cannot have lapsed by silence: a worker that
 // vanishes from the list so soon, and answers no more, has left.
 const leftLimit = 3 * time.Second
