--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -91,7 +91,7 @@
 }
 
 func (s State) environment() chuterunner.Environment {
-	return chuterunner.Environment{Catalog: s.catalog, ZonesOut: s.zonesOut, Waves: s.waves, ProvedAt: s.leader.ProvedAt()}
+	return chuterunner.Environment{Catalog: s.catalog, ZonesOut: s.zonesOut, Waves: s.waves, ProvedAt: s.leader.ProvedAt(), SteadyAt: s.steadyAt}
 }
 
 func (s State) intakeView(now time.Time) chuteintake.View {
