Keep submissions in one part, and count a worker as left after four steady seconds

Change: one part again. Entries are back two seconds after an outage, so that four steady seconds are enough to tell that a worker has left.

Conclusion: spreading submissions waits for a takeover that goes on with the parts that it can read.

--- a/chuteaction/row.go
+++ b/chuteaction/row.go
@@ -151,40 +151,17 @@
 // HostsPart is the part that holds the rows of the entry hosts.
 const HostsPart = "hosts"
 
-// intakeParts is the number of parts over which submissions and cancellations are spread: the store carries out the
-// transactions of one part one after the other.
-const intakeParts = 16
-
-// IntakePart returns the part that holds the submission and the cancellation of a job.
-func IntakePart(id chutegraph.JobID) string {
-	sum := 0
-	for _, r := range []byte(id) {
-		sum += int(r)
-	}
-	return intakePart(sum % intakeParts)
-}
-
-// IntakeParts returns all parts that hold submissions and cancellations.
-func IntakeParts() []string {
-	parts := make([]string, intakeParts)
-	for i := range parts {
-		parts[i] = intakePart(i)
-	}
-	return parts
-}
-
-func intakePart(number int) string {
-	return "intake-" + strconv.Itoa(number)
-}
+// IntakePart is the part that holds submissions and cancellations.
+const IntakePart = "intake"
 
 // SubmissionKey names the row of an accepted job.
 func SubmissionKey(id chutegraph.JobID) RowKey {
-	return RowKey{Table: TableJobs, Part: IntakePart(id), Key: string(id) + ".job"}
+	return RowKey{Table: TableJobs, Part: IntakePart, Key: string(id) + ".job"}
 }
 
 // CancelKey names the row of a cancellation.
 func CancelKey(id chutegraph.JobID) RowKey {
-	return RowKey{Table: TableJobs, Part: IntakePart(id), Key: string(id) + ".cancel"}
+	return RowKey{Table: TableJobs, Part: IntakePart, Key: string(id) + ".cancel"}
 }
 
 // ProgressKey names the row of a job's progress.
--- a/chutescheduler/worker.go
+++ b/chutescheduler/worker.go
@@ -84,7 +84,7 @@
 }
 
 // lapseTime is how long after a gap of the store entries of workers that live may be missing.
-const lapseTime = 8 * time.Second
+const lapseTime = 4 * time.Second
 
 // leftLimit is the age of a worker's latest answer under which its entry cannot have lapsed by silence: a worker that
 // vanishes from the list so soon, and answers no more, has left.
