--- a/chuteplacement/plan_test.go
+++ b/chuteplacement/plan_test.go
@@ -87,34 +87,76 @@
 		demands []chuteplacement.Demand
 		want    []string
 	}{
-		{"a small task goes where little is left", workers(8, 2, 5), nil,
-			[]chuteplacement.Demand{demand("a", 1, 1, 1, nil)}, []string{"a>w1"}},
-		{"a whole worker goes to what needs it", workers(8, 4, 4), nil,
-			[]chuteplacement.Demand{demand("a", 1, 2, 4, nil), demand("b", 2, 1, 8, nil)}, []string{"a>w1", "a>w2", "b>w0"}},
-		{"as many tasks as fit", workers(2, 1), nil,
-			[]chuteplacement.Demand{demand("a", 1, 5, 1, nil)}, []string{"a>w0", "a>w0", "a>w1"}},
-		{"a gang whole", workers(8, 8), nil,
-			[]chuteplacement.Demand{demand("a", 1, 2, 8, gang)}, []string{"a>w0", "a>w1"}},
-		{"or not at all", workers(8, 4), nil,
-			[]chuteplacement.Demand{demand("a", 1, 2, 8, gang)}, nil},
-		{"what is smaller passes a gang that waits", workers(8, 4), nil,
-			[]chuteplacement.Demand{demand("a", 1, 2, 8, gang), demand("b", 2, 1, 4, nil)}, []string{"b>w1"}},
-		{"a gang in one rack", workers(8, 0, 0, 0, 8, 8, 0, 0), nil,
-			[]chuteplacement.Demand{demand("a", 1, 2, 8, tightGang)}, []string{"a>w4", "a>w5"}},
-		{"it waits for a rack that could hold it", workers(8, 0, 0, 0, 8, 0, 0, 0), nil,
-			[]chuteplacement.Demand{demand("a", 1, 2, 8, tightGang)}, nil},
-		{"it is spread where no rack could", workers(8, 8, 8, 8, 8), nil,
-			[]chuteplacement.Demand{demand("a", 1, 5, 8, tightGang)}, []string{"a>w0", "a>w1", "a>w2", "a>w3", "a>w4"}},
-		{"a smaller one that waits does not hold up one that is spread", workers(8, 0, 0, 0, 8, 8, 8, 0, 8, 8, 0, 0), nil,
-			[]chuteplacement.Demand{demand("a", 1, 4, 8, tightGang), demand("b", 1, 5, 8, tightGang)}, []string{"b>w0", "b>w4", "b>w5", "b>w6", "b>w8"}},
-		{"data in a rack", workers(8, 8, 8, 8, 1), nil,
-			[]chuteplacement.Demand{demand("a", 1, 1, 1, func(s *chutegraph.Step) { s.DataRack = "r0" })}, []string{"a>w0"}},
-		{"a label", workers(8, 8, 8, 8, 1), nil,
-			[]chuteplacement.Demand{demand("a", 1, 1, 1, func(s *chutegraph.Step) { s.Label = "r1" })}, []string{"a>w4"}},
-		{"a label that no worker has", workers(8), nil,
-			[]chuteplacement.Demand{demand("a", 1, 1, 1, func(s *chutegraph.Step) { s.Label = "x" })}, nil},
-		{"at most two of a step on a worker", workers(8, 8), nil,
-			[]chuteplacement.Demand{demand("a", 1, 5, 1, func(s *chutegraph.Step) { s.AntiAffinity = 2 })}, []string{"a>w0", "a>w0", "a>w1", "a>w1"}},
+		{
+			"a small task goes where little is left", workers(8, 2, 5), nil,
+			[]chuteplacement.Demand{demand("a", 1, 1, 1, nil)},
+			[]string{"a>w1"},
+		},
+		{
+			"a whole worker goes to what needs it", workers(8, 4, 4), nil,
+			[]chuteplacement.Demand{demand("a", 1, 2, 4, nil), demand("b", 2, 1, 8, nil)},
+			[]string{"a>w1", "a>w2", "b>w0"},
+		},
+		{
+			"as many tasks as fit", workers(2, 1), nil,
+			[]chuteplacement.Demand{demand("a", 1, 5, 1, nil)},
+			[]string{"a>w0", "a>w0", "a>w1"},
+		},
+		{
+			"a gang whole", workers(8, 8), nil,
+			[]chuteplacement.Demand{demand("a", 1, 2, 8, gang)},
+			[]string{"a>w0", "a>w1"},
+		},
+		{
+			"or not at all", workers(8, 4), nil,
+			[]chuteplacement.Demand{demand("a", 1, 2, 8, gang)},
+			nil,
+		},
+		{
+			"what is smaller passes a gang that waits", workers(8, 4), nil,
+			[]chuteplacement.Demand{demand("a", 1, 2, 8, gang), demand("b", 2, 1, 4, nil)},
+			[]string{"b>w1"},
+		},
+		{
+			"a gang in one rack", workers(8, 0, 0, 0, 8, 8, 0, 0), nil,
+			[]chuteplacement.Demand{demand("a", 1, 2, 8, tightGang)},
+			[]string{"a>w4", "a>w5"},
+		},
+		{
+			"it waits for a rack that could hold it", workers(8, 0, 0, 0, 8, 0, 0, 0), nil,
+			[]chuteplacement.Demand{demand("a", 1, 2, 8, tightGang)},
+			nil,
+		},
+		{
+			"it is spread where no rack could", workers(8, 8, 8, 8, 8), nil,
+			[]chuteplacement.Demand{demand("a", 1, 5, 8, tightGang)},
+			[]string{"a>w0", "a>w1", "a>w2", "a>w3", "a>w4"},
+		},
+		{
+			"a smaller one that waits does not hold up one that is spread", workers(8, 0, 0, 0, 8, 8, 8, 0, 8, 8, 0, 0), nil,
+			[]chuteplacement.Demand{demand("a", 1, 4, 8, tightGang), demand("b", 1, 5, 8, tightGang)},
+			[]string{"b>w0", "b>w4", "b>w5", "b>w6", "b>w8"},
+		},
+		{
+			"data in a rack", workers(8, 8, 8, 8, 1), nil,
+			[]chuteplacement.Demand{demand("a", 1, 1, 1, func(s *chutegraph.Step) { s.DataRack = "r0" })},
+			[]string{"a>w0"},
+		},
+		{
+			"a label", workers(8, 8, 8, 8, 1), nil,
+			[]chuteplacement.Demand{demand("a", 1, 1, 1, func(s *chutegraph.Step) { s.Label = "r1" })},
+			[]string{"a>w4"},
+		},
+		{
+			"a label that no worker has", workers(8), nil,
+			[]chuteplacement.Demand{demand("a", 1, 1, 1, func(s *chutegraph.Step) { s.Label = "x" })},
+			nil,
+		},
+		{
+			"at most two of a step on a worker", workers(8, 8), nil,
+			[]chuteplacement.Demand{demand("a", 1, 5, 1, func(s *chutegraph.Step) { s.AntiAffinity = 2 })},
+			[]string{"a>w0", "a>w0", "a>w1", "a>w1"},
+		},
 		{"another service", workers(8), nil, []chuteplacement.Demand{func() chuteplacement.Demand {
 			d := demand("a", 1, 1, 1, nil)
 			d.Service = "other"
@@ -125,18 +167,42 @@
 			d.Tickets = map[chuterun.WorkerID]string{"w1": "ticket"}
 			return d
 		}()}, []string{"a>w1"}},
-		{"urgent work stops what wastes least", workers(0, 0), []chuteplacement.Group{group("x", 1, 50, 8, 0), group("y", 2, 5, 8, 1)},
-			[]chuteplacement.Demand{demand("u", 0, 1, 8, nil)}, []string{"y!w1"}},
-		{"and a gang as a whole", workers(0, 0), []chuteplacement.Group{group("x", 1, 5, 8, 0, 1)},
-			[]chuteplacement.Demand{demand("u", 0, 1, 8, nil)}, []string{"x!w0", "x!w1"}},
-		{"only as much as it needs", workers(0), []chuteplacement.Group{group("x", 1, 5, 4, 0), group("y", 1, 6, 4, 0)},
-			[]chuteplacement.Demand{demand("u", 0, 1, 4, nil)}, []string{"x!w0"}},
-		{"never what is as urgent", workers(0), []chuteplacement.Group{group("x", 0, 5, 8, 0)},
-			[]chuteplacement.Demand{demand("u", 0, 1, 8, nil)}, nil},
-		{"other work does not stop any", workers(0), []chuteplacement.Group{group("x", 2, 5, 8, 0)},
-			[]chuteplacement.Demand{demand("n", 1, 1, 8, nil)}, nil},
-		{"free room first", workers(0, 8), []chuteplacement.Group{group("x", 1, 0, 8, 0)},
-			[]chuteplacement.Demand{demand("u", 0, 1, 8, nil)}, []string{"u>w1"}},
+		{
+			"urgent work stops what wastes least", workers(0, 0),
+			[]chuteplacement.Group{group("x", 1, 50, 8, 0), group("y", 2, 5, 8, 1)},
+			[]chuteplacement.Demand{demand("u", 0, 1, 8, nil)},
+			[]string{"y!w1"},
+		},
+		{
+			"and a gang as a whole", workers(0, 0),
+			[]chuteplacement.Group{group("x", 1, 5, 8, 0, 1)},
+			[]chuteplacement.Demand{demand("u", 0, 1, 8, nil)},
+			[]string{"x!w0", "x!w1"},
+		},
+		{
+			"only as much as it needs", workers(0),
+			[]chuteplacement.Group{group("x", 1, 5, 4, 0), group("y", 1, 6, 4, 0)},
+			[]chuteplacement.Demand{demand("u", 0, 1, 4, nil)},
+			[]string{"x!w0"},
+		},
+		{
+			"never what is as urgent", workers(0),
+			[]chuteplacement.Group{group("x", 0, 5, 8, 0)},
+			[]chuteplacement.Demand{demand("u", 0, 1, 8, nil)},
+			nil,
+		},
+		{
+			"other work does not stop any", workers(0),
+			[]chuteplacement.Group{group("x", 2, 5, 8, 0)},
+			[]chuteplacement.Demand{demand("n", 1, 1, 8, nil)},
+			nil,
+		},
+		{
+			"free room first", workers(0, 8),
+			[]chuteplacement.Group{group("x", 1, 0, 8, 0)},
+			[]chuteplacement.Demand{demand("u", 0, 1, 8, nil)},
+			[]string{"u>w1"},
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -230,22 +230,11 @@
 
 // ending returns by worker what is held by runs that are expected to end soon. A gang ends when its last member does.
 func (t *turn) ending() map[chuterun.WorkerID]chutecapacity.Amount {
-	last := make(map[chutegraph.StepID]time.Duration) // of gangs
-	for _, w := range t.Pool.All() {
-		for _, r := range w.Runs() {
-			if j, ok := t.Job(r.ID.Task.Job); ok && j.Step(r.ID.Task.StepID).Gang {
-				remaining := t.remaining(w.ID, r)
-				if known, seen := last[r.ID.Task.StepID]; seen {
-					remaining = max(remaining, known)
-				}
-				last[r.ID.Task.StepID] = remaining
-			}
-		}
-	}
+	gangs := t.gangsRemaining()
 	held := make(map[chuterun.WorkerID]chutecapacity.Amount)
 	for _, w := range t.Pool.All() {
 		for _, r := range w.Runs() {
-			remaining, isGang := last[r.ID.Task.StepID]
+			remaining, isGang := gangs[r.ID.Task.StepID]
 			if !isGang {
 				remaining = t.remaining(w.ID, r)
 			}
@@ -257,6 +246,25 @@
 	return held
 }
 
+// gangsRemaining returns the expected time until each gang ends.
+func (t *turn) gangsRemaining() map[chutegraph.StepID]time.Duration {
+	last := make(map[chutegraph.StepID]time.Duration)
+	for _, w := range t.Pool.All() {
+		for _, r := range w.Runs() {
+			j, ok := t.Job(r.ID.Task.Job)
+			if !ok || !j.Step(r.ID.Task.StepID).Gang {
+				continue
+			}
+			remaining := t.remaining(w.ID, r)
+			if known, seen := last[r.ID.Task.StepID]; seen {
+				remaining = max(remaining, known)
+			}
+			last[r.ID.Task.StepID] = remaining
+		}
+	}
+	return last
+}
+
 // remaining returns the expected time until a run ends by itself, negative if that has passed.
 func (t *turn) remaining(worker chuterun.WorkerID, r chutepool.Run) time.Duration {
 	rate, known := t.Speeds.Rate(r.ID.Task.StepID, worker, t.Now)
