Use the field's terms: incarnation, contacted, cooldown, failure streak, trace

Cause: names such as life, greeted, strikes, rest and story needed explaining.

Change: names only, and the command 'monsoonchute trace'.

--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -154,15 +154,15 @@
 
 // LeaseRenewed is the end of a renewal, with what the worker runs.
 type LeaseRenewed struct {
-	Epoch   int64
-	Worker  chuterun.WorkerID
-	SentAt  time.Time
-	Outcome OrderOutcome
-	Reason  RefusalReason
-	Clock   time.Duration
-	Life    int64
-	Running []chuterun.RunReport
-	Ended   []chuterun.RunEnd
+	Epoch       int64
+	Worker      chuterun.WorkerID
+	SentAt      time.Time
+	Outcome     OrderOutcome
+	Reason      RefusalReason
+	Clock       time.Duration
+	Incarnation int64
+	Running     []chuterun.RunReport
+	Ended       []chuterun.RunEnd
 }
 
 // StepApproved is the answer of the approval service.
--- a/chuteentry/entry_test.go
+++ b/chuteentry/entry_test.go
@@ -273,7 +273,7 @@
 		seed  uint64
 		cause string
 	}{
-		{137, "a start was taken by a worker's new life, and counted as lost with its former life"},
+		{137, "a start was taken by a worker's new incarnation, and counted as lost with its former incarnation"},
 		{406, "the same, after a start without an answer"},
 		{1308, "repeated renewals to a worker that was gone moved the end of its lease, so that its work never started elsewhere"},
 		{1315, "the same, for an urgent job"},
--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -50,7 +50,7 @@
 			Capacity: chutecapacity.Amount{Processor: 64000, Memory: 128000, Accelerators: 8},
 		},
 	}
-	k.listing.Life = k.born.UnixMilli()
+	k.listing.Incarnation = k.born.UnixMilli()
 	w.workers[name] = k
 	k.list()
 	k.lapse()
@@ -79,12 +79,12 @@
 	})
 }
 
-// restart begins a new life under the same id.
+// restart begins a new incarnation under the same id.
 func (k *fakeWorker) restart() {
 	k.die(time.Hour)
 	k.dead = false
 	k.born = k.world.now
-	k.listing.Life = k.born.UnixMilli()
+	k.listing.Incarnation = k.born.UnixMilli()
 	k.listing.Draining = false
 	k.token, k.number = 0, 0
 	k.ends = nil
@@ -313,7 +313,7 @@
 
 func (k *fakeWorker) report(o chuteaction.RenewLease, sent time.Time) chuteaction.LeaseRenewed {
 	renewed := chuteaction.LeaseRenewed{
-		Epoch: o.Epoch, Worker: o.Worker, SentAt: sent, Outcome: chuteaction.OrderTaken, Clock: k.clock(), Life: k.listing.Life,
+		Epoch: o.Epoch, Worker: o.Worker, SentAt: sent, Outcome: chuteaction.OrderTaken, Clock: k.clock(), Incarnation: k.listing.Incarnation,
 	}
 	for _, r := range k.sorted() {
 		renewed.Running = append(renewed.Running, chuterun.RunReport{Run: r.id, Usage: k.tail(r)})
@@ -323,7 +323,7 @@
 }
 
 // forget drops the ends that the scheduler has noted. An end that is noted must not be followed by another start; one
-// that was lost with a worker's life may be.
+// that was lost with a worker's incarnation may be.
 func (k *fakeWorker) forget(number int64) {
 	for _, e := range k.ends {
 		if e.Number > number || e.Kind != chuterun.EndDone || k.lapsed[e.Number] {
@@ -354,9 +354,9 @@
 		return
 	}
 	if w.chance(k.unheard) {
-		life := k.born
+		incarnation := k.born
 		w.after(2*time.Second+w.delay(5*time.Second), func() {
-			if !k.dead && k.born.Equal(life) {
+			if !k.dead && k.born.Equal(incarnation) {
 				carryOut(k)
 			}
 		})
--- a/chuteentry/lasting_test.go
+++ b/chuteentry/lasting_test.go
@@ -51,7 +51,7 @@
 	return machines
 }
 
-// maintain takes a machine down for two seconds; its worker has a new life then.
+// maintain takes a machine down for two seconds; its worker was restarted then.
 func (w *world) maintain(f chuteaction.MaintainMachine) chuteaction.MachineMaintained {
 	k := w.workers[f.Machine[len("m-"):]]
 	down := 0
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -99,7 +99,7 @@
 	}
 	leader, verdict := t.state.leader.Tick(t.Turn)
 	t.state.leader = leader
-	t.heed(verdict)
+	t.applyVerdict(verdict)
 	if t.state.scheduler != nil {
 		t.setScheduler(t.state.scheduler.Tick(t.Turn, t.state.environment()))
 	}
@@ -127,7 +127,7 @@
 	if fenced {
 		t.Warn(part, "a worker has seen a higher epoch", "", "epoch", next.Epoch())
 		t.state.leader = t.state.leader.Depose(t.Now)
-		t.heed(chuteleader.VerdictDeposed)
+		t.applyVerdict(chuteleader.VerdictDeposed)
 	}
 }
 
@@ -144,14 +144,14 @@
 	if t.state.leader.Owns(e.Token) {
 		leader, verdict := t.state.leader.Written(t.Turn, e)
 		t.state.leader = leader
-		t.heed(verdict)
+		t.applyVerdict(verdict)
 		return
 	}
 	t.state.intake = t.state.intake.Written(t.Turn, e)
 }
 
-// heed draws the consequence of a leader's write.
-func (t *turn) heed(verdict chuteleader.Verdict) {
+// applyVerdict draws the consequence of a leader's write.
+func (t *turn) applyVerdict(verdict chuteleader.Verdict) {
 	switch verdict {
 	case chuteleader.VerdictNone:
 	case chuteleader.VerdictElected:
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -18,7 +18,7 @@
 const maxPreemptTries = 24
 
 func (p *pass) serve(d Demand) {
-	if p.hopeless(d) {
+	if p.cannotFit(d) {
 		return
 	}
 	if d.Step.Gang {
@@ -83,9 +83,9 @@
 	}
 }
 
-// hopeless reports whether a demand that asked for no more, and had no fewer rights, has failed in this pass. Room only
+// cannotFit reports whether a demand that asked for no more, and had no fewer rights, has failed in this pass. Room only
 // shrinks during a pass.
-func (p *pass) hopeless(d Demand) bool {
+func (p *pass) cannotFit(d Demand) bool {
 	for _, f := range p.failures {
 		if dominates(f, d) {
 			return true
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -19,7 +19,7 @@
 // is old.
 func (m Memory) Plan(r *chuterunner.Turn) Memory {
 	since := r.Now.Sub(m.plannedAt)
-	if since < planPause || !r.PlanDue && since < planInterval || !m.greeted(r) {
+	if since < planPause || !r.PlanDue && since < planInterval || !m.contacted(r) {
 		return m
 	}
 	t := &turn{Turn: r, Memory: m}
@@ -68,16 +68,16 @@
 		"racks", len(racks), "slowest", fmt.Sprintf("%.2f", slowest), "workers", workers, "since-seen", t.Now.Sub(j.Seen))
 }
 
-// greetLimit is how long a new scheduler waits for answers of workers before it plans without them.
-const greetLimit = 400 * time.Millisecond
+// contactWait is how long a new scheduler waits for answers of workers before it plans without them.
+const contactWait = 400 * time.Millisecond
 
-// greeted reports whether the workers have told what they run, or had the time to.
-func (m Memory) greeted(r *chuterunner.Turn) bool {
-	if r.Now.Sub(m.listedAt) >= greetLimit {
+// contacted reports whether the workers have told what they run, or had the time to.
+func (m Memory) contacted(r *chuterunner.Turn) bool {
+	if r.Now.Sub(m.listedAt) >= contactWait {
 		return true
 	}
 	for _, w := range r.Pool.All() {
-		if w.Listed && !w.Greeted {
+		if w.Listed && !w.Contacted {
 			return false
 		}
 	}
--- a/chutepool/run.go
+++ b/chutepool/run.go
@@ -33,7 +33,7 @@
 	StoppedAt   time.Time // when the worker answered a stop order; zero before
 	Working     time.Time // when it was first confirmed; zero before
 	Saved       time.Time // when its checkpoint last changed, or when it began
-	Life        int64     // of the worker when it last listed the run; 0 before
+	Incarnation int64     // of the worker when it last listed the run; 0 before
 	Inherited   bool      // a former scheduler started it
 	ReadAt      time.Time // when its progress was last read
 	Checkpoint  string
@@ -101,10 +101,10 @@
 	return r
 }
 
-// WithReport returns the run with what its worker, in one of its lives, says of it at the moment.
-func (r Run) WithReport(life int64, report chuterun.RunReport, now time.Time) Run {
+// WithReport returns the run with what its worker, in one of its incarnations, says of it at the moment.
+func (r Run) WithReport(incarnation int64, report chuterun.RunReport, now time.Time) Run {
 	checkpoint, percent := report.Checkpoint, report.Percent
-	r.Life = life
+	r.Incarnation = incarnation
 	r.Usage = report.Usage
 	if checkpoint != r.Checkpoint {
 		r.Checkpoint = checkpoint
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -13,45 +13,45 @@
 
 // Listing is what the list of workers says of a worker.
 type Listing struct {
-	ID       chuterun.WorkerID
-	Service  string
-	Address  string // host:port
-	Zone     string
-	Rack     string
-	Labels   []string
-	Capacity chutecapacity.Amount
-	Draining bool
-	Remains  time.Duration // least time until a draining worker leaves
-	Cold     time.Duration // how much longer it is slow after its start
-	Life     int64         // start of its process in milliseconds since 1970; differs between lives under one id
+	ID          chuterun.WorkerID
+	Service     string
+	Address     string // host:port
+	Zone        string
+	Rack        string
+	Labels      []string
+	Capacity    chutecapacity.Amount
+	Draining    bool
+	Remains     time.Duration // least time until a draining worker leaves
+	Cold        time.Duration // how much longer it is slow after its start
+	Incarnation int64         // start of its process in milliseconds since 1970; differs between incarnations under one id
 }
 
 // Worker is the immutable state of one worker.
 type Worker struct {
 	Listing
-	Listed     bool // the list names it
-	Greeted    bool // it has answered this scheduler in its present life, so that what it runs is known
-	Left       bool // the list dropped it so soon after an answer that it must have ended, if it answers no more
-	AnsweredAt time.Time
-	SeenAt     time.Duration // reading of its clock in the latest list of what it runs
-	Lost       bool          // it did not answer until its lease had run out
-	Clock      Clock
-	Holding    bool          // a renewal is on the way
-	HeldAt     time.Time     // when the latest renewal was sent
-	LookAgain  bool          // what it runs must be asked at once
-	HoldAfter  time.Time     // no renewal is sent before this moment
-	Misses     int           // renewals without an answer since the latest answer
-	LeaseEnd   time.Duration // of the latest lease, on the worker's clock
-	LeaseUntil time.Time     // nothing runs there after this moment, unless the lease is renewed
-	Handled    int64         // number of the latest end that was handled
-	Durable    int64         // number of the latest end whose consequence is recorded
-	Told       int64         // number of the latest end that the worker was told to forget
-	Strikes    int           // runs of different jobs in a row that failed there
-	StruckBy   chutegraph.JobID
-	RestUntil  time.Time // nothing is started there before this moment
-	ColdUntil  time.Time
-	runs       *immutable.SortedMap[chutegraph.RunID, Run]
-	reserved   chutecapacity.Amount
+	Listed        bool // the list names it
+	Contacted     bool // it has answered this scheduler in its present incarnation, so that what it runs is known
+	Left          bool // the list dropped it so soon after an answer that it must have ended, if it answers no more
+	AnsweredAt    time.Time
+	SeenAt        time.Duration // reading of its clock in the latest list of what it runs
+	Lost          bool          // it did not answer until its lease had run out
+	Clock         Clock
+	Renewing      bool          // a renewal is on the way
+	RenewedAt     time.Time     // when the latest renewal was sent
+	LookAgain     bool          // what it runs must be asked at once
+	RenewAfter    time.Time     // no renewal is sent before this moment
+	Misses        int           // renewals without an answer since the latest answer
+	LeaseEnd      time.Duration // of the latest lease, on the worker's clock
+	LeaseUntil    time.Time     // nothing runs there after this moment, unless the lease is renewed
+	Handled       int64         // number of the latest end that was handled
+	Recorded      int64         // number of the latest end whose consequence is recorded
+	Acknowledged  int64         // number of the latest end that the worker was told to forget
+	FailureStreak int           // runs of different jobs in a row that failed there
+	StreakJob     chutegraph.JobID
+	CooldownUntil time.Time // nothing is started there before this moment
+	ColdUntil     time.Time
+	runs          *immutable.SortedMap[chutegraph.RunID, Run]
+	reserved      chutecapacity.Amount
 }
 
 // Clock relates a worker's clock to this process's.
@@ -72,7 +72,7 @@
 	return a.Compare(b)
 }
 
-// NewWorker returns a worker that has not been greeted.
+// NewWorker returns a worker that has not been contacted.
 func NewWorker(listing Listing, now time.Time) Worker {
 	w := Worker{runs: immutable.NewSortedMap[chutegraph.RunID, Run](runOrder{})}
 	return w.WithListing(listing, now)
@@ -97,7 +97,7 @@
 	known := w.Listing
 	return !w.Listed || known.Service != l.Service || known.Address != l.Address || known.Zone != l.Zone ||
 		known.Rack != l.Rack || !slices.Equal(known.Labels, l.Labels) || known.Capacity != l.Capacity ||
-		known.Draining != l.Draining || l.Cold > 0 || known.Life != l.Life
+		known.Draining != l.Draining || l.Cold > 0 || known.Incarnation != l.Incarnation
 }
 
 // WithUnlisted returns the worker as one that the list no longer names.
@@ -106,13 +106,13 @@
 	return w
 }
 
-// WithNewLife returns the worker as one that was started anew: nothing is known of what it runs.
-func (w Worker) WithNewLife(life int64) Worker {
-	w.Life = life
-	w.Greeted, w.Lost = false, false
-	w.Handled, w.Durable, w.Told = 0, 0, 0
+// WithIncarnation returns the worker as one that was started anew: nothing is known of what it runs.
+func (w Worker) WithIncarnation(incarnation int64) Worker {
+	w.Incarnation = incarnation
+	w.Contacted, w.Lost = false, false
+	w.Handled, w.Recorded, w.Acknowledged = 0, 0, 0
 	w.SeenAt, w.LeaseEnd = 0, 0
-	w.Strikes = 0
+	w.FailureStreak = 0
 	w.Draining = false
 	return w
 }
@@ -176,7 +176,7 @@
 
 // Usable reports whether new runs may be placed there at the moment.
 func (w Worker) Usable(now time.Time) bool {
-	return w.Listed && w.Greeted && !w.Draining && w.Misses == 0 && !now.Before(w.RestUntil)
+	return w.Listed && w.Contacted && !w.Draining && w.Misses == 0 && !now.Before(w.CooldownUntil)
 }
 
 // HasLabel reports whether the worker has the label.
--- a/chuterun/job.go
+++ b/chuterun/job.go
@@ -7,7 +7,7 @@
 	"monsoonchute.example/monsoonchute/chutegraph"
 )
 
-// Phase is the stage of a job's life, as its submitter sees it.
+// Phase is the stage of a job's incarnation, as its submitter sees it.
 type Phase int
 
 // The phases of a job.
--- a/chuterun/task.go
+++ b/chuterun/task.go
@@ -5,7 +5,7 @@
 // WorkerID names a worker.
 type WorkerID string
 
-// TaskPhase is the stage of a task's life.
+// TaskPhase is the stage of a task's incarnation.
 type TaskPhase int
 
 // The phases of a task.
@@ -78,7 +78,7 @@
 
 // RunEnd is the end of a run as its worker lists it.
 type RunEnd struct {
-	Number     int64 // of the end, rising within one life of the worker
+	Number     int64 // of the end, rising within one incarnation of the worker
 	Run        chutegraph.RunID
 	Kind       EndKind
 	Checkpoint string
--- a/chuterunner/listing.go
+++ b/chuterunner/listing.go
@@ -17,11 +17,11 @@
 		t.Log(part, "worker listed", "", "worker", w.ID, "zone", w.Zone, "rack", w.Rack, "draining", w.Draining)
 		return
 	}
-	if w.Life != 0 && listing.Life < w.Life {
-		return // news of an earlier life
+	if w.Incarnation != 0 && listing.Incarnation < w.Incarnation {
+		return // news of an earlier incarnation
 	}
-	if w.Life != 0 && listing.Life > w.Life {
-		t.LifeBegan(w, listing.Life)
+	if w.Incarnation != 0 && listing.Incarnation > w.Incarnation {
+		t.IncarnationChanged(w, listing.Incarnation)
 		w, _ = t.Pool.Get(listing.ID)
 	}
 	drains := listing.Draining && !w.Draining
@@ -48,8 +48,8 @@
 	}
 	t.Log(part, "worker is listed no longer", "", "worker", id, "reason", reason, "runs", w.RunCount())
 	w = w.WithUnlisted()
-	w.HoldAfter = t.Now
-	w.Left = w.Greeted && t.Now.Sub(w.AnsweredAt) < leftLimit && t.Now.Sub(t.Environment.SteadyAt) > lapseTime
+	w.RenewAfter = t.Now
+	w.Left = w.Contacted && t.Now.Sub(w.AnsweredAt) < leftLimit && t.Now.Sub(t.Environment.SteadyAt) > lapseTime
 	t.PutWorker(w)
 }
 
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -16,12 +16,12 @@
 	leaseDrift = 0.03
 	// leaseMargin is added to every lease before it counts as run out.
 	leaseMargin = 200 * time.Millisecond
-	// restAfterRefusal is how long a worker that refused an order gets nothing new.
-	restAfterRefusal = time.Second
-	// restAfterStrikes is how long a worker that failed runs of several jobs gets nothing new.
-	restAfterStrikes = 6 * time.Second
-	// maxStrikes is the number of runs of different jobs in a row that fail before a worker rests.
-	maxStrikes = 2
+	// cooldownAfterRefusal is how long a worker that refused an order gets nothing new.
+	cooldownAfterRefusal = time.Second
+	// cooldownAfterStreak is how long a worker that failed runs of several jobs gets nothing new.
+	cooldownAfterStreak = 6 * time.Second
+	// maxFailureStreak is the number of runs of different jobs in a row that fail before a worker rests.
+	maxFailureStreak = 2
 )
 
 // LongestLease returns how long a lease may last on this process's clock.
@@ -106,8 +106,8 @@
 	t.Count("start-refused", reason)
 	t.Log(part, "start refused", r.ID.Task.Job, "run", r.ID, "worker", w.ID, "reason", reason)
 	t.Fenced = t.Fenced || e.Reason == chuteaction.RefusedFence
-	w.RestUntil = t.Now.Add(restAfterRefusal)
-	w.HoldAfter = t.Now
+	w.CooldownUntil = t.Now.Add(cooldownAfterRefusal)
+	w.RenewAfter = t.Now
 	t.PutWorker(w.WithRun(r))
 	if r.Unanswered && e.Reason != chuteaction.RefusedOld {
 		t.StopRun(w.ID, r.ID, "start-refused")
@@ -149,7 +149,7 @@
 	r = r.WithOutstanding(false)
 	switch e.Outcome {
 	case chuteaction.OrderTaken:
-		w.HoldAfter = t.Now
+		w.RenewAfter = t.Now
 		w.LookAgain = true
 		t.PutWorker(w.WithRun(r.WithStopped(t.Now)))
 	case chuteaction.OrderElsewhere:
@@ -210,17 +210,17 @@
 func (t *Turn) noteHealth(w chutepool.Worker, end chuterun.RunEnd) {
 	switch end.Kind {
 	case chuterun.EndDone:
-		w.Strikes = 0
+		w.FailureStreak = 0
 	case chuterun.EndFailed:
-		if w.StruckBy == end.Run.Task.Job && w.Strikes > 0 {
+		if w.StreakJob == end.Run.Task.Job && w.FailureStreak > 0 {
 			return
 		}
-		w.Strikes++
-		w.StruckBy = end.Run.Task.Job
-		if w.Strikes >= maxStrikes {
-			w.RestUntil = t.Now.Add(restAfterStrikes)
-			t.Count("worker-rested", "failures")
-			t.Log(part, "worker gets nothing new for a while", end.Run.Task.Job, "worker", w.ID, "failures", w.Strikes)
+		w.FailureStreak++
+		w.StreakJob = end.Run.Task.Job
+		if w.FailureStreak >= maxFailureStreak {
+			w.CooldownUntil = t.Now.Add(cooldownAfterStreak)
+			t.Count("worker-cooldown", "failures")
+			t.Log(part, "worker gets nothing new for a while", end.Run.Task.Job, "worker", w.ID, "failures", w.FailureStreak)
 		}
 	case chuterun.EndStopped, chuterun.EndLapsed, chuterun.EndBroken, chuterun.EndAlone, chuterun.EndLost:
 		return
--- a/chuterunner/state.go
+++ b/chuterunner/state.go
@@ -17,27 +17,27 @@
 
 // State is the immutable state of a scheduler's jobs, runs and workers.
 type State struct {
-	Epoch   int64 // under which orders are given
-	Bounds  Bounds
-	TakenAt time.Time // when this host became the scheduler
-	Live    *immutable.SortedMap[chutegraph.JobID, chuterun.Job]
-	Ended   *immutable.SortedMap[chutegraph.JobID, chuterun.Job]
-	Pool    chutepool.Pool
-	Dirty   *immutable.SortedMap[chutegraph.JobID, bool]  // jobs whose progress is to be recorded
-	Owing   *immutable.SortedMap[chuterun.WorkerID, bool] // workers with ends that are not known to be recorded
-	Speeds  chutespeed.Speeds
-	Closing map[chuterun.WorkerID]bool // workers whose machines go down soon; never changed once stored
-	PlanDue bool                       // something changed since the latest planning pass
+	Epoch      int64 // under which orders are given
+	Bounds     Bounds
+	TakenAt    time.Time // when this host became the scheduler
+	Live       *immutable.SortedMap[chutegraph.JobID, chuterun.Job]
+	Ended      *immutable.SortedMap[chutegraph.JobID, chuterun.Job]
+	Pool       chutepool.Pool
+	Dirty      *immutable.SortedMap[chutegraph.JobID, bool]  // jobs whose progress is to be recorded
+	Unrecorded *immutable.SortedMap[chuterun.WorkerID, bool] // workers with ends that are not known to be recorded
+	Speeds     chutespeed.Speeds
+	Closing    map[chuterun.WorkerID]bool // workers whose machines go down soon; never changed once stored
+	PlanDue    bool                       // something changed since the latest planning pass
 }
 
 // New returns a state without jobs and workers.
 func New(epoch int64, bounds Bounds, now time.Time) State {
 	return State{
 		Epoch: epoch, Bounds: bounds, TakenAt: now, Pool: chutepool.New(), Speeds: chutespeed.New(),
-		Live:  immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
-		Ended: immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
-		Dirty: immutable.NewSortedMap[chutegraph.JobID, bool](nil),
-		Owing: immutable.NewSortedMap[chuterun.WorkerID, bool](nil),
+		Live:       immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
+		Ended:      immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
+		Dirty:      immutable.NewSortedMap[chutegraph.JobID, bool](nil),
+		Unrecorded: immutable.NewSortedMap[chuterun.WorkerID, bool](nil),
 	}
 }
 
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -9,33 +9,33 @@
 	"monsoonchute.example/monsoonchute/chuterun"
 )
 
-// LifeBegan enters that a worker was started anew: what it ran is gone, but orders that are on the way may still
+// IncarnationChanged enters that a worker was started anew: what it ran is gone, but orders that are on the way may still
 // reach it.
-func (t *Turn) LifeBegan(w chutepool.Worker, life int64) {
-	t.Count("worker-restarted", "new-life")
-	t.Log(part, "worker has a new life", "", "worker", w.ID, "runs", w.RunCount(), "life", life)
+func (t *Turn) IncarnationChanged(w chutepool.Worker, incarnation int64) {
+	t.Count("worker-restarted", "new-incarnation")
+	t.Log(part, "worker was restarted", "", "worker", w.ID, "runs", w.RunCount(), "incarnation", incarnation)
 	former := w
-	w = w.WithNewLife(life)
-	w.HoldAfter = t.Now
+	w = w.WithIncarnation(incarnation)
+	w.RenewAfter = t.Now
 	t.PutWorker(w)
 	for _, r := range former.Runs() {
-		t.outliveRun(w.ID, r)
+		t.runAfterRestart(w.ID, r)
 	}
 }
 
-// outliveRun draws the consequence of a worker's new life for a run. One that the worker never listed may have been
-// started in the new life, although the answer to its order came before the news.
-func (t *Turn) outliveRun(id chuterun.WorkerID, r chutepool.Run) {
+// runAfterRestart draws the consequence of a worker's new incarnation for a run. One that the worker never listed may have been
+// started in the new incarnation, although the answer to its order came before the news.
+func (t *Turn) runAfterRestart(id chuterun.WorkerID, r chutepool.Run) {
 	switch r.Phase {
 	case chutepool.RunWorking:
-		if r.Life != 0 {
+		if r.Incarnation != 0 {
 			t.ReleaseRun(id, r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndLost})
 			return
 		}
 		w, _ := t.Pool.Get(id)
 		t.PutWorker(w.WithRun(r.WithPhase(chutepool.RunWorking, t.Now)))
 	case chutepool.RunStopping:
-		if r.Life != 0 && !r.Unanswered {
+		if r.Incarnation != 0 && !r.Unanswered {
 			t.ReleaseRun(id, r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndLost})
 		}
 	case chutepool.RunOrdered, chutepool.RunPlanned, chutepool.RunWriting:
@@ -56,7 +56,7 @@
 
 // LoseWorker ends all runs of a worker that certainly works no longer under its lease.
 func (t *Turn) LoseWorker(w chutepool.Worker) {
-	w.Greeted = false
+	w.Contacted = false
 	w.Lost = true
 	t.PutWorker(w)
 	for _, r := range w.Runs() {
@@ -73,7 +73,7 @@
 	if e.Epoch != t.Epoch || !ok {
 		return
 	}
-	w.Holding = false
+	w.Renewing = false
 	switch e.Outcome {
 	case chuteaction.OrderTaken:
 		t.renewed(w, e)
@@ -104,7 +104,7 @@
 		t.LoseWorker(w)
 		return
 	}
-	w.HoldAfter = t.Now.Add(missPause(w))
+	w.RenewAfter = t.Now.Add(missPause(w))
 	t.PutWorker(w)
 }
 
@@ -117,28 +117,28 @@
 }
 
 func (t *Turn) renewed(w chutepool.Worker, e chuteaction.LeaseRenewed) {
-	if w.Life != 0 && e.Life != 0 && e.Life < w.Life {
+	if w.Incarnation != 0 && e.Incarnation != 0 && e.Incarnation < w.Incarnation {
 		t.PutWorker(w)
-		return // a late answer of an earlier life
+		return // a late answer of an earlier incarnation
 	}
-	if w.Life != 0 && e.Life > w.Life {
-		t.LifeBegan(w, e.Life)
+	if w.Incarnation != 0 && e.Incarnation > w.Incarnation {
+		t.IncarnationChanged(w, e.Incarnation)
 		w, _ = t.Pool.Get(w.ID)
 	}
-	if w.Misses > 0 || !w.Greeted {
+	if w.Misses > 0 || !w.Contacted {
 		t.Log(part, "worker answers", "", "worker", w.ID, "missed", w.Misses, "running", len(e.Running), "ended", len(e.Ended))
 		t.PlanDue = true
 	}
-	if e.Life != 0 {
-		w.Life = e.Life
+	if e.Incarnation != 0 {
+		w.Incarnation = e.Incarnation
 	}
-	stale := w.Greeted && e.Clock < w.SeenAt // answers may overtake each other
+	stale := w.Contacted && e.Clock < w.SeenAt // answers may overtake each other
 	w.SeenAt = max(w.SeenAt, e.Clock)
 	w.Clock = chutepool.Clock{Reading: e.Clock, At: t.Now}
 	w.Misses, w.Lost = 0, false
 	w.AnsweredAt = t.Now
-	first := !w.Greeted
-	w.Greeted = true
+	first := !w.Contacted
+	w.Contacted = true
 	t.PutWorker(w)
 	t.enterEnds(w.ID, e.Ended)
 	if stale {
@@ -155,7 +155,7 @@
 			continue
 		}
 		w.Handled = end.Number
-		t.Owing = t.Owing.Set(id, true)
+		t.Unrecorded = t.Unrecorded.Set(id, true)
 		t.PutWorker(w)
 		t.runEnded(w, end)
 	}
@@ -165,14 +165,14 @@
 	for _, report := range reports {
 		w, r, ok := t.Pool.Find(id, report.Run)
 		if !ok {
-			t.adopt(id, report)
+			t.stopUnexpected(id, report)
 			continue
 		}
 		if r.Phase == chutepool.RunOrdered {
 			r = r.WithPhase(chutepool.RunWorking, t.Now)
 		}
 		t.noteProgress(id, r, report.Percent)
-		t.PutWorker(w.WithRun(r.WithReport(w.Life, report, t.Now)))
+		t.PutWorker(w.WithRun(r.WithReport(w.Incarnation, report, t.Now)))
 		if !t.expected(id, report.Run) {
 			t.StopRun(id, report.Run, "not-expected")
 		}
@@ -201,8 +201,8 @@
 	return task.Phase == chuterun.TaskActive || ending
 }
 
-// adopt stops a run that nobody should have at work there; until it has ended, it takes room.
-func (t *Turn) adopt(id chuterun.WorkerID, report chuterun.RunReport) {
+// stopUnexpected stops a run that nobody should have at work there; until it has ended, it takes room.
+func (t *Turn) stopUnexpected(id chuterun.WorkerID, report chuterun.RunReport) {
 	w, _ := t.Pool.Get(id)
 	r := chutepool.Run{ID: report.Run}
 	if j, ok := t.Job(report.Run.Task.Job); ok && report.Run.Task.Step < len(j.Spec.Steps) {
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -84,7 +84,7 @@
 		t.LoseWorker(w)
 		w, _ = t.Pool.Get(w.ID)
 	}
-	if !w.Listed && !w.Holding && w.RunCount() == 0 && w.Told >= w.Durable && w.Handled == w.Durable {
+	if !w.Listed && !w.Renewing && w.RunCount() == 0 && w.Acknowledged >= w.Recorded && w.Handled == w.Recorded {
 		t.Pool = t.Pool.Without(w.ID)
 		t.Speeds = t.Speeds.WithoutWorker(w.ID)
 		t.Emit(chuteaction.ForgetWorker{Worker: w.ID})
@@ -102,45 +102,45 @@
 
 // leaseOver reports whether nothing can run on the worker any more, since it was not reached in time.
 func (t *turn) leaseOver(w chutepool.Worker) bool {
-	return w.Misses > 0 && t.Now.After(w.LeaseUntil) || !w.Listed && !w.Greeted && t.Now.After(w.LeaseUntil)
+	return w.Misses > 0 && t.Now.After(w.LeaseUntil) || !w.Listed && !w.Contacted && t.Now.After(w.LeaseUntil)
 }
 
 // renewIfDue renews the worker's lease where something runs, and fetches or acknowledges ends.
 func (t *turn) renewIfDue(w chutepool.Worker) {
-	if w.Address == "" || t.Now.Before(w.HoldAfter) || w.Holding && !w.LookAgain {
+	if w.Address == "" || t.Now.Before(w.RenewAfter) || w.Renewing && !w.LookAgain {
 		return
 	}
 	works := w.Working()
-	unrecorded := w.Handled > w.Durable
+	unrecorded := w.Handled > w.Recorded
 	switch {
-	case !w.Greeted && (w.Listed || w.RunCount() > 0):
+	case !w.Contacted && (w.Listed || w.RunCount() > 0):
 		t.renew(w, 0)
 	case w.LookAgain:
 		t.renew(w, 0)
-	case unrecorded && t.Now.Sub(w.HeldAt) < renewLatest:
+	case unrecorded && t.Now.Sub(w.RenewedAt) < renewLatest:
 	case works && unrecorded:
 		t.renew(w, 0)
 	case works && chuteplanner.Mixed(t.Turn, w):
 		t.renew(w, mixedWait)
 	case works:
 		t.renew(w, renewWait)
-	case w.Told < w.Durable:
+	case w.Acknowledged < w.Recorded:
 		t.renew(w, 0)
 	}
 }
 
 func (t *turn) renew(w chutepool.Worker, wait time.Duration) {
 	end := time.Duration(0)
-	if w.Greeted {
+	if w.Contacted {
 		w = t.Leased(w)
 		end = w.LeaseEnd
 	}
-	w.Holding = true
+	w.Renewing = true
 	w.LookAgain = false
-	w.HeldAt = t.Now
-	w.Told = w.Durable
+	w.RenewedAt = t.Now
+	w.Acknowledged = w.Recorded
 	t.PutWorker(w)
-	t.Emit(chuteaction.RenewLease{WorkerTarget: t.Target(w), LeaseEnd: end, Forget: w.Durable, Wait: wait})
+	t.Emit(chuteaction.RenewLease{WorkerTarget: t.Target(w), LeaseEnd: end, Forget: w.Recorded, Wait: wait})
 }
 
 // Flush returns the rows that must be recorded now, at most limit, and the state with their write on the way.
@@ -149,7 +149,7 @@
 		return s, nil
 	}
 	if s.runner.Dirty.Len() == 0 {
-		return s.withNothingOwed(), nil
+		return s.withNothingUnrecorded(), nil
 	}
 	b := batch{active: true}
 	var rows []chuteaction.Row
@@ -165,31 +165,31 @@
 		s = s.withWriting(j)
 	}
 	if s.runner.Dirty.Len() == 0 {
-		b.acks = s.owed()
+		b.acks = s.unrecorded()
 	}
 	s.batch = b
 	return s, rows
 }
 
-// owed returns the ends that were handled and are not known to be recorded.
-func (s State) owed() []ack {
+// unrecorded returns the ends that were handled and are not known to be recorded.
+func (s State) unrecorded() []ack {
 	var acks []ack
-	for i := s.runner.Owing.Iterator(); !i.Done(); {
+	for i := s.runner.Unrecorded.Iterator(); !i.Done(); {
 		id, _, _ := i.Next()
-		if w, ok := s.runner.Pool.Get(id); ok && w.Handled > w.Durable {
+		if w, ok := s.runner.Pool.Get(id); ok && w.Handled > w.Recorded {
 			acks = append(acks, ack{worker: id, number: w.Handled})
 		}
 	}
 	return acks
 }
 
-// withNothingOwed returns the state after ends that changed no job: there is nothing to record for them.
-func (s State) withNothingOwed() State {
-	for _, a := range s.owed() {
+// withNothingUnrecorded returns the state after ends that changed no job: there is nothing to record for them.
+func (s State) withNothingUnrecorded() State {
+	for _, a := range s.unrecorded() {
 		w, _ := s.runner.Pool.Get(a.worker)
-		w.Durable = a.number
+		w.Recorded = a.number
 		s.runner.Pool = s.runner.Pool.With(w)
-		s.runner.Owing = s.runner.Owing.Delete(a.worker)
+		s.runner.Unrecorded = s.runner.Unrecorded.Delete(a.worker)
 	}
 	return s
 }
@@ -216,10 +216,10 @@
 	u.batch = batch{}
 	for _, a := range b.acks {
 		if w, ok := u.Pool.Get(a.worker); ok && w.Handled >= a.number {
-			w.Durable = max(w.Durable, a.number)
+			w.Recorded = max(w.Recorded, a.number)
 			u.PutWorker(w)
-			if w.Durable == w.Handled {
-				u.Owing = u.Owing.Delete(w.ID)
+			if w.Recorded == w.Handled {
+				u.Unrecorded = u.Unrecorded.Delete(w.ID)
 			}
 			u.renewIfDue(w)
 		}
@@ -249,7 +249,7 @@
 		t.PutWorker(w.WithRun(r))
 		ready = append(ready, r)
 		workers = append(workers, w.ID)
-		if j.Phase.Ended() || !w.Greeted || !t.MayStartOn(w) {
+		if j.Phase.Ended() || !w.Contacted || !t.MayStartOn(w) {
 			wrong[id.StepID] = true
 		}
 	})
@@ -267,5 +267,5 @@
 
 func (t *turn) startable(id chuterun.WorkerID) bool {
 	w, ok := t.Pool.Get(id)
-	return ok && w.Greeted && t.MayStartOn(w)
+	return ok && w.Contacted && t.MayStartOn(w)
 }
--- a/chutestory/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package chutestory finds the lines of several hosts' logs that tell what happened to one job.
-package chutestory
--- a/chutestory/story.go
+++ b/chutetrace/trace.go
@@ -1,4 +1,4 @@
-package chutestory
+package chutetrace
 
 import (
 	"bufio"
@@ -90,14 +90,14 @@
 			last = l.Time
 		}
 	}
-	var story []Line
+	var trace []Line
 	for _, l := range lines {
 		if strings.Contains(l.raw, job) || !first.IsZero() && concernsAll(l) && !l.Time.Before(first) && !l.Time.After(last) {
-			story = append(story, l)
+			trace = append(trace, l)
 		}
 	}
-	slices.SortStableFunc(story, func(a, b Line) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) })
-	return story
+	slices.SortStableFunc(trace, func(a, b Line) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) })
+	return trace
 }
 
 func concernsAll(l Line) bool {
--- a/chutestory/story_test.go
+++ b/chutetrace/trace_test.go
@@ -1,4 +1,4 @@
-package chutestory_test
+package chutetrace_test
 
 import (
 	"strings"
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"monsoonchute.example/monsoonchute/chutestory"
+	"monsoonchute.example/monsoonchute/chutetrace"
 )
 
 const first = `{"time":"2026-05-16T14:15:04.2Z","level":"INFO","msg":"scheduler: step starts","host":"a","job":"j1","step":"j1.0.0"}
@@ -22,15 +22,15 @@
 
 func TestOf(t *testing.T) {
 	is := is.New(t)
-	lines, skipped, err := chutestory.Read(nil, strings.NewReader(first))
+	lines, skipped, err := chutetrace.Read(nil, strings.NewReader(first))
 	is.NoErr(err)
 	is.Equal(skipped, 1)
-	lines, _, err = chutestory.Read(lines, strings.NewReader(second))
+	lines, _, err = chutetrace.Read(lines, strings.NewReader(second))
 	is.NoErr(err)
 	var texts []string
-	for _, l := range chutestory.Of(lines, "j1") {
+	for _, l := range chutetrace.Of(lines, "j1") {
 		texts = append(texts, l.Host+" "+l.Text)
 	}
 	is.Equal(texts, []string{"b intake: job accepted", "a scheduler: step starts", "a leader: another host leads", "b scheduler: run yields"})
-	is.Equal(len(chutestory.Of(lines, "j9")), 0)
+	is.Equal(len(chutetrace.Of(lines, "j9")), 0)
 }
--- a/cmd/monsoonchute/main.go
+++ b/cmd/monsoonchute/main.go
@@ -22,7 +22,7 @@
 	Zone      zoneCommand      `cmd:"" help:"Availability zones."`
 	Job       jobCommand       `cmd:"" help:"Jobs."`
 	Workspace workspaceCommand `cmd:"" help:"Workspaces."`
-	Story     storyCommand     `cmd:"" help:"Tell from the logs of entry hosts what happened to a job."`
+	Trace     traceCommand     `cmd:"" help:"Tell from the logs of entry hosts what happened to a job."`
 	Status    statusCommand    `cmd:"" help:"What an entry host knows of hosts, shards and backend servers."`
 }
 
--- a/cmd/monsoonchute/story.go
+++ b/cmd/monsoonchute/trace.go
@@ -6,36 +6,36 @@
 
 	"github.com/pkg/errors"
 
-	"monsoonchute.example/monsoonchute/chutestory"
+	"monsoonchute.example/monsoonchute/chutetrace"
 )
 
-// storyCommand reads logs; it calls no entry host.
-type storyCommand struct {
+// traceCommand reads logs; it calls no entry host.
+type traceCommand struct {
 	ID   string   `arg:"" help:"Id of the job."`
 	Logs []string `arg:"" optional:"" help:"Log files of entry hosts; standard input if none is given." type:"existingfile"`
 }
 
 // Run prints the lines about the job in the order of time.
-func (c storyCommand) Run(e environment) error {
+func (c traceCommand) Run(e environment) error {
 	lines, err := c.read(e)
 	if err != nil {
 		return err
 	}
-	story := chutestory.Of(lines, c.ID)
-	if len(story) == 0 {
+	trace := chutetrace.Of(lines, c.ID)
+	if len(trace) == 0 {
 		return errors.Errorf("no line about %s", c.ID)
 	}
-	for _, l := range story {
+	for _, l := range trace {
 		e.printf("%s\n", l)
 	}
 	return nil
 }
 
-func (c storyCommand) read(e environment) ([]chutestory.Line, error) {
+func (c traceCommand) read(e environment) ([]chutetrace.Line, error) {
 	if len(c.Logs) == 0 {
 		return c.add(e, nil, "standard input", os.Stdin)
 	}
-	var lines []chutestory.Line
+	var lines []chutetrace.Line
 	for _, path := range c.Logs {
 		file, err := os.Open(path)
 		if err != nil {
@@ -50,8 +50,8 @@
 	return lines, nil
 }
 
-func (storyCommand) add(e environment, lines []chutestory.Line, name string, from io.Reader) ([]chutestory.Line, error) {
-	lines, skipped, err := chutestory.Read(lines, from)
+func (traceCommand) add(e environment, lines []chutetrace.Line, name string, from io.Reader) ([]chutetrace.Line, error) {
+	lines, skipped, err := chutetrace.Read(lines, from)
 	if skipped > 0 {
 		e.printf("%s: %d lines are no log lines\n", name, skipped)
 	}
