Look at the work in the way only when urgent work finds no room

Of a step of the core 82% was planning, and of that 84% the view: each pass looked up the job of every run three times, in maps that compare keys by reflection. Change: a census of the runs, made once a pass and only if a demand that may preempt finds no room at once; what is being stopped is kept with the worker; maps of jobs and workers compare their ids as strings.

--- a/chutegraph/spec.go
+++ b/chutegraph/spec.go
@@ -1,6 +1,7 @@
 package chutegraph
 
 import (
+	"strings"
 	"time"
 
 	"monsoonchute.example/monsoonchute/chutecapacity"
@@ -9,6 +10,14 @@
 // JobID names a job; it is chosen by the submitter and has JobIDLength hexadecimal digits.
 type JobID string
 
+// JobOrder orders jobs by their ids.
+type JobOrder struct{}
+
+// Compare returns -1, 0 or 1 if the first id comes before, is or comes after the second.
+func (JobOrder) Compare(a, b JobID) int {
+	return strings.Compare(string(a), string(b))
+}
+
 // JobIDLength is the number of hexadecimal digits of a job's id.
 const JobIDLength = 16
 
--- a/chutegraph/task.go
+++ b/chutegraph/task.go
@@ -23,7 +23,18 @@
 
 // Compare orders ids by job, occurrence and step.
 func (s StepID) Compare(o StepID) int {
-	return cmp.Or(cmp.Compare(s.Job, o.Job), cmp.Compare(s.Occurrence, o.Occurrence), cmp.Compare(s.Step, o.Step))
+	if order := strings.Compare(string(s.Job), string(o.Job)); order != 0 {
+		return order
+	}
+	return cmp.Or(cmp.Compare(s.Occurrence, o.Occurrence), cmp.Compare(s.Step, o.Step))
+}
+
+// StepOrder orders steps by their ids.
+type StepOrder struct{}
+
+// Compare returns -1, 0 or 1 if the first id comes before, is or comes after the second.
+func (StepOrder) Compare(a, b StepID) int {
+	return a.Compare(b)
 }
 
 // TaskID names one task of a step.
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -14,6 +14,23 @@
 	return p.decisions
 }
 
+// Crowded reports whether a demand that may preempt might not find room at once, so that Plan should know the work in
+// the way.
+func Crowded(view View) bool {
+	p := newPass(view)
+	for _, d := range view.Demands {
+		if !d.Preempts {
+			continue
+		}
+		placed, ok := p.place(d, roomNow)
+		if !ok || d.Step.AntiAffinity > 0 {
+			return true
+		}
+		p.reserve(d, placed)
+	}
+	return false
+}
+
 // maxPreemptTries bounds how many demands of one pass may look for work to stop.
 const maxPreemptTries = 24
 
--- a/chuteplanner/memory.go
+++ b/chuteplanner/memory.go
@@ -27,7 +27,7 @@
 
 // New returns the memory of a planner that has not planned yet.
 func New() Memory {
-	return Memory{approvals: immutable.NewSortedMap[chutegraph.StepID, approval](stepOrder{})}
+	return Memory{approvals: immutable.NewSortedMap[chutegraph.StepID, approval](chutegraph.StepOrder{})}
 }
 
 // WithWorkersListed returns the memory after all workers had been read at the moment.
@@ -36,13 +36,6 @@
 	return m
 }
 
-type stepOrder struct{}
-
-// Compare orders steps by their ids.
-func (stepOrder) Compare(a, b chutegraph.StepID) int {
-	return a.Compare(b)
-}
-
 // turn is one planning pass.
 type turn struct {
 	*chuterunner.Turn
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutepool"
@@ -34,7 +33,10 @@
 	if len(demands) == 0 {
 		return
 	}
-	view := chuteplacement.View{Now: t.Now, Workers: t.roomView(t.ending()), Groups: t.groups(), Demands: demands}
+	view := chuteplacement.View{Now: t.Now, Workers: t.roomView(), Demands: demands}
+	if chuteplacement.Crowded(view) {
+		view = t.withWorkInTheWay(view)
+	}
 	started := make(map[chutegraph.StepID][]chuterun.WorkerID)
 	for _, decision := range chuteplacement.Plan(view) {
 		switch d := decision.(type) {
@@ -164,6 +166,10 @@
 func (t *turn) demand(j chuterun.Job, id chutegraph.StepID) (chuteplacement.Demand, bool) {
 	step := j.Step(id)
 	tasks := j.Tasks(id)
+	waiting := countWaiting(tasks)
+	if waiting == 0 || step.Gang && waiting < len(tasks) || !j.StepOpen(id) {
+		return chuteplacement.Demand{}, false
+	}
 	priority := t.Priority(j)
 	d := chuteplacement.Demand{
 		ID: id, Step: step, Service: t.Service(j), Priority: priority, Preempts: priority == 0,
@@ -178,9 +184,6 @@
 		case chuterun.TaskDone:
 		}
 	}
-	if len(d.Indexes) == 0 || step.Gang && len(d.Indexes) < len(tasks) || !j.StepOpen(id) {
-		return chuteplacement.Demand{}, false
-	}
 	if q, ok := t.Environment.Catalog.Queue(j.Queue); ok && q.Approval != nil {
 		d.Tickets = t.approved(j, id)
 		return d, len(d.Tickets) > 0
@@ -188,8 +191,18 @@
 	return d, true
 }
 
+func countWaiting(tasks []chuterun.Task) int {
+	waiting := 0
+	for _, task := range tasks {
+		if task.Phase == chuterun.TaskWaiting {
+			waiting++
+		}
+	}
+	return waiting
+}
+
 // roomView returns the workers that may be given work.
-func (t *turn) roomView(ending map[chuterun.WorkerID]chutecapacity.Amount) []chuteplacement.Worker {
+func (t *turn) roomView() []chuteplacement.Worker {
 	var rooms []chuteplacement.Worker
 	for _, w := range t.Pool.All() {
 		if !w.Usable(t.Now) || !t.MayStartOn(w) {
@@ -197,14 +210,8 @@
 		}
 		room := chuteplacement.Worker{
 			ID: w.ID, Service: w.Service, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.Free(),
-			Ending: ending[w.ID],
-		}
-		for _, r := range w.Runs() {
-			if r.Phase == chutepool.RunStopping {
-				room.Freeing = room.Freeing.Plus(r.Reserved)
-			}
+			Freeing: w.Stopping(), Penalty: t.penalty(w),
 		}
-		room.Penalty = t.penalty(w)
 		rooms = append(rooms, room)
 	}
 	return rooms
@@ -219,62 +226,6 @@
 	speedWeight = 0.3
 )
 
-const (
-	// soon is the time within which work counts as ending soon.
-	soon = 500 * time.Millisecond
-	// overdue is how long after its expected end work still counts as ending soon.
-	overdue = 300 * time.Millisecond
-	// unknownRemaining stands for the time that work goes on of which nothing tells its end.
-	unknownRemaining = 24 * time.Hour
-)
-
-// ending returns by worker what is held by runs that are expected to end soon. A gang ends when its last member does.
-func (t *turn) ending() map[chuterun.WorkerID]chutecapacity.Amount {
-	gangs := t.gangsRemaining()
-	held := make(map[chuterun.WorkerID]chutecapacity.Amount)
-	for _, w := range t.Pool.All() {
-		for _, r := range w.Runs() {
-			remaining, isGang := gangs[r.ID.Task.StepID]
-			if !isGang {
-				remaining = t.remaining(w.ID, r)
-			}
-			if r.Phase == chutepool.RunWorking && remaining <= soon && remaining >= -overdue {
-				held[w.ID] = held[w.ID].Plus(r.Reserved)
-			}
-		}
-	}
-	return held
-}
-
-// gangsRemaining returns the expected time until each gang ends.
-func (t *turn) gangsRemaining() map[chutegraph.StepID]time.Duration {
-	last := make(map[chutegraph.StepID]time.Duration)
-	for _, w := range t.Pool.All() {
-		for _, r := range w.Runs() {
-			j, ok := t.Job(r.ID.Task.Job)
-			if !ok || !j.Step(r.ID.Task.StepID).Gang {
-				continue
-			}
-			remaining := t.remaining(w.ID, r)
-			if known, seen := last[r.ID.Task.StepID]; seen {
-				remaining = max(remaining, known)
-			}
-			last[r.ID.Task.StepID] = remaining
-		}
-	}
-	return last
-}
-
-// remaining returns the expected time until a run ends by itself, negative if that has passed.
-func (t *turn) remaining(worker chuterun.WorkerID, r chutepool.Run) time.Duration {
-	rate, known := t.Speeds.Rate(r.ID.Task.StepID, worker, t.Now)
-	if r.Phase != chutepool.RunWorking || !known || r.ReadAt.IsZero() || t.Lasting(r) {
-		return unknownRemaining
-	}
-	left := float64(100-r.Percent)/rate - t.Now.Sub(r.ReadAt).Seconds()
-	return time.Duration(min(left, unknownRemaining.Seconds()) * float64(time.Second))
-}
-
 // penalty tells how far a worker stands behind others with the same room.
 func (t *turn) penalty(w chutepool.Worker) float64 {
 	switch {
@@ -285,29 +236,3 @@
 	}
 	return speedWeight * max(0, 1.3-t.Speeds.Speed(w.ID, t.Now))
 }
-
-// groups returns the work that may be stopped for more urgent work.
-func (t *turn) groups() []chuteplacement.Group {
-	var groups []chuteplacement.Group
-	gangs := make(map[chutegraph.StepID]int)
-	for _, w := range t.Pool.All() {
-		for _, r := range w.Runs() {
-			if r.Priority == 0 || r.Phase == chutepool.RunStopping || r.Phase == chutepool.RunWriting || t.Lasting(r) {
-				continue
-			}
-			at := len(groups)
-			if j, ok := t.Job(r.ID.Task.Job); ok && j.Step(r.ID.Task.StepID).Gang {
-				if known, ok := gangs[r.ID.Task.StepID]; ok {
-					at = known
-				}
-				gangs[r.ID.Task.StepID] = at
-			}
-			if at == len(groups) {
-				groups = append(groups, chuteplacement.Group{Priority: r.Priority})
-			}
-			groups[at].Cost += t.Unsaved(r)
-			groups[at].Members = append(groups[at].Members, chuteplacement.Member{Run: r.ID, Worker: w.ID, Reserved: r.Reserved})
-		}
-	}
-	return groups
-}
--- a/chutepool/pool.go
+++ b/chutepool/pool.go
@@ -14,7 +14,7 @@
 
 // New returns an empty pool.
 func New() Pool {
-	return Pool{workers: immutable.NewSortedMap[chuterun.WorkerID, Worker](nil)}
+	return Pool{workers: immutable.NewSortedMap[chuterun.WorkerID, Worker](chuterun.WorkerOrder{})}
 }
 
 // Get returns the worker, and false if there is none of the id.
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -52,6 +52,7 @@
 	ColdUntil     time.Time
 	runs          *immutable.SortedMap[chutegraph.RunID, Run]
 	reserved      chutecapacity.Amount
+	stopping      chutecapacity.Amount // the part of it that is held by runs that are being stopped
 }
 
 // Clock relates a worker's clock to this process's.
@@ -122,6 +123,11 @@
 	return w.Capacity.Minus(w.reserved)
 }
 
+// Stopping returns the capacity that is held by runs that are being stopped.
+func (w Worker) Stopping() chutecapacity.Amount {
+	return w.stopping
+}
+
 // Run returns the run, and false if the worker has none of the id.
 func (w Worker) Run(id chutegraph.RunID) (Run, bool) {
 	return w.runs.Get(id)
@@ -145,9 +151,12 @@
 // WithRun returns the worker with the run added or changed.
 func (w Worker) WithRun(run Run) Worker {
 	if old, ok := w.runs.Get(run.ID); ok {
-		w.reserved = w.reserved.Minus(old.Reserved)
+		w = w.withoutHeld(old)
 	}
 	w.reserved = w.reserved.Plus(run.Reserved)
+	if run.Phase == RunStopping {
+		w.stopping = w.stopping.Plus(run.Reserved)
+	}
 	w.runs = w.runs.Set(run.ID, run)
 	return w
 }
@@ -158,11 +167,20 @@
 	if !ok {
 		return w
 	}
-	w.reserved = w.reserved.Minus(old.Reserved)
+	w = w.withoutHeld(old)
 	w.runs = w.runs.Delete(id)
 	return w
 }
 
+// withoutHeld returns the worker without what the run holds.
+func (w Worker) withoutHeld(run Run) Worker {
+	w.reserved = w.reserved.Minus(run.Reserved)
+	if run.Phase == RunStopping {
+		w.stopping = w.stopping.Minus(run.Reserved)
+	}
+	return w
+}
+
 // Working reports whether any run may be at work there, so that its lease must be renewed.
 func (w Worker) Working() bool {
 	for i := w.runs.Iterator(); !i.Done(); {
--- a/chuterun/task.go
+++ b/chuterun/task.go
@@ -1,10 +1,22 @@
 package chuterun
 
-import "monsoonchute.example/monsoonchute/chutegraph"
+import (
+	"strings"
+
+	"monsoonchute.example/monsoonchute/chutegraph"
+)
 
 // WorkerID names a worker.
 type WorkerID string
 
+// WorkerOrder orders workers by their ids.
+type WorkerOrder struct{}
+
+// Compare returns -1, 0 or 1 if the first id comes before, is or comes after the second.
+func (WorkerOrder) Compare(a, b WorkerID) int {
+	return strings.Compare(string(a), string(b))
+}
+
 // TaskPhase is the stage of a task's incarnation.
 type TaskPhase int
 
--- a/chuterunner/state.go
+++ b/chuterunner/state.go
@@ -34,10 +34,10 @@
 func New(epoch int64, bounds Bounds, now time.Time) State {
 	return State{
 		Epoch: epoch, Bounds: bounds, TakenAt: now, Pool: chutepool.New(), Speeds: chutespeed.New(),
-		Live:       immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
-		Ended:      immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](nil),
-		Dirty:      immutable.NewSortedMap[chutegraph.JobID, bool](nil),
-		Unrecorded: immutable.NewSortedMap[chuterun.WorkerID, bool](nil),
+		Live:       immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](chutegraph.JobOrder{}),
+		Ended:      immutable.NewSortedMap[chutegraph.JobID, chuterun.Job](chutegraph.JobOrder{}),
+		Dirty:      immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
+		Unrecorded: immutable.NewSortedMap[chuterun.WorkerID, bool](chuterun.WorkerOrder{}),
 	}
 }
 
--- a/chutespeed/speed.go
+++ b/chutespeed/speed.go
@@ -42,18 +42,11 @@
 	at      time.Time // of the passing part
 }
 
-type stepOrder struct{}
-
-// Compare orders steps by their ids.
-func (stepOrder) Compare(a, b chutegraph.StepID) int {
-	return a.Compare(b)
-}
-
 // New returns estimates that know nothing: every worker has speed 1.
 func New() Speeds {
 	return Speeds{
-		workers: immutable.NewSortedMap[chuterun.WorkerID, estimate](nil),
-		steps:   immutable.NewSortedMap[chutegraph.StepID, float64](stepOrder{}),
+		workers: immutable.NewSortedMap[chuterun.WorkerID, estimate](chuterun.WorkerOrder{}),
+		steps:   immutable.NewSortedMap[chutegraph.StepID, float64](chutegraph.StepOrder{}),
 	}
 }
 
