Tell the leader of jobs as they are recorded

Cause: the leader learned of jobs from the table's changes only. Change: the host that recorded a job or a cancellation tells the leading host over the connections between hosts, and waits for a confirmation on a duty of its own; what is lost or late is dropped and counted, since the leader reads the table as well. The test plays a store that tells of no changes; it failed before.

--- a/chuteaction/effect.go
+++ b/chuteaction/effect.go
@@ -85,6 +85,13 @@
 // UnfollowTable ends the news about a table.
 type UnfollowTable struct{ Table Table }
 
+// TellLeader tells the leading host of rows about jobs that are recorded, before it reads of them.
+type TellLeader struct {
+	Address string // of the host
+	Rows    []Row
+	At      time.Time // when they were recorded
+}
+
 // KnowPeers tells where the other entry hosts take requests to the store.
 type KnowPeers struct{ Addresses []string }
 
@@ -191,6 +198,7 @@
 func (ReadRows) sealedEffect()        {}
 func (FollowTable) sealedEffect()     {}
 func (UnfollowTable) sealedEffect()   {}
+func (TellLeader) sealedEffect()      {}
 func (KnowPeers) sealedEffect()       {}
 func (StartRun) sealedEffect()        {}
 func (StopRun) sealedEffect()         {}
--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -95,6 +95,9 @@
 	Rows  []Row
 }
 
+// RowsTold is what another host tells of jobs: rows that are recorded.
+type RowsTold struct{ Rows []Row }
+
 // TableSilent tells that the store did not answer about a followed table.
 type TableSilent struct{ Table Table }
 
@@ -198,6 +201,7 @@
 func (RowsWritten) sealedEvent()       {}
 func (RowsRead) sealedEvent()          {}
 func (TableChanged) sealedEvent()      {}
+func (RowsTold) sealedEvent()          {}
 func (TableSilent) sealedEvent()       {}
 func (RunStarted) sealedEvent()        {}
 func (RunStopped) sealedEvent()        {}
--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -26,6 +26,10 @@
 	storeDuties = 16
 	// orderRingSize is the number of orders that may wait to be sent to workers.
 	orderRingSize = 8192
+	// newsRingSize is the number of notices that may wait to be told to the leader.
+	newsRingSize = 256
+	// newsDuties is the number of notices that may be on the way at once.
+	newsDuties = 2
 	// orderDuties is the number of orders that may be on the way at once.
 	orderDuties = 64
 )
@@ -78,6 +82,10 @@
 type Peers interface {
 	// SetPeers sets their addresses.
 	SetPeers(addresses []string)
+	// Tell gives a notice to the host at the address, and returns an error unless that host confirms it.
+	Tell(ctx context.Context, address string, notice []byte) error
+	// Told waits for the next notice of another host, and reports false if the context ended first.
+	Told(ctx context.Context) ([]byte, bool)
 }
 
 // Daemon is a running entry host.
@@ -86,6 +94,7 @@
 	exchange  *exchange
 	store     chutering.EntryEffects
 	orders    chutering.EntryEffects
+	news      chutering.EntryEffects
 	followers *followers
 	renewers  *renewers
 	workers   Workers
@@ -106,6 +115,7 @@
 	d := &Daemon{
 		events: chutering.NewEntryEvents("core", eventRingSize), exchange: newExchange(),
 		store: chutering.NewEntryEffects("store", storeRingSize), orders: chutering.NewEntryEffects("orders", orderRingSize),
+		news:    chutering.NewEntryEffects("news", newsRingSize),
 		workers: outside.Workers, machines: outside.Machines, peers: outside.Peers, metrics: metrics, log: log, group: group, stopped: make(chan struct{}),
 	}
 	d.followers = newFollowers(group, outside.Store, d.events, log)
@@ -119,6 +129,10 @@
 	for range orderDuties {
 		group.Go("orders", d.runOrders)
 	}
+	for range newsDuties {
+		group.Go("news", d.runNews)
+	}
+	group.Go("told", d.runTold)
 	group.Go("core", func(ctx context.Context) { d.runCore(ctx, chuteentry.New(settings)) })
 	group.Go("ticks", d.runTicks)
 	return d, func() {
@@ -194,6 +208,10 @@
 		d.followers.unfollow(f.Table)
 	case chuteaction.KnowPeers:
 		d.peers.SetPeers(f.Addresses)
+	case chuteaction.TellLeader:
+		if !d.news.Offer(f) {
+			d.metrics.Count("news-dropped", "ring-full")
+		}
 	case chuteaction.StartRun:
 		d.carryOrder(f, chuteaction.RunStarted{
 			Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnhealthy,
@@ -327,7 +345,7 @@
 	defer ticker.Stop()
 	for {
 		d.events.Offer(chuteaction.Tick{})
-		for _, g := range []chutering.Gauge{d.events.Gauge(), d.store.Gauge(), d.orders.Gauge()} {
+		for _, g := range []chutering.Gauge{d.events.Gauge(), d.store.Gauge(), d.orders.Gauge(), d.news.Gauge()} {
 			d.metrics.Gauge(g)
 		}
 		select {
--- a/chuteentry/entry_test.go
+++ b/chuteentry/entry_test.go
@@ -76,6 +76,34 @@
 	}
 }
 
+func TestJobStartsWhileTheStoreTellsOfNoChanges(t *testing.T) {
+	w := newWorld(1, 3, 8)
+	w.run(5 * time.Second)
+	w.store.mute = true
+	started := 0
+	var jobs []*fakeJob
+	for range 20 {
+		jobs = append(jobs, w.clients.submit("urgent", 300*time.Millisecond, oneTask(1)))
+	}
+	w.run(time.Second)
+	for _, j := range jobs {
+		if len(j.done) > 0 {
+			started++
+		}
+	}
+	if started < 12 { // a notice may be lost
+		t.Errorf("%d of 20 jobs have run", started)
+	}
+	w.store.mute = false
+	w.run(5 * time.Second)
+	for _, j := range jobs {
+		if phase := w.phase(j); phase != "completed" {
+			t.Errorf("%s is %s", j.id, phase)
+		}
+	}
+	w.check(t)
+}
+
 func TestGangIsNotStoppedAtItsEnd(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(1, 3, 8)
--- a/chuteentry/fakestore_test.go
+++ b/chuteentry/fakestore_test.go
@@ -15,6 +15,7 @@
 	history []chuteaction.Row
 	version chuteaction.RowVersion
 	down    bool
+	mute    bool    // followers hear of no changes
 	lost    float64 // share of the writes whose answer is lost
 	late    float64 // share of those that are carried out late
 	oldest  chuteaction.RowVersion
@@ -160,11 +161,17 @@
 		return
 	}
 	rows := s.changes(f.Table, after)
+	if s.mute {
+		rows = nil
+	}
 	if len(rows) == 0 && w.now.Sub(asked) < f.Wait {
 		w.after(10*time.Millisecond, func() { s.follow(h, f, generation, after, asked) })
 		return
 	}
 	version := s.version
+	if s.mute {
+		version = after
+	}
 	w.after(w.delay(storeDelay), func() {
 		if h.follows[f.Table] != generation {
 			return
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -27,6 +27,8 @@
 		t.read(e)
 	case chuteaction.TableChanged:
 		t.changed(e)
+	case chuteaction.RowsTold:
+		t.told(e.Rows)
 	case chuteaction.TableSilent:
 		t.Count("feed-silent", e.Table.String())
 	case chuteaction.RunStarted:
@@ -147,7 +149,31 @@
 		t.applyVerdict(verdict)
 		return
 	}
-	t.state.intake = t.state.intake.Written(t.Turn, e)
+	intake, rows := t.state.intake.Written(t.Turn, e)
+	t.state.intake = intake
+	t.tellLeader(rows)
+}
+
+// tellLeader hands rows about jobs to the scheduler, wherever it is: its own reading of the store may lag.
+func (t *turn) tellLeader(rows []chuteaction.Row) {
+	switch address, known := t.state.peers.Get(t.state.leader.Row().Host); {
+	case len(rows) == 0:
+	case t.state.scheduler != nil:
+		t.told(rows)
+	case known:
+		t.Emit(chuteaction.TellLeader{Address: address, Rows: rows, At: t.Now})
+	}
+}
+
+// told hands rows about jobs to the scheduler of this host, if it has one.
+func (t *turn) told(rows []chuteaction.Row) {
+	if t.state.scheduler == nil {
+		t.Count("news-dropped", "not-leading")
+		return
+	}
+	t.setScheduler(t.state.scheduler.Submissions(t.Turn, t.state.environment(), chuteaction.TableChanged{
+		Table: chuteaction.TableJobs, Rows: rows,
+	}))
 }
 
 // applyVerdict draws the consequence of a leader's write.
--- a/chuteentry/world_test.go
+++ b/chuteentry/world_test.go
@@ -138,7 +138,7 @@
 	w.count++
 	h := &fakeHost{world: w, name: name, process: fmt.Sprintf("%s-%d", name, w.count), follows: make(map[chuteaction.Table]int)}
 	h.state = chuteentry.New(chuteentry.Settings{
-		Host: name, Process: h.process, Jitter: time.Duration(w.random.Int64N(int64(400 * time.Millisecond))),
+		Host: name, Process: h.process, Relay: name, Jitter: time.Duration(w.random.Int64N(int64(400 * time.Millisecond))),
 		Bounds: chuterunner.Bounds{MaxLease: maxLease, GangTimeout: gangTimeout, StopTimeout: stopTimeout},
 	})
 	w.hosts[name] = h
@@ -235,6 +235,12 @@
 			chuteaction.RunStopped{Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnknown})
 	case chuteaction.RenewLease:
 		w.renew(h, f)
+	case chuteaction.TellLeader:
+		w.after(w.delay(storeDelay), func() {
+			if to := w.hosts[f.Address]; to != nil && !w.chance(0.2) {
+				to.deliver(chuteaction.RowsTold{Rows: f.Rows})
+			}
+		})
 	case chuteaction.AnswerCall:
 		w.clients.answered(f)
 	case chuteaction.LogLine:
--- a/chuteintake/answer.go
+++ b/chuteintake/answer.go
@@ -1,6 +1,7 @@
 package chuteintake
 
 import (
+	"slices"
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
@@ -8,24 +9,35 @@
 	"monsoonchute.example/monsoonchute/chuterun"
 )
 
-// Written handles the end of a write. A write without an answer is made again under the same condition until its
-// outcome is certain, or until the caller must be told that it is not.
-func (s State) Written(t *chuteaction.Turn, e chuteaction.RowsWritten) State {
+// Written handles the end of a write, and returns the rows that are certainly recorded. A write without an answer is made
+// again under the same condition until its outcome is certain, or until the caller must be told that it is not.
+func (s State) Written(t *chuteaction.Turn, e chuteaction.RowsWritten) (State, []chuteaction.Row) {
 	s, c, ok := s.take(e.Token)
 	if !ok {
-		return s
+		return s, nil
 	}
 	switch e.Outcome {
-	case chuteaction.StoreDone, chuteaction.StoreConflict: // a conflict: the row is there already
-		return s.recorded(t, c, e.Outcome == chuteaction.StoreConflict)
+	case chuteaction.StoreDone:
+		return s.recorded(t, c, false), written(c.write, e.Version)
+	case chuteaction.StoreConflict: // the row is there already
+		return s.recorded(t, c, true), e.Current
 	case chuteaction.StoreRefused:
 		t.Count("store-retry", "refused")
-		return s.with(c.withResendAt(t.Now.Add(retryPause)))
+		return s.with(c.withResendAt(t.Now.Add(retryPause))), nil
 	case chuteaction.StoreUnknown:
 		t.Count("store-retry", "no-answer")
-		return s.with(c.withUnknown().withResendAt(t.Now))
+		return s.with(c.withUnknown().withResendAt(t.Now)), nil
 	}
-	return s
+	return s, nil
+}
+
+// written returns the rows of a write as the transaction of the version left them.
+func written(write chuteaction.WriteRows, version chuteaction.RowVersion) []chuteaction.Row {
+	rows := slices.Clone(write.Put)
+	for i := range rows {
+		rows[i].Version = version
+	}
+	return rows
 }
 
 func (s State) recorded(t *chuteaction.Turn, c call, before bool) State {
--- a/chuterelay/frame.go
+++ b/chuterelay/frame.go
@@ -36,11 +36,12 @@
 	verdictNoAnswer
 )
 
-// frame is a message between two entry hosts: a request, or the answer to the request of the same id.
+// frame is a message between two entry hosts: a request or a notice, or the answer to the one of the same id.
 type frame struct {
 	_       struct{} `cbor:",toarray"`
 	ID      uint64
 	Request *Request
+	Notice  []byte
 	Answer  *Answer
 	Verdict verdict
 }
--- a/chuterelay/path.go
+++ b/chuterelay/path.go
@@ -15,6 +15,10 @@
 const (
 	// probeInterval is the time between two looks whether the store is reached directly again.
 	probeInterval = 500 * time.Millisecond
+	// noticeTimeout is how long a peer may take to confirm a notice.
+	noticeTimeout = 300 * time.Millisecond
+	// maxNotices is the number of notices of peers that may wait to be taken.
+	maxNotices = 1024
 	// maxPeersAsked is the number of peers that one request is given to at most.
 	maxPeersAsked = 2
 )
@@ -34,13 +38,14 @@
 	log    *slog.Logger
 	lost   atomic.Bool // the direct way does not work
 	wake   chan struct{}
+	told   chan []byte // notices of peers
 }
 
 // New serves the peers at the listener and sends requests to the store directly, or through a peer while the direct way
 // does not work. The clean-up function ends all connections.
 func New(listener net.Listener, direct Direct, log *slog.Logger) (*Paths, func()) {
 	group, endGroup := chuteduty.New(log)
-	p := &Paths{direct: direct, peers: newPeers(group, log), log: log, wake: make(chan struct{}, 1)}
+	p := &Paths{direct: direct, peers: newPeers(group, log), log: log, wake: make(chan struct{}, 1), told: make(chan []byte, maxNotices)}
 	endServer := serve(group, listener, p, log)
 	group.Go("probe", p.runProbes)
 	return p, func() {
@@ -54,6 +59,32 @@
 	p.peers.set(addresses)
 }
 
+// Tell gives a notice to the peer at the address. The error is ErrNoAnswer if it may have arrived, and ErrRefused if it has
+// not.
+func (p *Paths) Tell(ctx context.Context, address string, notice []byte) error {
+	return p.peers.tell(ctx, address, notice)
+}
+
+// Told waits for the next notice of a peer, and reports false if the context ended first.
+func (p *Paths) Told(ctx context.Context) ([]byte, bool) {
+	select {
+	case notice := <-p.told:
+		return notice, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
+// keepNotice stores a peer's notice until it is taken; it never waits.
+func (p *Paths) keepNotice(notice []byte) verdict {
+	select {
+	case p.told <- notice:
+		return verdictAnswered
+	default:
+		return verdictRefused
+	}
+}
+
 // Direct reports whether the store is reached without a peer.
 func (p *Paths) Direct() bool {
 	return !p.lost.Load()
--- a/chuterelay/peer.go
+++ b/chuterelay/peer.go
@@ -53,7 +53,7 @@
 		p.skip(address)
 		return Answer{}, ErrRefused
 	}
-	answer, err := l.ask(ctx, request)
+	answer, err := l.ask(ctx, frame{Request: &request}, request.Timeout+relayMargin)
 	if err != nil {
 		p.skip(address)
 	}
@@ -63,6 +63,18 @@
 	return answer, err
 }
 
+// tell gives a notice to the peer at the address. A connection on which it is not confirmed is not used again.
+func (p *peers) tell(ctx context.Context, address string, notice []byte) error {
+	l, err := p.link(ctx, address)
+	if err != nil {
+		return ErrRefused
+	}
+	if _, err = l.ask(ctx, frame{Notice: notice}, noticeTimeout); errors.Is(err, ErrNoAnswer) {
+		p.drop(address, l)
+	}
+	return err
+}
+
 func (p *peers) pick() (string, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -131,14 +143,15 @@
 	waiting map[uint64]chan frame
 }
 
-// ask sends a request and waits for the answer of the same id.
-func (l *link) ask(ctx context.Context, request Request) (Answer, error) {
+// ask sends a request or a notice and waits for the answer of the same id.
+func (l *link) ask(ctx context.Context, question frame, timeout time.Duration) (Answer, error) {
 	id, answers := l.open()
 	defer l.close(id)
-	if err := l.writer.write(frame{ID: id, Request: &request}); err != nil {
+	question.ID = id
+	if err := l.writer.write(question); err != nil {
 		return Answer{}, ErrNoAnswer
 	}
-	timer := time.NewTimer(request.Timeout + relayMargin)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case f := <-answers:
--- a/chuterelay/relay_test.go
+++ b/chuterelay/relay_test.go
@@ -166,3 +166,32 @@
 	_, err = paths.Do(context.Background(), request) // now nothing can have been sent
 	is.Equal(err, chuterelay.ErrRefused)
 }
+
+func TestNotices(t *testing.T) {
+	is := is.New(t)
+	own, _ := newPaths(t, &fakeDirect{})
+	other, address := newPaths(t, &fakeDirect{})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for _, text := range []string{"one", "two"} {
+		is.NoErr(own.Tell(ctx, address, []byte(text)))
+		notice, ok := other.Told(ctx)
+		is.True(ok)
+		is.Equal(string(notice), text)
+	}
+	is.Equal(own.Tell(ctx, "127.0.0.1:1", []byte("x")), chuterelay.ErrRefused)
+	cancel()
+	_, ok := other.Told(ctx)
+	is.True(!ok)
+}
+
+func TestNoticeOnASilentConnection(t *testing.T) {
+	is := is.New(t)
+	own, _ := newPaths(t, &fakeDirect{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0") // accepts, and says nothing
+	is.NoErr(err)
+	defer func() { is.NoErr(listener.Close()) }()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	is.True(own.Tell(ctx, listener.Addr().String(), []byte("x")) != nil)
+}
--- a/chuterelay/server.go
+++ b/chuterelay/server.go
@@ -86,10 +86,14 @@
 			break
 		}
 		f, err := decode(body)
-		if err != nil || f.Request == nil {
+		if err != nil || f.Request == nil && f.Notice == nil {
 			s.log.Warn("relay: a frame is malformed, the connection is closed", "peer", connection.RemoteAddr().String())
 			break
 		}
+		if f.Notice != nil {
+			s.reply(writer, frame{ID: f.ID, Verdict: s.paths.keepNotice(f.Notice)})
+			continue
+		}
 		s.answer(ctx, answers, writer, f)
 	}
 	_ = connection.Close()
--- a/chuterow/row_test.go
+++ b/chuterow/row_test.go
@@ -55,3 +55,21 @@
 		}
 	})
 }
+
+func TestNewsIsReadAsTold(t *testing.T) {
+	is := is.New(t)
+	submission := chuterun.Submission{ID: "0123456789abcdef", Spec: chutegraph.Spec{Steps: []chutegraph.Step{{Count: 2}}}}
+	rows := []chuteaction.Row{
+		{RowKey: chuteaction.SubmissionKey(submission.ID), Version: 7, Value: chuteaction.SubmissionRow{Submission: submission}},
+		{RowKey: chuteaction.CancelKey(submission.ID), Version: 9, Value: chuteaction.CancelRow{Job: submission.ID}},
+	}
+	body, err := chuterow.EncodeNews(rows)
+	is.NoErr(err)
+	read, err := chuterow.DecodeNews(body)
+	is.NoErr(err)
+	is.Equal(read, rows)
+	_, err = chuterow.EncodeNews([]chuteaction.Row{{Value: chuteaction.LeaderRow{}}})
+	is.True(err != nil) // only jobs are told of
+	_, err = chuterow.DecodeNews([]byte("\xff"))
+	is.True(err != nil)
+}
