End a planned stop without waiting for the store's feeds

A question about changes waits up to 10 s at the store, and the HTTP client cannot be told to give it up, so the duty that followed the hosts held up the end of the process. Change: when the duties must end, the connections to the store are closed, which ends what waits on them. News of a row that is about no job is refused by its type.

--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -44,6 +44,8 @@
 	List(ctx context.Context, table chuteaction.Table) ([]chuteaction.Row, chuteaction.RowVersion, error)
 	// Changes waits for changes after the version. ErrHistoryGone tells that the table must be listed anew.
 	Changes(ctx context.Context, table chuteaction.Table, after chuteaction.RowVersion, wait time.Duration) ([]chuteaction.Row, chuteaction.RowVersion, error)
+	// Interrupt ends all requests on the way, without their answers.
+	Interrupt()
 }
 
 // Workers carries orders to workers.
@@ -112,6 +114,7 @@
 // New starts the duties of an entry host, and returns a clean-up function that stops it as planned, within the limit.
 func New(settings chuteentry.Settings, outside Outside, metrics *chutemetric.Metrics, log *slog.Logger, stopLimit time.Duration) (*Daemon, func()) {
 	group, endDuties := chuteduty.New(log)
+	context.AfterFunc(group.Context(), outside.Store.Interrupt)
 	d := &Daemon{
 		events: chutering.NewEntryEvents("core", eventRingSize), exchange: newExchange(),
 		store: chutering.NewEntryEffects("store", storeRingSize), orders: chutering.NewEntryEffects("orders", orderRingSize),
--- a/chuterelay/path.go
+++ b/chuterelay/path.go
@@ -29,6 +29,8 @@
 	Do(ctx context.Context, request Request) (Answer, error)
 	// Probe sends a request that changes nothing.
 	Probe(ctx context.Context) error
+	// Interrupt ends all requests on the way, without their answers.
+	Interrupt()
 }
 
 // Paths sends requests to the store on the way that works.
@@ -59,6 +61,11 @@
 	p.peers.set(addresses)
 }
 
+// Interrupt ends all direct requests on the way, without their answers.
+func (p *Paths) Interrupt() {
+	p.direct.Interrupt()
+}
+
 // Tell gives a notice to the peer at the address. The error is ErrNoAnswer if it may have arrived, and ErrRefused if it has
 // not.
 func (p *Paths) Tell(ctx context.Context, address string, notice []byte) error {
--- a/chuterelay/relay_test.go
+++ b/chuterelay/relay_test.go
@@ -33,6 +33,8 @@
 	return chuterelay.Answer{Status: 200, Body: append([]byte("answer to "), r.Body...)}, nil
 }
 
+func (d *fakeDirect) Interrupt() {}
+
 func (d *fakeDirect) Probe(ctx context.Context) error {
 	_, err := d.Do(ctx, chuterelay.Request{})
 	return err
--- a/chuterow/news.go
+++ b/chuterow/news.go
@@ -43,14 +43,16 @@
 		if err != nil {
 			return nil, err
 		}
+		about, ok := value.(chuteaction.JobRow)
+		if !ok {
+			return nil, errors.Errorf("news: a row of type %T is not about a job", value)
+		}
 		row := chuteaction.Row{Version: chuteaction.RowVersion(f.Version), Value: value}
-		switch v := value.(type) {
+		switch v := about.(type) {
 		case chuteaction.SubmissionRow:
 			row.RowKey = chuteaction.SubmissionKey(v.ID)
 		case chuteaction.CancelRow:
 			row.RowKey = chuteaction.CancelKey(v.Job)
-		default:
-			return nil, errors.Errorf("news: a row of type %T is not about a job", value)
 		}
 		rows = append(rows, row)
 	}
