Let larger hosts lead, by what the hosts tell of themselves

Cause: after a planned stop any host took over within 0.2 s of reading of it, and hosts read of it up to 0.4 s apart. Change: each host records its share of a core beside its process. The first leader is chosen half a second after the table was found empty, so that hosts know of each other.

--- a/chuteaction/row.go
+++ b/chuteaction/row.go
@@ -99,7 +99,8 @@
 type HostRow struct {
 	Host    string
 	Process string
-	Address string // where the host takes requests to the store from others
+	Address string  // where the host takes requests to the store from others
+	Share   float64 // of a core that the host may use
 }
 
 // CatalogRow holds the configuration in force.
--- a/chuteentry/entry_test.go
+++ b/chuteentry/entry_test.go
@@ -428,3 +428,33 @@
 		k.cut, k.fails, k.unheard = false, false, 0
 	}
 }
+
+func TestLargeHostsLead(t *testing.T) {
+	end := map[string]func(h *fakeHost){
+		"planned stop": func(h *fakeHost) { h.deliver(chuteaction.StopWanted{}) },
+		"crash":        func(h *fakeHost) { h.dead = true },
+	}
+	for name, stop := range end {
+		for seed := range uint64(20) {
+			w := newWorld(seed, 0, 4)
+			for i := range 12 {
+				w.startHostOf(fmt.Sprintf("small-%02d", i), 0.2)
+			}
+			for i := range 3 {
+				w.startHostOf(fmt.Sprintf("large-%d", i), 0.8)
+			}
+			w.run(4 * time.Second)
+			for range 2 {
+				leader := w.leader()
+				if leader == nil || !strings.HasPrefix(leader.name, "large") {
+					t.Fatalf("%s, seed %d: %v leads", name, seed, leader)
+				}
+				stop(leader)
+				w.run(5 * time.Second)
+			}
+			if leader := w.leader(); leader == nil || !strings.HasPrefix(leader.name, "large") {
+				t.Errorf("%s, seed %d: %v leads", name, seed, leader)
+			}
+		}
+	}
+}
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -30,7 +30,11 @@
 	hostsWait = 10 * time.Second
 	// announcePause is the wait before the record of this process is written again.
 	announcePause = time.Second
-	part          = "entry"
+	// muchLarger is how many times the share of this host another one has that should lead instead.
+	muchLarger = 1.5
+	// smallHostPatience is how much longer a host waits before it takes over while there is a much larger one.
+	smallHostPatience = 900 * time.Millisecond
+	part              = "entry"
 )
 
 // Settings are what the core is told at its start.
@@ -38,7 +42,8 @@
 	Host    string
 	Process string        // new at each start
 	Relay   string        // address where this host takes requests to the store from others; empty for none
-	Jitter  time.Duration // more patience of this host before it takes over
+	Share   float64       // of a core that this host may use
+	Jitter  time.Duration // spreads the moments at which hosts take over
 	Bounds  chuterunner.Bounds
 }
 
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -86,7 +86,7 @@
 	t.state.announcement = t.Token()
 	t.Emit(chuteaction.WriteRows{Token: t.state.announcement, Put: []chuteaction.Row{{
 		RowKey: chuteaction.HostKey(t.state.settings.Host),
-		Value:  chuteaction.HostRow{Host: t.state.settings.Host, Process: t.state.settings.Process, Address: t.state.settings.Relay},
+		Value:  chuteaction.HostRow{Host: t.state.settings.Host, Process: t.state.settings.Process, Address: t.state.settings.Relay, Share: t.state.settings.Share},
 	}}})
 }
 
@@ -264,6 +264,7 @@
 		}
 	}
 	t.judgeLeader()
+	t.state.leader = t.state.leader.WithPatience(t.state.patience())
 	if t.state.peers == known {
 		return
 	}
@@ -275,6 +276,17 @@
 	t.Emit(chuteaction.KnowPeers{Addresses: addresses})
 }
 
+// patience returns how much longer this host waits than others before it takes over: larger hosts come first.
+func (s State) patience() time.Duration {
+	for i := s.processes.Iterator(); !i.Done(); {
+		_, r, _ := i.Next()
+		if row, ok := r.Value.(chuteaction.HostRow); ok && row.Share > muchLarger*s.settings.Share {
+			return smallHostPatience
+		}
+	}
+	return 0
+}
+
 // operatorChanged adopts newer configurations and the zones in which nothing may start.
 func (t *turn) operatorChanged(e chuteaction.TableChanged) {
 	present := make(map[string]bool)
--- a/chuteleader/leader.go
+++ b/chuteleader/leader.go
@@ -11,6 +11,8 @@
 	HeartbeatInterval = 500 * time.Millisecond
 	// lapseAfter is how long a leader's row may stay unchanged before another host takes over.
 	lapseAfter = 2 * time.Second
+	// firstLeaderWait is how long hosts that find no leader's row wait for news of each other.
+	firstLeaderWait = 500 * time.Millisecond
 	// contactLimit is the age of the latest answer about the leader's row over which a follower judges nobody.
 	contactLimit = time.Second
 	// resendAfter is the wait before a write without a definite answer is sent again.
@@ -46,7 +48,8 @@
 type State struct {
 	host      string
 	process   string
-	jitter    time.Duration // more patience of this host before it takes over
+	jitter    time.Duration // spreads the moments at which hosts take over
+	patience  time.Duration // by how much longer this host waits than others before it takes over
 	role      Role
 	row       chuteaction.LeaderRow
 	former    Former
@@ -67,6 +70,12 @@
 	return State{host: host, process: process, jitter: jitter}
 }
 
+// WithPatience returns the state of a host that waits so much longer than others before it takes over.
+func (s State) WithPatience(patience time.Duration) State {
+	s.patience = patience
+	return s
+}
+
 // Role returns what the host is.
 func (s State) Role() Role {
 	return s.role
@@ -168,10 +177,14 @@
 	if s.heardAt.IsZero() || now.Sub(s.heardAt) > contactLimit {
 		return false
 	}
-	if s.version == 0 || s.row.Released || s.ended == s.row.Process {
-		return now.Sub(s.changedAt) >= s.jitter/4
+	unchanged := now.Sub(s.changedAt) - s.patience
+	switch {
+	case s.version == 0:
+		return unchanged >= firstLeaderWait+s.jitter
+	case s.row.Released || s.ended == s.row.Process:
+		return unchanged >= s.jitter/4
 	}
-	return now.Sub(s.changedAt) >= lapseAfter+s.jitter
+	return unchanged >= lapseAfter+s.jitter
 }
 
 func (s State) takeOver(t *chuteaction.Turn) State {
--- a/cmd/monsoonchuted/platform.go
+++ b/cmd/monsoonchuted/platform.go
@@ -28,8 +28,6 @@
 const (
 	// maxTakeoverJitter spreads the moments at which hosts take over from a silent leader.
 	maxTakeoverJitter = 200 * time.Millisecond
-	// smallHostPatience is by how much longer the smallest hosts wait, so that larger ones come before them.
-	smallHostPatience = 600 * time.Millisecond
 	// drainShare is the part of the grace during which a stopping host still takes calls.
 	drainShare = 0.45
 	// finishShare is the part of the grace in which calls in progress may end.
@@ -99,7 +97,8 @@
 	workers, endWorkers := fleet.NewWorkers(settings.AdviceAddress)
 	machines, endMachines := fleet.NewMachines(settings.Host, settings.MachineAddress)
 	core := chuteentry.Settings{
-		Host: settings.Host, Process: process, Relay: settings.RelayAddress, Jitter: patienceOf(settings), Bounds: settings.Bounds,
+		Host: settings.Host, Process: process, Relay: settings.RelayAddress, Share: settings.CoreShare,
+		Jitter: jitterOf(settings.Host), Bounds: settings.Bounds,
 	}
 	finish := time.Duration(float64(settings.Grace) * finishShare)
 	daemon, endDaemon := chutedaemon.New(core, chutedaemon.Outside{
@@ -129,12 +128,9 @@
 	}, nil
 }
 
-// patienceOf returns how much longer than others a host waits before it takes over: larger hosts come first, and hosts of
-// one size are spread by their names.
-func patienceOf(settings platform.Settings) time.Duration {
-	smallness := max(0, 1-settings.CoreShare)
-	spread := time.Duration(xxhash.Sum64String(settings.Host) % uint64(maxTakeoverJitter))
-	return time.Duration(smallness*float64(smallHostPatience)) + spread
+// jitterOf returns a time below the longest jitter that differs from host to host.
+func jitterOf(host string) time.Duration {
+	return time.Duration(xxhash.Sum64String(host) % uint64(maxTakeoverJitter))
 }
 
 type listenerSet struct {
