Ask a peer as well when the way to the store is silent

Cause: a leader that was cut off from the store noticed it only when its write timed out after 1.8 s; until then no run could be recorded, so none was started or ended. Change: a request without an answer for four times the usual time, 0.25 s at least, is given to a peer as well; the first answer counts. Both copies carry the same conditions, so that at most one takes effect. What the store may wait for is added to the time, so that questions about changes are not doubled. Tests: a silent way is left within a second; a store that may wait is not taken for silent.

--- a/chuterelay/frame.go
+++ b/chuterelay/frame.go
@@ -12,6 +12,7 @@
 	Method  string
 	Path    string // with its query
 	Body    []byte
+	Wait    time.Duration // how long the store may wait before it answers
 	Timeout time.Duration
 }
 
--- a/chuterelay/path.go
+++ b/chuterelay/path.go
@@ -37,8 +37,10 @@
 type Paths struct {
 	direct Direct
 	peers  *peers
+	group  *chuteduty.Group
 	log    *slog.Logger
-	lost   atomic.Bool // the direct way does not work
+	lost   atomic.Bool  // the direct way does not work
+	usual  atomic.Int64 // nanoseconds until an answer on the direct way, as a moving average
 	wake   chan struct{}
 	told   chan []byte // notices of peers
 }
@@ -47,7 +49,7 @@
 // does not work. The clean-up function ends all connections.
 func New(listener net.Listener, direct Direct, log *slog.Logger) (*Paths, func()) {
 	group, endGroup := chuteduty.New(log)
-	p := &Paths{direct: direct, peers: newPeers(group, log), log: log, wake: make(chan struct{}, 1), told: make(chan []byte, maxNotices)}
+	p := &Paths{direct: direct, peers: newPeers(group, log), group: group, log: log, wake: make(chan struct{}, 1), told: make(chan []byte, maxNotices)}
 	endServer := serve(group, listener, p, log)
 	group.Go("probe", p.runProbes)
 	return p, func() {
@@ -97,8 +99,8 @@
 	return !p.lost.Load()
 }
 
-// Do sends a request. If one way fails, the other is tried: requests must take effect at most once by their own
-// conditions. The error is ErrRefused only if no way can have reached the store.
+// Do sends a request. If one way fails, or is silent for much longer than usual, the other is tried: requests must take
+// effect at most once by their own conditions. The error is ErrRefused only if no way can have reached the store.
 func (p *Paths) Do(ctx context.Context, request Request) (Answer, error) {
 	if p.lost.Load() {
 		answer, err := p.relay(ctx, request)
@@ -107,19 +109,8 @@
 		}
 		return p.direct.Do(ctx, request)
 	}
-	answer, err := p.direct.Do(ctx, request)
-	if err == nil || ctx.Err() != nil {
-		return answer, err
-	}
-	relayed, relayErr := p.relay(ctx, request)
-	if relayErr == nil {
-		p.lose(err) // the store works, only the direct way does not
-		return relayed, nil
-	}
-	if errors.Is(err, ErrRefused) && errors.Is(relayErr, ErrRefused) {
-		return Answer{}, ErrRefused
-	}
-	return Answer{}, ErrNoAnswer
+	t := newTwoWays(ctx, p, request)
+	return t.answer()
 }
 
 // lose notes that the direct way does not work, and has it probed.
--- a/chuterelay/relay_test.go
+++ b/chuterelay/relay_test.go
@@ -197,3 +197,49 @@
 	defer cancel()
 	is.True(own.Tell(ctx, listener.Addr().String(), []byte("x")) != nil)
 }
+
+// slowDirect answers after a delay.
+type slowDirect struct {
+	fakeDirect
+	delay time.Duration
+}
+
+func (d *slowDirect) Do(ctx context.Context, r chuterelay.Request) (chuterelay.Answer, error) {
+	timer := time.NewTimer(d.delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return d.fakeDirect.Do(ctx, r)
+}
+
+func TestSilentWayIsNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	own := &slowDirect{delay: 3 * time.Second}
+	own.silent.Store(true)
+	other := &fakeDirect{}
+	paths, _ := newPaths(t, own)
+	_, address := newPaths(t, other)
+	paths.SetPeers([]string{address})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	answer, err := paths.Do(ctx, request)
+	is.NoErr(err)
+	is.Equal(string(answer.Body), "answer to one")
+	is.True(!paths.Direct())
+}
+
+func TestStoreThatMayWaitIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	own, other := &slowDirect{delay: 400 * time.Millisecond}, &fakeDirect{}
+	paths, _ := newPaths(t, own)
+	_, address := newPaths(t, other)
+	paths.SetPeers([]string{address})
+	waiting := request
+	waiting.Wait = 2 * time.Second
+	_, err := paths.Do(context.Background(), waiting)
+	is.NoErr(err)
+	is.Equal(other.calls.Load(), int64(0))
+	is.True(paths.Direct())
+}
