--- a/chuterelay/ways.go
+++ b/chuterelay/ways.go
@@ -61,7 +61,7 @@
 		case <-t.ctx.Done():
 			return Answer{}, ErrNoAnswer
 		case end := <-t.ends:
-			if answer, err, ended := t.ended(end); ended {
+			if answer, ended, err := t.ended(end); ended {
 				return answer, err
 			}
 		}
@@ -81,25 +81,25 @@
 }
 
 // ended takes the end of one way, and reports whether it decides the request.
-func (t *twoWays) ended(end outcome) (Answer, error, bool) {
+func (t *twoWays) ended(end outcome) (Answer, bool, error) {
 	switch {
 	case end.err == nil && end.direct:
-		return end.answer, nil, true
+		return end.answer, true, nil
 	case end.err == nil: // the store works, only the direct way does not
 		cause := t.failed
 		if cause == nil {
 			cause = errSilent
 		}
 		t.paths.lose(cause)
-		return end.answer, nil, true
+		return end.answer, true, nil
 	case t.failed != nil && errors.Is(t.failed, ErrRefused) && errors.Is(end.err, ErrRefused):
-		return Answer{}, ErrRefused, true
+		return Answer{}, true, ErrRefused
 	case t.failed != nil:
-		return Answer{}, ErrNoAnswer, true
+		return Answer{}, true, ErrNoAnswer
 	}
 	t.failed = end.err
 	t.relay()
-	return Answer{}, nil, false
+	return Answer{}, false, nil
 }
 
 // noteTime enters how long an answer took on the direct way.
