Wait for the interruption of a connection between hosts before it is given back

Change: the handler waits for an interruption that has begun. Test: hosts and their connections end at the same moment, 300 times; it panicked at once before, and passes now.

--- a/chuterelay/relay_test.go
+++ b/chuterelay/relay_test.go
@@ -243,3 +243,32 @@
 	is.Equal(other.calls.Load(), int64(0))
 	is.True(paths.Direct())
 }
+
+// TestConnectionsThatEndWithTheirHost ends hosts at the moment at which their connections end as well.
+func TestConnectionsThatEndWithTheirHost(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	for range 300 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, cleanUp := chuterelay.New(listener, &fakeDirect{}, log)
+		var clients []func()
+		for range 4 {
+			own, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			paths, end := chuterelay.New(own, &fakeDirect{}, log)
+			if err := paths.Tell(context.Background(), listener.Addr().String(), []byte("x")); err != nil {
+				t.Fatal(err)
+			}
+			clients = append(clients, end)
+		}
+		group := conc.NewWaitGroup()
+		for _, end := range append(clients, cleanUp) {
+			group.Go(end)
+		}
+		group.Wait()
+	}
+}
--- a/chuterelay/server.go
+++ b/chuterelay/server.go
@@ -69,8 +69,16 @@
 func (s *server) receive(connection *websocket.Conn) {
 	connection.SetReadLimit(maxFrameBytes)
 	ctx := s.group.Context()
-	unwatch := context.AfterFunc(ctx, func() { s.interrupt(connection) })
-	defer unwatch()
+	interrupted := make(chan struct{})
+	unwatch := context.AfterFunc(ctx, func() {
+		defer close(interrupted)
+		s.interrupt(connection)
+	})
+	defer func() {
+		if !unwatch() {
+			<-interrupted // the library takes the connection back when this function returns
+		}
+	}()
 	writer := &frameWriter{connection: connection}
 	answers := conc.NewWaitGroup()
 	defer answers.Wait() // the connection must not be given back while answers may be written to it
