Answer all calls before a planned stop ends

Change: a planned stop tells the core by when calls must have been answered; those still open get what is certain by then. Test: submissions whose outcome is unknown are answered within the second that the stop leaves; without the limit none of six is.

--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -193,7 +193,9 @@
 }
 
 // StopWanted asks for a planned stop.
-type StopWanted struct{}
+type StopWanted struct {
+	Within time.Duration // until all calls must have been answered; 0 for no limit
+}
 
 func (Tick) sealedEvent()              {}
 func (CallArrived) sealedEvent()       {}
--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -145,7 +145,7 @@
 	group.Go("core", func(ctx context.Context) { d.runCore(ctx, chuteentry.New(settings)) })
 	group.Go("ticks", d.runTicks)
 	return d, func() {
-		d.Leave()
+		d.Leave(stopLimit)
 		timer := time.NewTimer(stopLimit)
 		defer timer.Stop()
 		select {
@@ -158,9 +158,9 @@
 }
 
 // Leave begins a planned stop: the host reports that it is not serving and gives up its leadership, but goes on to
-// answer calls until the clean-up function runs.
-func (d *Daemon) Leave() {
-	d.events.Offer(chuteaction.StopWanted{})
+// answer calls until the clean-up function runs. All calls are answered within the time.
+func (d *Daemon) Leave(within time.Duration) {
+	d.events.Offer(chuteaction.StopWanted{Within: within})
 }
 
 // Failed returns a channel that is closed when a part of the daemon has ended by a fault.
--- a/chuteentry/entry_test.go
+++ b/chuteentry/entry_test.go
@@ -13,6 +13,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteresult"
 	"monsoonchute.example/monsoonchute/chuterun"
 )
 
@@ -429,6 +430,31 @@
 	}
 }
 
+func TestPlannedStopAnswersCallsBeforeItsEnd(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 2, 2)
+	w.run(4 * time.Second)
+	for _, h := range w.hosts {
+		h.cut = true // the store's answers do not arrive
+	}
+	w.run(500 * time.Millisecond)
+	answered := 0
+	for i := range 6 {
+		submission := chuteaction.SubmitJob{Spec: chutegraph.Spec{Steps: []chutegraph.Step{oneTask(1)}}}
+		w.clients.call("normal", fmt.Sprintf("%016x", i), submission, func(a chuteaction.AnswerCall) {
+			if a.Result.Code == chuteresult.StoreAnswerLost {
+				answered++
+			}
+		})
+	}
+	w.run(100 * time.Millisecond)
+	for _, h := range w.hosts {
+		h.deliver(chuteaction.StopWanted{Within: time.Second})
+	}
+	w.run(time.Second)
+	is.Equal(answered, 6)
+}
+
 func TestLargeHostsLead(t *testing.T) {
 	end := map[string]func(h *fakeHost){
 		"planned stop": func(h *fakeHost) { h.deliver(chuteaction.StopWanted{}) },
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -56,7 +56,7 @@
 			t.setScheduler(t.state.scheduler.Maintained(t.Turn, t.state.environment(), e))
 		}
 	case chuteaction.StopWanted:
-		t.stop()
+		t.stop(e.Within)
 	}
 	t.finish()
 	t.state.token = t.LastToken()
@@ -344,11 +344,14 @@
 }
 
 // stop begins a planned stop: the leadership is given up and calls in progress are answered.
-func (t *turn) stop() {
+func (t *turn) stop(within time.Duration) {
 	if t.state.stopping {
 		return
 	}
 	t.state.stopping = true
+	if within > 0 {
+		t.state.intake = t.state.intake.WithEnd(t.Now.Add(within))
+	}
 	t.Log(part, "planned stop", "", "calls", t.state.intake.Len(), "leads", t.state.Leads())
 }
 
--- a/chuteintake/answer.go
+++ b/chuteintake/answer.go
@@ -132,7 +132,7 @@
 	for i := s.calls.Iterator(); !i.Done(); {
 		_, c, _ := i.Next()
 		switch {
-		case !t.Now.Before(c.deadline.Add(-answerMargin)):
+		case !t.Now.Before(s.answerBy(c).Add(-answerMargin)):
 			s = s.giveUp(t, c)
 		case c.resendAt.IsZero():
 		case !c.unknown && t.Now.Sub(c.arrived) > refusedLimit:
--- a/chuteintake/state.go
+++ b/chuteintake/state.go
@@ -35,6 +35,7 @@
 type State struct {
 	calls  *immutable.SortedMap[chuteaction.CallID, call]
 	tokens *immutable.Map[chuteaction.Token, chuteaction.CallID]
+	end    time.Time // when all calls must have been answered; zero for no limit
 }
 
 // New returns a state without calls.
@@ -45,6 +46,20 @@
 	}
 }
 
+// WithEnd returns the state of a host that stops: all calls are answered by the moment.
+func (s State) WithEnd(end time.Time) State {
+	s.end = end
+	return s
+}
+
+// answerBy returns when a call must have been answered.
+func (s State) answerBy(c call) time.Time {
+	if !s.end.IsZero() && s.end.Before(c.deadline) {
+		return s.end
+	}
+	return c.deadline
+}
+
 // Len returns the number of calls in progress.
 func (s State) Len() int {
 	return s.calls.Len()
--- a/cmd/monsoonchuted/platform.go
+++ b/cmd/monsoonchuted/platform.go
@@ -35,6 +35,8 @@
 	memoryShare = 0.6
 	// finishShare is the part of the grace in which calls in progress may end.
 	finishShare = 0.3
+	// answerShare is the part of that time in which they are answered in any case.
+	answerShare = 0.8
 )
 
 // platformCommand runs an entry host on the users' platform.
@@ -44,6 +46,8 @@
 
 // Run runs the entry host until it is told to stop.
 func (c platformCommand) Run() error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -57,8 +61,6 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	for {
 		select {
 		case <-failed:
@@ -116,9 +118,10 @@
 	serveMetrics(listeners.metrics, metrics, group, log)
 	log.Info("daemon: started", "process", process, "zone", settings.Zone, "front", settings.FrontAddress, "store", settings.StoreAddress)
 	return daemon.Failed(), func() {
-		daemon.Leave()
+		draining := time.Duration(float64(settings.Grace) * drainShare)
+		daemon.Leave(draining + time.Duration(float64(finish)*answerShare))
 		clients.Leave()
-		drain := time.NewTimer(time.Duration(float64(settings.Grace) * drainShare))
+		drain := time.NewTimer(draining)
 		defer drain.Stop()
 		<-drain.C
 		endFront(finish)
