Play faults from outside on entry hosts that run as processes

Clients keep their connections. What is checked, from what clients and workers saw: no task twice at a time or after a noted end, order of steps, room, nothing that was refused or not asked for, nothing accepted that is forgotten or not completed, true states, configurations that a process does not forget, planned stops that end in their grace and cut nothing.

--- /dev/null
+++ b/soak/host_test.go
@@ -0,0 +1,176 @@
+package soak_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	grace = 6 * time.Second
+	// graceMargin is how much longer than its grace a planned stop may seem to take on a busy machine.
+	graceMargin = time.Second
+	maxLease    = 3 * time.Second
+)
+
+// host is an entry host in a process of its own.
+type host struct {
+	name     string
+	front    string
+	binary   string
+	settings string // path
+	log      string // path
+	store    *proxy
+	group    *conc.WaitGroup // of waits for processes
+
+	mutex    sync.Mutex
+	busy     bool // a fault of the process is being played
+	process  *exec.Cmd
+	exited   chan error
+	started  int           // processes
+	stopping bool          // a planned stop is in progress
+	harmed   time.Duration // when a fault of the process last ended
+}
+
+func freePort(t *testing.T, also int) int {
+	t.Helper()
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := listener.Addr().(*net.TCPAddr).Port
+		free := true
+		for next := port + 1; next <= port+also; next++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", next))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = l.Close()
+		}
+		_ = listener.Close()
+		if free {
+			return port
+		}
+	}
+}
+
+// newHost writes the settings of a host and starts it.
+func newHost(t *testing.T, binary, logs string, number int, storeAddress string) *host {
+	t.Helper()
+	port := freePort(t, 3)
+	h := &host{
+		name: fmt.Sprintf("host-%d", number), binary: binary, store: newProxy(t, storeAddress), group: conc.NewWaitGroup(),
+		front: fmt.Sprintf("127.0.0.1:%d", port),
+	}
+	h.settings = filepath.Join(t.TempDir(), "boot.json")
+	h.log = filepath.Join(logs, h.name+".log")
+	text, err := json.Marshal(map[string]any{
+		"node_name": h.name, "zone": fmt.Sprintf("z-%d", number%2), "ip": "127.0.0.1",
+		"bind_addresses": map[string]string{"front": h.front, "ready": fmt.Sprintf("127.0.0.1:%d", port+1)},
+		"port_range":     []int{port + 2, port + 3}, "orders": "request", "heartbeat_ms": 1500,
+		"limits":   map[string]any{"cpu_share": 1, "cores": 1, "memory_mb": 284},
+		"bounds":   map[string]any{"grace_s": grace.Seconds(), "max_hold_ms": maxLease.Milliseconds(), "gang_timeout_ms": 3000, "stop_timeout_ms": 200},
+		"platform": map[string]any{"address": h.store.address(), "form": "table"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(h.settings, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	h.start(t)
+	t.Cleanup(h.end)
+	return h
+}
+
+func (h *host) start(t *testing.T) {
+	t.Helper()
+	out, err := os.OpenFile(h.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer func() { _ = out.Close() }()
+	process := exec.Command(h.binary, "platform")
+	process.Env = append(os.Environ(), "MONSOONCHUTE_BOOT="+h.settings)
+	process.Stdout, process.Stderr = out, out
+	if err := process.Start(); err != nil {
+		t.Error(err)
+		return
+	}
+	exited := make(chan error, 1)
+	h.group.Go(func() { exited <- process.Wait() })
+	h.mutex.Lock()
+	h.process, h.exited = process, exited
+	h.started++
+	h.mutex.Unlock()
+	h.awaitListener()
+}
+
+// awaitListener waits until the process takes connections, since signals end one that has not set up its handling of them.
+func (h *host) awaitListener() {
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for range 500 {
+		if c, err := net.Dial("tcp", h.front); err == nil {
+			_ = c.Close()
+			return
+		}
+		<-ticker.C
+	}
+}
+
+func (h *host) signal(s syscall.Signal) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	_ = h.process.Process.Signal(s) // it may have ended already
+}
+
+// end kills the process, whatever its state.
+func (h *host) end() {
+	h.signal(syscall.SIGCONT)
+	h.signal(syscall.SIGKILL)
+	h.group.Wait()
+}
+
+// take reserves the host for a fault of its process, and reports whether it was free.
+func (h *host) take() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.busy {
+		return false
+	}
+	h.busy = true
+	return true
+}
+
+func (h *host) release(now time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.busy, h.stopping = false, false
+	h.harmed = now
+}
+
+// planned reports whether nothing but a planned stop has happened to the process since the moment, and its number.
+func (h *host) planned(since time.Duration) (bool, int) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.stopping && h.harmed < since, h.started
+}
+
+func (h *host) number() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.started
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,194 @@
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"monsoonchute.example/monsoonchute/platform/standin"
+)
+
+const (
+	hostCount   = 5
+	workerCount = 8
+	clientCount = 4
+	// startLimit is how long the hosts may take to serve for the first time.
+	startLimit = 20 * time.Second
+	// settleLimit is how long after the last fault every job must have ended: the longest lease of a worker that nobody
+	// reaches, after the longest time for which a former leader may have renewed it, and the work itself.
+	settleLimit = 40 * time.Second
+)
+
+// failed are the seeds that have failed once.
+var failed = []uint64{
+	3,  // SIGTERM came before the process handled signals, and killed it
+	8,  // a connection between hosts ended while its host stopped: panic
+	10, // calls that waited for the store were cut at the end of a planned stop
+	12, // a task was started again 0.65 s after it had ended well: not traced, see KNOWN-RED.txt
+}
+
+// world is one play of a seed.
+type world struct {
+	platform *standin.Platform
+	hosts    []*host
+	links    []*proxy // to the workers
+	ledger   *ledger
+	ctx      context.Context
+	random   *rand.Rand // of anyHost
+
+	mutex   sync.Mutex
+	version int             // of the configuration in force
+	queues  []string        // that were added
+	served  map[string]bool // queues that a process has served
+	played  []string        // faults
+}
+
+func (w *world) note(name string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.played = append(w.played, fmt.Sprintf("%s %s", w.platform.Since().Round(time.Millisecond), name))
+}
+
+func (w *world) anyHost() *host {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.hosts[w.random.IntN(len(w.hosts))]
+}
+
+// seeds returns the seeds to play: those that have failed once and one more, or those of MONSOONCHUTE_SEEDS as
+// first:count.
+func seeds(t *testing.T) []uint64 {
+	t.Helper()
+	text := os.Getenv("MONSOONCHUTE_SEEDS")
+	if text == "" {
+		return append(slices.Clone(failed), 1)
+	}
+	first, count, _ := strings.Cut(text, ":")
+	from, err := strconv.ParseUint(first, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := strconv.ParseUint(count, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []uint64
+	for seed := from; seed < from+n; seed++ {
+		list = append(list, seed)
+	}
+	return list
+}
+
+// faultTime returns how long faults are played: MONSOONCHUTE_SOAK_SECONDS, or a few seconds.
+func faultTime() time.Duration {
+	if n, err := strconv.Atoi(os.Getenv("MONSOONCHUTE_SOAK_SECONDS")); err == nil {
+		return time.Duration(n) * time.Second
+	}
+	return 10 * time.Second
+}
+
+// TestSoak plays seeds of faults on processes, and checks from outside what must always hold.
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	binary := filepath.Join(t.TempDir(), "monsoonchuted")
+	arguments := []string{"build", "-o", binary}
+	if output, err := exec.Command("go", append(arguments, "../cmd/monsoonchuted")...).CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, output)
+	}
+	for _, seed := range seeds(t) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			if os.Getenv("MONSOONCHUTE_SEEDS") != "" {
+				t.Parallel()
+			}
+			play(t, binary, seed)
+		})
+	}
+}
+
+func play(t *testing.T, binary string, seed uint64) {
+	t.Helper()
+	logs, err := os.MkdirTemp("", "monsoonchute-soak-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := newWorld(t, binary, logs, seed)
+	ctx, cancel := context.WithTimeout(w.ctx, faultTime())
+	defer cancel()
+	group := conc.NewWaitGroup()
+	for i := range clientCount {
+		c := w.newClient(i, seed)
+		group.Go(func() { c.run(ctx) })
+	}
+	watcher := w.newClient(clientCount, seed)
+	group.Go(func() {
+		for ctx.Err() == nil {
+			watcher.followConfiguration()
+			wait(ctx, 50*time.Millisecond)
+		}
+	})
+	w.playFaults(ctx, t, rand.New(rand.NewPCG(seed, 0)))
+	group.Wait()
+	w.settle(watcher, settleLimit)
+	w.check()
+	t.Log("calls and faults:", w.ledger.counts, len(w.played), "faults,", len(w.platform.Executions()), "runs")
+	if len(w.ledger.faults) == 0 {
+		_ = os.RemoveAll(logs)
+		return
+	}
+	t.Errorf("seed %d: %s", seed, strings.Join(w.ledger.faults, "\n"))
+	t.Log("faults played:", strings.Join(w.played, "; "))
+	t.Log("logs are kept in", logs)
+}
+
+// newWorld starts the platform, the workers behind their links and the hosts.
+func newWorld(t *testing.T, binary, logs string, seed uint64) *world {
+	t.Helper()
+	platform, cleanUp, err := standin.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanUp)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	w := &world{
+		platform: platform, ctx: ctx, version: 3, served: make(map[string]bool), random: rand.New(rand.NewPCG(seed, 99)),
+		ledger: &ledger{jobs: make(map[string]*job), counts: make(map[string]int)},
+	}
+	platform.Put("op", "config", standin.Config(w.version))
+	for i := range workerCount {
+		worker, err := platform.AddWorker(i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		link := newProxy(t, worker.Address())
+		worker.SetAddress(link.address())
+		w.links = append(w.links, link)
+	}
+	for i := range hostCount {
+		w.hosts = append(w.hosts, newHost(t, binary, logs, i, platform.StoreAddress()))
+	}
+	c := w.newClient(clientCount+1, seed)
+	until := platform.Since() + startLimit
+	for _, h := range w.hosts {
+		for status := 0; status != 200; status, _ = c.call(h, "GET", "/a/", "") {
+			if platform.Since() > until {
+				t.Fatalf("%s does not serve", h.name)
+			}
+			wait(ctx, 50*time.Millisecond)
+		}
+	}
+	return w
+}
