--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -23,7 +23,7 @@
 	{"kill", func(w *world, ctx context.Context, t *testing.T, random *rand.Rand) {
 		w.withProcess(random, func(h *host) {
 			h.signal(syscall.SIGKILL)
-			_ = <-h.exited // killed
+			<-h.exited
 			wait(ctx, spell(random, 2*time.Second))
 			h.start(t)
 		})
@@ -118,14 +118,14 @@
 	timer := time.NewTimer(grace + graceMargin)
 	defer timer.Stop()
 	select {
-	case err := <-h.exited:
-		if err != nil {
-			w.ledger.fault("a planned stop of %s ended with %v", h.name, err)
+	case end := <-h.exited:
+		if end.err != nil {
+			w.ledger.fault("a planned stop of %s ended with %v", h.name, end.err)
 		}
 	case <-timer.C:
 		w.ledger.fault("a planned stop of %s was not over in its grace", h.name)
 		h.signal(syscall.SIGKILL)
-		_ = <-h.exited // killed
+		<-h.exited
 	}
 	wait(ctx, 100*time.Millisecond)
 	h.start(t)
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -35,12 +35,15 @@
 	mutex    sync.Mutex
 	busy     bool // a fault of the process is being played
 	process  *exec.Cmd
-	exited   chan error
+	exited   chan exit
 	started  int           // processes
 	stopping bool          // a planned stop is in progress
 	harmed   time.Duration // when a fault of the process last ended
 }
 
+// exit is the end of a process.
+type exit struct{ err error }
+
 func freePort(t *testing.T, also int) int {
 	t.Helper()
 	for {
@@ -109,8 +112,8 @@
 		t.Error(err)
 		return
 	}
-	exited := make(chan error, 1)
-	h.group.Go(func() { exited <- process.Wait() })
+	exited := make(chan exit, 1)
+	h.group.Go(func() { exited <- exit{err: process.Wait()} })
 	h.mutex.Lock()
 	h.process, h.exited = process, exited
 	h.started++
