Keep room free for a gang that has waited long

Change: a gang that has found no room for its estimated run time, four seconds at least, is marked; the planner keeps the workers that are nearest to having room for it from later demands, for one gang at a time. Urgent work is not held up. Tests: tables of the placement; a gang of three whole workers among small tasks that always fill four workers starts within 15 s (it never did before).

--- a/chuteentry/entry_test.go
+++ b/chuteentry/entry_test.go
@@ -430,6 +430,22 @@
 	}
 }
 
+func TestLargeGangStartsAmongManySmallTasks(t *testing.T) {
+	w := newWorld(1, 2, 4)
+	w.run(4 * time.Second)
+	for n := range 200 { // always more than fits, of unequal length
+		step := chutegraph.Step{Count: 16, Request: oneTask(1).Request, Estimate: time.Second}
+		w.after(time.Duration(n)*200*time.Millisecond, func() { w.clients.submit("low", time.Duration(500+n%7*100)*time.Millisecond, step) })
+	}
+	w.run(2 * time.Second)
+	gang := w.clients.submit("normal", time.Second, gangOf(3, 8))
+	w.run(15 * time.Second)
+	if len(gang.done) < 3 {
+		t.Errorf("%d of 3 members of the gang have run after 15 s", len(gang.done))
+	}
+	w.check(t)
+}
+
 func TestPlannedStopAnswersCallsBeforeItsEnd(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(1, 2, 2)
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -35,7 +35,7 @@
 const maxPreemptTries = 24
 
 func (p *pass) serve(d Demand) {
-	if p.cannotFit(d) {
+	if !d.Holds && p.cannotFit(d) {
 		return
 	}
 	if d.Step.Gang {
@@ -76,6 +76,10 @@
 		}
 	}
 	p.failures = append(p.failures, d)
+	if d.Holds && !p.holds {
+		p.holds = true
+		p.hold(d)
+	}
 	return false
 }
 
--- a/chuteplacement/plan_test.go
+++ b/chuteplacement/plan_test.go
@@ -51,6 +51,11 @@
 
 func tightGang(s *chutegraph.Step) { s.Gang, s.SameRack = true, true }
 
+func holding(d chuteplacement.Demand) chuteplacement.Demand {
+	d.Holds = true
+	return d
+}
+
 // group is running work of one task on a worker.
 func group(name string, priority int, cost float64, accelerators int, on ...int) chuteplacement.Group {
 	g := chuteplacement.Group{Priority: priority, Cost: cost}
@@ -117,6 +122,26 @@
 			[]chuteplacement.Demand{demand("a", 1, 2, 8, gang), demand("b", 2, 1, 4, nil)},
 			[]string{"b>w1"},
 		},
+		{
+			"room is kept for a gang that has waited long", workers(8, 4, 4, 0), nil,
+			[]chuteplacement.Demand{holding(demand("a", 1, 2, 8, gang)), demand("b", 2, 3, 4, nil)},
+			[]string{"b>w2"},
+		},
+		{
+			"and it starts once it fits", workers(8, 8, 4, 0), nil,
+			[]chuteplacement.Demand{holding(demand("a", 1, 2, 8, gang)), demand("b", 2, 3, 4, nil)},
+			[]string{"a>w0", "a>w1", "b>w2"},
+		},
+		{
+			"room is kept for one gang at a time", workers(8, 4, 4, 4), nil,
+			[]chuteplacement.Demand{holding(demand("a", 1, 2, 8, gang)), holding(demand("b", 1, 4, 8, gang)), demand("c", 2, 4, 4, nil)},
+			[]string{"c>w2", "c>w3"},
+		},
+		{
+			"room is kept in the rack that is nearest to it", workers(0, 4, 0, 0, 8, 4, 4, 0), nil,
+			[]chuteplacement.Demand{holding(demand("a", 1, 2, 8, tightGang)), demand("b", 2, 5, 4, nil)},
+			[]string{"b>w1", "b>w6"},
+		},
 		{
 			"a gang in one rack", workers(8, 0, 0, 0, 8, 8, 0, 0), nil,
 			[]chuteplacement.Demand{demand("a", 1, 2, 8, tightGang)},
--- a/chuteplacement/room.go
+++ b/chuteplacement/room.go
@@ -20,6 +20,7 @@
 	decisions []Decision
 	// preemptTries is the number of demands that looked for work to stop.
 	preemptTries int
+	holds        bool // room is kept for a demand
 }
 
 // room is what a worker has left during the pass.
--- a/chuteplacement/view.go
+++ b/chuteplacement/view.go
@@ -54,6 +54,7 @@
 	Avoid    map[chuterun.WorkerID]bool
 	Tickets  map[chuterun.WorkerID]string // of the workers that may run the step; nil where any may
 	Preempts bool                         // running work of lower priority may be stopped for it
+	Holds    bool                         // it has waited so long that room is kept free for it
 }
 
 // Decision is an outcome of a planning pass: one of the types below.
--- a/chuteplanner/memory.go
+++ b/chuteplanner/memory.go
@@ -23,11 +23,16 @@
 	listedAt  time.Time // when all workers had been read
 	approvals *immutable.SortedMap[chutegraph.StepID, approval]
 	questions int // to the approval service that are on the way
+	// waiting tells since when gangs have had no room.
+	waiting *immutable.SortedMap[chutegraph.StepID, time.Time]
 }
 
 // New returns the memory of a planner that has not planned yet.
 func New() Memory {
-	return Memory{approvals: immutable.NewSortedMap[chutegraph.StepID, approval](chutegraph.StepOrder{})}
+	return Memory{
+		approvals: immutable.NewSortedMap[chutegraph.StepID, approval](chutegraph.StepOrder{}),
+		waiting:   immutable.NewSortedMap[chutegraph.StepID, time.Time](chutegraph.StepOrder{}),
+	}
 }
 
 // WithWorkersListed returns the memory after all workers had been read at the moment.
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -30,6 +30,7 @@
 
 func (t *turn) plan() {
 	demands := t.demands()
+	t.noteWaiting(demands)
 	if len(demands) == 0 {
 		return
 	}
