Resume no member of a gang before all its workers have told what they run

Cause, found by the soak (seed 121): a gang ended, and its leader was killed before the end was recorded. One of its workers had been started anew and answered the successor first, with nothing; the successor ordered that member again under its number, 1 ms before another worker told that the gang had ended well. Change: an inherited run that its worker does not list is looked at again each 0.1 s until the workers of all members have answered or are lost; one whose task has ended meanwhile is stopped there, not started. Test: 40 seeds of such an end; without the change 7 start a member again. The soak sends SIGHUP only to processes that handle signals (seed 112: it ended one that had just been started). Seed 12 of the soak showed something alike, with new numbers of runs, and stays open.

--- a/chuteentry/entry_test.go
+++ b/chuteentry/entry_test.go
@@ -430,6 +430,35 @@
 	}
 }
 
+// TestGangThatHasEndedIsNotResumed kills the leader as a gang ends. A worker that was started anew answers the successor
+// with nothing, before the others tell of the end.
+func TestGangThatHasEndedIsNotResumed(t *testing.T) {
+	for seed := range uint64(40) {
+		w := newWorld(seed, 3, 6)
+		w.run(4 * time.Second)
+		gang := w.clients.submit("normal", time.Second, gangOf(4, 8))
+		for range 400 {
+			w.run(5 * time.Millisecond)
+			if len(gang.done) > 0 {
+				break
+			}
+		}
+		ended := w.now
+		w.kill(w.leader().name)
+		w.workers[w.workerNames()[seed%6]].restart()
+		w.run(10 * time.Second)
+		for id, at := range gang.started {
+			if len(gang.done) == 4 && at.After(ended) {
+				t.Errorf("seed %d: %s was started %s after its gang had ended", seed, id, at.Sub(ended))
+			}
+		}
+		if phase := w.phase(gang); phase != "completed" {
+			t.Errorf("seed %d: the job is %s", seed, phase)
+		}
+		w.check(t)
+	}
+}
+
 func TestLargeGangStartsAmongManySmallTasks(t *testing.T) {
 	w := newWorld(1, 2, 4)
 	w.run(4 * time.Second)
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -137,7 +137,6 @@
 	w.Clock = chutepool.Clock{Reading: e.Clock, At: t.Now}
 	w.Misses, w.Lost = 0, false
 	w.AnsweredAt = t.Now
-	first := !w.Contacted
 	w.Contacted = true
 	t.PutWorker(w)
 	t.enterEnds(w.ID, e.Ended)
@@ -145,7 +144,7 @@
 		return
 	}
 	t.enterRunning(w.ID, e.Running)
-	t.findAbsent(w.ID, e, first)
+	t.findAbsent(w.ID, e)
 }
 
 func (t *Turn) enterEnds(id chuterun.WorkerID, ends []chuterun.RunEnd) {
@@ -215,7 +214,7 @@
 }
 
 // findAbsent looks for runs that the worker should list but does not.
-func (t *Turn) findAbsent(id chuterun.WorkerID, e chuteaction.LeaseRenewed, first bool) {
+func (t *Turn) findAbsent(id chuterun.WorkerID, e chuteaction.LeaseRenewed) {
 	listed := make(map[chutegraph.RunID]bool, len(e.Running))
 	for _, report := range e.Running {
 		listed[report.Run] = true
@@ -236,7 +235,7 @@
 				t.ReleaseRun(id, r.ID, chuterun.RunEnd{Run: r.ID, Kind: chuterun.EndStopped})
 			}
 		case chutepool.RunOrdered:
-			if first && !r.Outstanding {
+			if r.Inherited && r.Orders == 0 {
 				t.resume(id, r)
 			}
 		case chutepool.RunPlanned, chutepool.RunWriting:
@@ -244,13 +243,36 @@
 	}
 }
 
-// resume goes on with a run that a former scheduler recorded and the worker does not list.
+// resumePause is the wait before a run that waits for news of its gang is looked at again.
+const resumePause = 100 * time.Millisecond
+
+// resume goes on with a run that a former scheduler recorded and the worker does not list. A member of a gang waits until
+// the workers of all members have told what they run: the end of one stands for all.
 func (t *Turn) resume(id chuterun.WorkerID, r chutepool.Run) {
 	w, _ := t.Pool.Get(id)
 	j, ok := t.Job(r.ID.Task.Job)
-	if !ok || j.Phase.Ended() || !t.MayStartOn(w) {
+	task, _ := j.Task(r.ID.Task)
+	switch {
+	case !ok || j.Phase.Ended() || !t.MayStartOn(w) || !t.expected(id, r.ID) || task.Phase != chuterun.TaskActive:
 		t.StopRun(id, r.ID, "not-resumed")
-		return
+	case !t.gangHeard(j, r.ID.Task.StepID):
+		w.LookAgain = true
+		w.RenewAfter = t.Now.Add(resumePause)
+		t.PutWorker(w)
+	default:
+		t.OrderStart(w, r)
+	}
+}
+
+// gangHeard reports whether the workers of all members of a gang have told what they run; a task alone waits for nobody.
+func (t *Turn) gangHeard(j chuterun.Job, id chutegraph.StepID) bool {
+	if !j.Step(id).Gang {
+		return true
+	}
+	for _, task := range j.Tasks(id) {
+		if w, ok := t.Pool.Get(task.Worker); task.Phase == chuterun.TaskActive && ok && !w.Contacted && !w.Lost {
+			return false
+		}
 	}
-	t.OrderStart(w, r)
+	return true
 }
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -37,6 +37,7 @@
 	process  *exec.Cmd
 	exited   chan exit
 	started  int           // processes
+	listens  bool          // the latest process has set up its handling of signals
 	stopping bool          // a planned stop is in progress
 	harmed   time.Duration // when a fault of the process last ended
 }
@@ -117,8 +118,12 @@
 	h.mutex.Lock()
 	h.process, h.exited = process, exited
 	h.started++
+	h.listens = false
 	h.mutex.Unlock()
 	h.awaitListener()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.listens = true
 }
 
 // awaitListener waits until the process takes connections, since signals end one that has not set up its handling of them.
@@ -140,6 +145,15 @@
 	_ = h.process.Process.Signal(s) // it may have ended already
 }
 
+// reload sends SIGHUP, which would end a process that has not set up its handling of signals.
+func (h *host) reload() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.listens {
+		_ = h.process.Process.Signal(syscall.SIGHUP) // it may have ended already
+	}
+}
+
 // end kills the process, whatever its state.
 func (h *host) end() {
 	h.signal(syscall.SIGCONT)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,9 +32,10 @@
 
 // failed are the seeds that have failed once.
 var failed = []uint64{
-	3,  // SIGTERM came before the process handled signals, and killed it
-	8,  // a connection between hosts ended while its host stopped: panic
-	10, // calls that waited for the store were cut at the end of a planned stop
+	3,   // SIGTERM came before the process handled signals, and killed it
+	8,   // a connection between hosts ended while its host stopped: panic
+	121, // a successor started a member of a gang that had ended, before the other workers told of the end
+	10,  // calls that waited for the store were cut at the end of a planned stop
 }
 
 // world is one play of a seed.
