--- /dev/null
+++ b/chutedaemon/orders.go
@@ -0,0 +1,73 @@
+package chutedaemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+)
+
+func (d *Daemon) runStore(ctx context.Context, store Store) {
+	for {
+		effect, ok := d.store.Take(ctx)
+		if !ok {
+			return
+		}
+		request, ok := effect.(chuteaction.StoreEffect)
+		if !ok {
+			d.log.Error("daemon: an effect is not for the store", "type", fmt.Sprintf("%T", effect))
+			continue
+		}
+		switch f := request.(type) {
+		case chuteaction.WriteRows:
+			start := time.Now()
+			written := store.Write(ctx, f)
+			d.metrics.ObserveKind("store-write", outcomeNames[written.Outcome], time.Since(start))
+			d.events.Put(ctx, written)
+		case chuteaction.ReadRows:
+			start := time.Now()
+			read := store.Read(ctx, f)
+			d.metrics.ObserveKind("store-read", outcomeNames[read.Outcome], time.Since(start))
+			d.events.Put(ctx, read)
+		}
+	}
+}
+
+var outcomeNames = map[chuteaction.StoreOutcome]string{
+	chuteaction.StoreDone: "done", chuteaction.StoreConflict: "conflict",
+	chuteaction.StoreRefused: "refused", chuteaction.StoreUnknown: "no-answer",
+}
+
+func (d *Daemon) runOrders(ctx context.Context) {
+	for {
+		effect, ok := d.orders.Take(ctx)
+		if !ok {
+			return
+		}
+		order, ok := effect.(chuteaction.OrderEffect)
+		if !ok {
+			d.log.Error("daemon: an effect is no order", "type", fmt.Sprintf("%T", effect))
+			continue
+		}
+		switch f := order.(type) {
+		case chuteaction.StartRun:
+			d.events.Put(ctx, d.workers.Start(ctx, f))
+		case chuteaction.StopRun:
+			d.events.Put(ctx, d.workers.Stop(ctx, f))
+		case chuteaction.RenewLease:
+			d.events.Put(ctx, d.workers.Renew(ctx, f))
+		case chuteaction.PaceRun:
+			if err := d.workers.Pace(ctx, f); err != nil {
+				d.metrics.Count("pace-missed", "no-answer")
+				d.log.Warn("worker: a pace order failed", "worker", f.Worker, "run", f.Run.String(), "error", err.Error())
+			}
+		case chuteaction.ListMachines:
+			d.events.Put(ctx, d.machines.List(ctx))
+		case chuteaction.MaintainMachine:
+			d.events.Put(ctx, d.machines.Maintain(ctx, f))
+		case chuteaction.AskApproval:
+			d.events.Put(ctx, d.workers.Approve(ctx, f))
+		}
+	}
+}
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -1,8 +1,6 @@
 package chuteentry
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
@@ -81,15 +79,6 @@
 	t.Emit(chuteaction.FollowTable{Table: chuteaction.TableHosts, Pause: leaderPause, Wait: hostsWait})
 }
 
-// announce records which process of this host runs, so that a successor knows that a former one has ended.
-func (t *turn) announce() {
-	t.state.announcement = t.Token()
-	t.Emit(chuteaction.WriteRows{Token: t.state.announcement, Put: []chuteaction.Row{{
-		RowKey: chuteaction.HostKey(t.state.settings.Host),
-		Value:  chuteaction.HostRow{Host: t.state.settings.Host, Process: t.state.settings.Process, Address: t.state.settings.Relay, Share: t.state.settings.Share},
-	}}})
-}
-
 func (t *turn) tick() {
 	if t.state.announceAt.Before(t.Now) && !t.state.announceAt.IsZero() {
 		t.state.announceAt = time.Time{}
@@ -240,109 +229,6 @@
 	}
 }
 
-// judgeLeader compares the leader's process with the one that its host is known to run.
-func (t *turn) judgeLeader() {
-	host := t.state.leader.Row().Host
-	r, ok := t.state.processes.Get(host)
-	if !ok {
-		return
-	}
-	if row, ok := r.Value.(chuteaction.HostRow); ok {
-		t.state.leader = t.state.leader.WithProcess(t.Turn, host, row.Process, r.Version)
-	}
-}
-
-// hostsChanged learns where the other hosts take requests to the store.
-func (t *turn) hostsChanged(e chuteaction.TableChanged) {
-	known := t.state.peers
-	for _, r := range e.Rows {
-		if row, ok := r.Value.(chuteaction.HostRow); ok {
-			t.state.processes = t.state.processes.Set(row.Host, r)
-		}
-		if row, ok := r.Value.(chuteaction.HostRow); ok && row.Host != t.state.settings.Host && row.Address != "" {
-			t.state.peers = t.state.peers.Set(row.Host, row.Address)
-		}
-	}
-	t.judgeLeader()
-	t.state.leader = t.state.leader.WithPatience(t.state.patience())
-	if t.state.peers == known {
-		return
-	}
-	var addresses []string
-	for i := t.state.peers.Iterator(); !i.Done(); {
-		_, address, _ := i.Next()
-		addresses = append(addresses, address)
-	}
-	t.Emit(chuteaction.KnowPeers{Addresses: addresses})
-}
-
-// patience returns how much longer this host waits than others before it takes over: larger hosts come first.
-func (s State) patience() time.Duration {
-	for i := s.processes.Iterator(); !i.Done(); {
-		_, r, _ := i.Next()
-		if row, ok := r.Value.(chuteaction.HostRow); ok && row.Share > muchLarger*s.settings.Share {
-			return smallHostPatience
-		}
-	}
-	return 0
-}
-
-// operatorChanged adopts newer configurations and the zones in which nothing may start.
-func (t *turn) operatorChanged(e chuteaction.TableChanged) {
-	present := make(map[string]bool)
-	for _, r := range e.Rows {
-		value, ok := r.Value.(chuteaction.OperatorRow)
-		if !ok {
-			continue
-		}
-		switch row := value.(type) {
-		case chuteaction.CatalogRow:
-			if row.Version > t.state.catalog.Version {
-				t.Log(part, "configuration in force", "", "version", row.Version, "former", t.state.catalog.Version,
-					"queues", len(row.Queues), "workspaces", len(row.Workspaces))
-				t.state.catalog = row.Catalog
-			}
-		case chuteaction.WaveRow:
-			t.state.waves = append(slices.Clone(t.state.waves), row)
-		case chuteaction.EvacuationRow:
-			if row.Back {
-				t.zoneBack(row.Zone, r.Version)
-				continue
-			}
-			present[row.Zone] = true
-			t.zoneOut(row.Zone, r.Version)
-		}
-	}
-	if !e.Whole {
-		return
-	}
-	for zone := range t.state.zonesOut {
-		if !present[zone] {
-			t.zoneBack(zone, 0)
-		}
-	}
-}
-
-func (t *turn) zoneOut(zone string, version chuteaction.RowVersion) {
-	if t.state.zonesOut[zone] {
-		return
-	}
-	t.Log(part, "zone is out", "", "zone", zone, "version", version)
-	out := maps.Clone(t.state.zonesOut)
-	out[zone] = true
-	t.state.zonesOut = out
-}
-
-func (t *turn) zoneBack(zone string, version chuteaction.RowVersion) {
-	if !t.state.zonesOut[zone] {
-		return
-	}
-	t.Log(part, "zone is back", "", "zone", zone, "version", version)
-	out := maps.Clone(t.state.zonesOut)
-	delete(out, zone)
-	t.state.zonesOut = out
-}
-
 // stop begins a planned stop: the leadership is given up and calls in progress are answered.
 func (t *turn) stop(within time.Duration) {
 	if t.state.stopping {
