--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -45,34 +47,45 @@
 // exit is the end of a process.
 type exit struct{ err error }
 
-func freePort(t *testing.T, also int) int {
+const (
+	// firstPort and lastPort bound the ports of hosts: below those that the system gives to connections.
+	firstPort = 12000
+	lastPort  = 30000
+	// portsOfHost is the number of ports of one host.
+	portsOfHost = 4
+)
+
+var nextPort atomic.Int64
+
+// freePorts returns the first of so many ports that nobody listens at.
+func freePorts(t *testing.T) int {
 	t.Helper()
-	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	nextPort.CompareAndSwap(0, int64(firstPort+rand.IntN(lastPort-firstPort)))
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(portsOfHost))%(lastPort-firstPort)
+		if allFree(port) {
+			return port
 		}
-		port := listener.Addr().(*net.TCPAddr).Port
-		free := true
-		for next := port + 1; next <= port+also; next++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", next))
-			if err != nil {
-				free = false
-				break
-			}
-			_ = l.Close()
+	}
+	t.Fatal("no ports are free")
+	return 0
+}
+
+func allFree(first int) bool {
+	for port := first; port < first+portsOfHost; port++ {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			return false
 		}
 		_ = listener.Close()
-		if free {
-			return port
-		}
 	}
+	return true
 }
 
 // newHost writes the settings of a host and starts it.
 func newHost(t *testing.T, binary, logs string, number int, storeAddress string) *host {
 	t.Helper()
-	port := freePort(t, 3)
+	port := freePorts(t)
 	h := &host{
 		name: fmt.Sprintf("host-%d", number), binary: binary, store: newProxy(t, storeAddress), group: conc.NewWaitGroup(),
 		front: fmt.Sprintf("127.0.0.1:%d", port),
