Move work on from workers that leave at short notice

Change: on a worker that leaves within 5 s of its notice, work that cannot end in time and saves nothing is stopped at once, all other 0.7 s before the end, so that its progress is saved and it goes on elsewhere. Workers with longer notices are left alone: they go on until their work has ended, or tell of its end. Test: three cases; two fail without the change.

--- a/chuteentry/takeover_test.go
+++ b/chuteentry/takeover_test.go
@@ -127,3 +127,36 @@
 		}
 	}
 }
+
+// TestWorkMovesOnFromAWorkerThatLeaves takes a worker away at short notice, without a word at its end.
+func TestWorkMovesOnFromAWorkerThatLeaves(t *testing.T) {
+	cases := []struct {
+		name   string
+		length time.Duration
+		saves  bool
+		starts int
+	}{
+		{"ends in time", 1500 * time.Millisecond, false, 1},
+		{"would be cut off", 5 * time.Second, false, 2},
+		{"saves its progress", 5 * time.Second, true, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1, 2, 4)
+			w.run(4 * time.Second)
+			step := oneTask(1)
+			step.Checkpointing = c.saves
+			j := w.clients.submit("normal", c.length, step)
+			w.run(500 * time.Millisecond)
+			k := w.workerOf(j)
+			k.listing.Draining, k.listing.Remains = true, 2300*time.Millisecond
+			k.list()
+			w.after(2300*time.Millisecond, func() { k.die(4500 * time.Millisecond) })
+			w.run(c.length + 3500*time.Millisecond) // the longest lease alone lasts 6 s
+			is.Equal(len(j.done), 1)
+			is.Equal(strings.Count(w.story(string(j.id)), "step starts"), c.starts)
+			w.check(t)
+		})
+	}
+}
--- a/chuteplanner/census.go
+++ b/chuteplanner/census.go
@@ -15,8 +15,6 @@
 	soon = 500 * time.Millisecond
 	// overdue is how long after its expected end work still counts as ending soon.
 	overdue = 300 * time.Millisecond
-	// unknownRemaining stands for the time that work goes on of which nothing tells its end.
-	unknownRemaining = 24 * time.Hour
 )
 
 // withWorkInTheWay returns the view with the running work that demands may wait for or stop.
@@ -57,7 +55,7 @@
 				s = t.traits(id)
 				traits[id] = s
 			}
-			runs = append(runs, running{Run: r, stepTraits: s, worker: w.ID, remaining: t.remaining(w.ID, r, s)})
+			runs = append(runs, running{Run: r, stepTraits: s, worker: w.ID, remaining: t.Remaining(w.ID, r, s.lasting)})
 		}
 	}
 	return runs
@@ -72,19 +70,6 @@
 	return stepTraits{known: true, gang: step.Gang, lasting: step.LongRunning}
 }
 
-// remaining returns the expected time until a run ends by itself.
-func (t *turn) remaining(worker chuterun.WorkerID, r chutepool.Run, s stepTraits) time.Duration {
-	if r.Phase != chutepool.RunWorking || r.ReadAt.IsZero() || s.lasting {
-		return unknownRemaining
-	}
-	rate, known := t.Speeds.Rate(r.ID.Task.StepID, worker, t.Now)
-	if !known {
-		return unknownRemaining
-	}
-	left := float64(100-r.Percent)/rate - t.Now.Sub(r.ReadAt).Seconds()
-	return time.Duration(min(left, unknownRemaining.Seconds()) * float64(time.Second))
-}
-
 // endingAmounts returns by worker what is held by runs that are expected to end soon. A gang ends when its last member
 // does.
 func endingAmounts(runs []running) map[chuterun.WorkerID]chutecapacity.Amount {
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -39,6 +39,7 @@
 	Renewing      bool          // a renewal is on the way
 	RenewedAt     time.Time     // when the latest renewal was sent
 	LookAgain     bool          // what it runs must be asked at once
+	LeavesAt      time.Time     // when a draining worker may leave; zero if it does not drain or has not told
 	RenewAfter    time.Time     // no renewal is sent before this moment
 	Misses        int           // renewals without an answer since the latest answer
 	LeaseEnd      time.Duration // of the latest lease, on the worker's clock
@@ -81,6 +82,12 @@
 
 // WithListing returns the worker as the list describes it at the moment.
 func (w Worker) WithListing(listing Listing, now time.Time) Worker {
+	switch {
+	case !listing.Draining || listing.Remains == 0:
+		w.LeavesAt = time.Time{}
+	case !w.Draining:
+		w.LeavesAt = now.Add(listing.Remains)
+	}
 	if listing.Draining && w.Draining {
 		listing.Remains = w.Remains
 	}
@@ -114,7 +121,7 @@
 	w.Handled, w.Recorded, w.Acknowledged = 0, 0, 0
 	w.SeenAt, w.LeaseEnd = 0, 0
 	w.FailureStreak = 0
-	w.Draining = false
+	w.Draining, w.LeavesAt = false, time.Time{}
 	return w
 }
 
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -90,6 +90,8 @@
 		t.Emit(chuteaction.ForgetWorker{Worker: w.ID})
 		return
 	}
+	t.MoveOn(w)
+	w, _ = t.Pool.Get(w.ID)
 	for _, r := range w.Runs() {
 		if r.Phase == chutepool.RunStopping && !r.Outstanding && r.StoppedAt.IsZero() && t.Now.Sub(r.Since) >= stopAgainAfter {
 			w, _ = t.Pool.Get(w.ID)
