--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -33,7 +33,7 @@
 	// muchLarger is how many times the share of this host another one has that should lead instead.
 	muchLarger = 1.5
 	// smallHostPatience is how much longer a host waits before it takes over while there is a much larger one.
-	smallHostPatience = 900 * time.Millisecond
+	smallHostPatience = 2500 * time.Millisecond
 	part              = "entry"
 )
 
--- a/chuteentry/takeover_test.go
+++ b/chuteentry/takeover_test.go
@@ -160,3 +160,36 @@
 		})
 	}
 }
+
+// TestLargeHostsLeadAfterAnOutage starts all hosts anew while the large ones do not reach the store yet.
+func TestLargeHostsLeadAfterAnOutage(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(seed, 0, 4)
+		start := func(cut bool) {
+			for i := range 12 {
+				w.startHostOf(fmt.Sprintf("small-%02d", i), 0.2)
+			}
+			for i := range 3 {
+				w.startHostOf(fmt.Sprintf("large-%d", i), 0.8).cut = cut
+			}
+		}
+		start(false)
+		w.run(4 * time.Second)
+		for _, h := range w.hosts {
+			h.dead = true
+		}
+		start(true)
+		w.run(1300 * time.Millisecond)
+		w.cutAll(false)
+		w.run(5 * time.Second)
+		if leader := w.leader(); leader == nil || !strings.HasPrefix(leader.name, "large") {
+			t.Errorf("seed %d: %v leads", seed, leader)
+		}
+	}
+}
+
+func (w *world) cutAll(cut bool) {
+	for _, h := range w.hosts {
+		h.cut = cut
+	}
+}
