Look at the list when a repeated start is refused as old

Change: such a run counts as at work until the worker's next list, which names its end or does not name it. Checked: the histories of chuteentry pass. No test of its own yet.

--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -106,10 +106,16 @@
 	t.Count("start-refused", reason)
 	t.Log(part, "start refused", r.ID.Task.Job, "run", r.ID, "worker", w.ID, "reason", reason)
 	t.Fenced = t.Fenced || e.Reason == chuteaction.RefusedFence
+	if r.Unanswered && e.Reason == chuteaction.RefusedOld { // an earlier order was carried out: the list tells how it ended
+		w.LookAgain = true
+		w.RenewAfter = t.Now
+		t.PutWorker(w.WithRun(r.WithPhase(chutepool.RunWorking, t.Now)))
+		return
+	}
 	w.CooldownUntil = t.Now.Add(cooldownAfterRefusal)
 	w.RenewAfter = t.Now
 	t.PutWorker(w.WithRun(r))
-	if r.Unanswered && e.Reason != chuteaction.RefusedOld {
+	if r.Unanswered {
 		t.StopRun(w.ID, r.ID, "start-refused")
 		return
 	}
