Handle signals from the first step of the daemon

Cause: serveCommand.Run registered its signals only after the node was built, so that a SIGTERM some milliseconds after the start ended the process by the signal (known red: TestProcessesUnderFaults, once in four runs beside load). Change: main registers interrupt, SIGTERM and SIGHUP before it parses the command line; both commands get the queue. SIGHUP no longer ends 'serve': it logs that changes take effect at the next start. openListeners closes what it opened if one address cannot be used; before, the others stayed in use for as long as the process lived. A signal before main runs (loading of the program) still ends the process, which serves nothing then.

--- a/cmd/monsoonchuted/main.go
+++ b/cmd/monsoonchuted/main.go
@@ -14,6 +14,9 @@
 	"monsoonchute.example/monsoonchute/chutesettings"
 )
 
+// signalSource delivers the signals that the process has received since its start.
+type signalSource <-chan os.Signal
+
 // command is the daemon's command line.
 type command struct {
 	Serve    serveCommand    `cmd:"" default:"withargs" help:"Run an entry host with settings from a TOML file."`
@@ -26,9 +29,17 @@
 	Check    bool   `help:"Check the settings and exit."`
 }
 
+// signalQueue is the number of signals that the process keeps until a command handles them.
+const signalQueue = 4
+
 func main() {
+	// Signals are kept from the first step on: one that arrives while the host starts still causes a planned stop.
+	signals := make(chan os.Signal, signalQueue)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	var c command
-	parsed := kong.Parse(&c, kong.Description("Runs an entry host until it is interrupted, then stops it as planned."))
+	parsed := kong.Parse(&c,
+		kong.Description("Runs an entry host until it is interrupted, then stops it as planned."),
+		kong.Bind(signalSource(signals)))
 	if err := parsed.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "monsoonchuted:", err)
 		os.Exit(1)
@@ -36,7 +47,7 @@
 }
 
 // Run runs the entry host until the process gets an interrupt or a termination signal, then performs a planned stop.
-func (c serveCommand) Run() error {
+func (c serveCommand) Run(signals signalSource) error {
 	settings, err := chutesettings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -54,9 +65,13 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	<-signals
+	for s := range signals {
+		if s == syscall.SIGHUP {
+			log.Info("settings: SIGHUP received; changes take effect at the next start")
+			continue
+		}
+		break
+	}
 	cleanUp()
 	return nil
 }
--- a/cmd/monsoonchuted/platform.go
+++ b/cmd/monsoonchuted/platform.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -50,9 +49,7 @@
 // Run runs the entry host until the process gets an interrupt or a termination signal, then performs a planned stop. It
 // returns an error if the settings are invalid, the host cannot start, or a duty of the daemon has panicked. On SIGHUP
 // it validates the settings again.
-func (c platformCommand) Run() error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+func (c platformCommand) Run(signals signalSource) error {
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -157,21 +154,34 @@
 	relay   net.Listener
 }
 
-// openListeners opens all listeners of an entry host. The error names the listener that failed.
+// close closes the listeners that are open.
+func (s listenerSet) close() {
+	for _, l := range []net.Listener{s.front, s.ready, s.metrics, s.relay} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// openListeners opens all listeners of an entry host, or none. The error names the listener that failed.
 func openListeners(settings platform.Settings) (listenerSet, error) {
 	var opened listenerSet
-	var err error
-	if opened.front, err = net.Listen("tcp", settings.FrontAddress); err != nil {
-		return opened, errors.Wrap(err, "front")
-	}
-	if opened.ready, err = net.Listen("tcp", settings.ReadyAddress); err != nil {
-		return opened, errors.Wrap(err, "ready")
-	}
-	if opened.metrics, err = net.Listen("tcp", settings.MetricsAddress); err != nil {
-		return opened, errors.Wrap(err, "metrics")
-	}
-	if opened.relay, err = net.Listen("tcp", settings.RelayAddress); err != nil {
-		return opened, errors.Wrap(err, "relay")
+	for _, l := range []struct {
+		name     string
+		address  string
+		listener *net.Listener
+	}{
+		{"front", settings.FrontAddress, &opened.front},
+		{"ready", settings.ReadyAddress, &opened.ready},
+		{"metrics", settings.MetricsAddress, &opened.metrics},
+		{"relay", settings.RelayAddress, &opened.relay},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			opened.close()
+			return listenerSet{}, errors.Wrap(err, l.name)
+		}
+		*l.listener = listener
 	}
 	return opened, nil
 }
--- a/cmd/monsoonchuted/processes_test.go
+++ b/cmd/monsoonchuted/processes_test.go
@@ -116,10 +116,7 @@
 		t.Skip("starts eight processes")
 	}
 	is := is.New(t)
-	binary := filepath.Join(t.TempDir(), "monsoonchuted")
-	output, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
-	is.NoErr(err)
-	is.Equal(string(output), "")
+	binary := buildDaemon(t)
 	cluster, cleanUp, err := chutedev.New(slog.New(slog.DiscardHandler), chutedev.WithHosts(0))
 	is.NoErr(err)
 	t.Cleanup(cleanUp)
