Let no host refuse a job out of an outdated document

Cause: an owner refused a submission with not-found (or over-quota, never-fits) by the document that it had last read, also before its first read of a document that another host had already answered as accepted (known red: TestSubmittingTwiceWithOneIDRunsOnce and TestGangsRunWholeThroughEveryEntryHost). The entry host did the same with never-fits, also before the workers were listed. Found beside it: an owner paused past its lease answered that a job does not exist which the next owner had accepted. Without a valid lease an unknown job is answered no-owner. A host without workers answers not-ready. Tests that failed first: TestAnOutdatedDocumentRefusesNoJob, TestAnUnconfirmedDocumentIsNoReasonToRefuse, TestAJobIsNotUnknownToAnOwnerWithoutALease (all on the simulated clock).

--- a/chutecore/call.go
+++ b/chutecore/call.go
@@ -13,9 +13,11 @@
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chutedocument"
 	"monsoonchute.example/monsoonchute/chuteevent"
+	"monsoonchute.example/monsoonchute/chutegang"
 	"monsoonchute.example/monsoonchute/chutejob"
 	"monsoonchute.example/monsoonchute/chuteresult"
 	"monsoonchute.example/monsoonchute/chuterevision"
+	"monsoonchute.example/monsoonchute/chuteshard"
 	"monsoonchute.example/monsoonchute/chutetopology"
 )
 
@@ -52,11 +54,13 @@
 func (t *transition) handleShardCall(e chuteevent.CallArrived, call chutecall.ShardCall) {
 	call, shard, refusal := t.assignShard(call)
 	if refusal != nil {
-		t.answer(e.ID, chutecall.ResultReply{Result: *refusal})
+		if !chuteshard.FollowsDocument(refusal.Code) || !t.deferCall(e) {
+			t.answer(e.ID, chutecall.ResultReply{Result: *refusal})
+		}
 		return
 	}
 	if s, ok := t.state.shards.Get(shard); ok {
-		t.applyShard(s.Call(t.shardEnvironment(shard), e.ID, "", call))
+		t.callShard(s, e, chutegang.Origin{ID: e.ID}, call)
 		return
 	}
 	owner, _ := t.state.host.Owner(shard)
@@ -127,6 +131,10 @@
 // Rendezvous hashing makes every entry host with the same document and topology choose the same shard for the same job
 // id.
 func (t *transition) chooseShard(c chutecall.SubmitJob) (int, *chuteresult.Result) {
+	if len(t.state.topology.Workers()) == 0 {
+		result := chuteresult.New(chuteresult.NotReady, "the workers have not been listed yet")
+		return 0, &result
+	}
 	if err := c.Spec.Check(); err != nil {
 		result := chuteresult.FromError(err)
 		return 0, &result
--- a/chutecore/core.go
+++ b/chutecore/core.go
@@ -13,9 +13,10 @@
 
 // transition computes the new state and the effects of one event.
 type transition struct {
-	state   State
-	now     time.Time
-	effects []chuteevent.Effect
+	state    State
+	now      time.Time
+	effects  []chuteevent.Effect
+	resuming bool // a deferred call is being handled again
 }
 
 // Step returns the state after the event and the effects that the caller must carry out. It is a pure function.
@@ -53,6 +54,7 @@
 	case chuteevent.StopRequested:
 		t.beginStop()
 	}
+	t.resumeDeferred()
 	return t.state, t.effects
 }
 
@@ -86,7 +88,7 @@
 func (t *transition) shardEnvironment(shard int) chuteshard.Environment {
 	return chuteshard.Environment{
 		Now: t.now, BootID: t.state.self.BootID, Document: t.state.revision.Document(), Topology: t.shardTopology(shard),
-		MayStart: t.state.MayStart(t.now), StoreUp: t.storeReachable(),
+		LeaseValid: t.state.host.LeaseValid(t.now), MayStart: t.state.MayStart(t.now), StoreUp: t.storeReachable(),
 	}
 }
 
--- a/chutecore/peer.go
+++ b/chutecore/peer.go
@@ -5,6 +5,7 @@
 
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chuteevent"
+	"monsoonchute.example/monsoonchute/chutegang"
 	"monsoonchute.example/monsoonchute/chuteresult"
 	"monsoonchute.example/monsoonchute/chutetable"
 )
@@ -99,7 +100,7 @@
 		}})
 		return
 	}
-	t.applyShard(s.Call(t.shardEnvironment(shard), m.ID, from, call))
+	t.callShard(s, chuteevent.PeerMessageArrived{From: from, Message: m}, chutegang.Origin{ID: m.ID, From: from}, call)
 }
 
 // handleForwardReply answers the forwarded call with the owner's reply. It drops a reply to a call that has ended.
--- a/chutecore/stop.go
+++ b/chutecore/stop.go
@@ -50,7 +50,8 @@
 	for _, number := range t.state.Shards() {
 		t.releaseShard(number)
 	}
-	if t.state.shards.Len() > 0 || t.state.host.Releasing() || !t.state.router.Idle() || t.state.forwards.Len() > 0 {
+	if t.state.shards.Len() > 0 || t.state.host.Releasing() || !t.state.router.Idle() || t.state.forwards.Len() > 0 ||
+		len(t.state.deferred) > 0 {
 		return
 	}
 	t.state.stopped = true
--- a/chutegang/state.go
+++ b/chutegang/state.go
@@ -17,12 +17,13 @@
 
 // Environment holds the inputs of an event that are not part of the shard's state.
 type Environment struct {
-	Now      time.Time
-	BootID   string // differs for each start of this host's process; part of every token
-	Document chutedocument.Document
-	Topology chutetopology.Topology // topology of the shard
-	MayStart bool                   // this host's lease is valid and its document is known to be current
-	StoreUp  bool
+	Now        time.Time
+	BootID     string // differs for each start of this host's process; part of every token
+	Document   chutedocument.Document
+	Topology   chutetopology.Topology // topology of the shard
+	LeaseValid bool                   // this host's lease is valid
+	MayStart   bool                   // this host's lease is valid and its document is known to be current
+	StoreUp    bool
 }
 
 // Origin identifies a call and the entry host that took it.
--- a/chuterevision/revision.go
+++ b/chuterevision/revision.go
@@ -89,6 +89,11 @@
 	return s.ready
 }
 
+// ConfirmedAt returns the latest time at which the document was known to be the head.
+func (s State) ConfirmedAt() time.Time {
+	return s.currentAt
+}
+
 // Age returns the time since the document was last known to be the head.
 func (s State) Age(now time.Time) time.Duration {
 	return now.Sub(s.currentAt)
--- a/chuteshard/call.go
+++ b/chuteshard/call.go
@@ -43,6 +43,7 @@
 		return
 	}
 	if refusal, ok := t.rejection(call.Spec); ok {
+		t.outdated = FollowsDocument(refusal.Code)
 		t.Count("job-refused", refusal.Code.String())
 		t.Answer(from, chutecall.ResultReply{Result: refusal})
 		return
@@ -87,16 +88,31 @@
 	return chuteresult.Result{}, false
 }
 
+// FollowsDocument reports whether a refusal of a job with the code rests on the document in force.
+func FollowsDocument(code chuteresult.Code) bool {
+	return code == chuteresult.NotFound || code == chuteresult.OverQuota || code == chuteresult.NeverFits
+}
+
 // fitsEmpty reports whether the shape fits the topology of the shard when nothing runs there.
 func (t *transition) fitsEmpty(shape chutetopology.Shape) bool {
 	_, ok := chuteaccelerator.New(t.Environment.Topology).Place(shape)
 	return ok
 }
 
+// answerUnknown answers a call about a job that this owner does not know. Without a valid lease another owner may have
+// accepted it.
+func (t *transition) answerUnknown(from chutegang.Origin, id chutejob.ID) {
+	if !t.Environment.LeaseValid {
+		t.Answer(from, chutecall.Refuse(chuteresult.NoOwner, "shard %d: this host's lease on it is not confirmed", t.State.Shard))
+		return
+	}
+	t.Answer(from, chutecall.Refuse(chuteresult.NotFound, "job: %q does not exist", id))
+}
+
 func (t *transition) show(from chutegang.Origin, id chutejob.ID) {
 	j, ok := t.State.Job(id)
 	if !ok {
-		t.Answer(from, chutecall.Refuse(chuteresult.NotFound, "job: %q does not exist", id))
+		t.answerUnknown(from, id)
 		return
 	}
 	t.Answer(from, chutecall.JobReply{Result: chuteresult.Result{Code: chuteresult.Done}, Job: j})
@@ -112,7 +128,7 @@
 	j, ok := t.State.Job(id)
 	switch {
 	case !ok:
-		t.Answer(from, chutecall.Refuse(chuteresult.NotFound, "job: %q does not exist", id))
+		t.answerUnknown(from, id)
 		return
 	case j.Phase == chutejob.PhaseEnded:
 		t.Answer(from, chutecall.Refuse(chuteresult.AlreadyEnded, "job %s has ended: %s", id, j.Result.Code))
@@ -140,7 +156,7 @@
 func (t *transition) explain(from chutegang.Origin, id chutejob.ID) {
 	j, ok := t.State.Job(id)
 	if !ok {
-		t.Answer(from, chutecall.Refuse(chuteresult.NotFound, "job: %q does not exist", id))
+		t.answerUnknown(from, id)
 		return
 	}
 	t.Answer(from, chutecall.ExplainReply{Job: j, Causes: t.causes(j)})
--- a/chuteshard/state.go
+++ b/chuteshard/state.go
@@ -94,8 +94,9 @@
 // transition computes the new state and the effects of one event.
 type transition struct {
 	*chutegang.Transition
-	state  State
-	fenced bool // another host has taken the shard
+	state    State
+	fenced   bool // another host has taken the shard
+	outdated bool // a call was refused because of the document
 }
 
 func newTransition(s State, environment Environment) *transition {
--- a/chuteshard/step.go
+++ b/chuteshard/step.go
@@ -4,19 +4,19 @@
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chutegang"
-	"monsoonchute.example/monsoonchute/chutetable"
 )
 
 // Outcome is the result of handling one event.
 type Outcome struct {
-	State   State
-	Effects []chuteevent.Effect
-	Fenced  bool // another host has taken the shard; the caller must drop the state
+	State    State
+	Effects  []chuteevent.Effect
+	Fenced   bool // another host has taken the shard; the caller must drop the state
+	Outdated bool // the call was refused because of the document, which may have changed; nothing else has happened
 }
 
 func (t *transition) outcome() Outcome {
 	t.state.gangs = t.State
-	return Outcome{State: t.state, Effects: t.Effects, Fenced: t.fenced}
+	return Outcome{State: t.state, Effects: t.Effects, Fenced: t.fenced, Outdated: t.outdated}
 }
 
 // Tick does the work that is due by time: polls, deadlines, planning and deletion of old jobs.
@@ -33,10 +33,10 @@
 	return t.outcome()
 }
 
-// Call handles a call to the shard; from is the entry host that forwarded it, empty for this host's front end.
-func (s State) Call(environment Environment, id chuteevent.CallID, from chutetable.HostID, call chutecall.ShardCall) Outcome {
+// Call handles a call to the shard.
+func (s State) Call(environment Environment, origin chutegang.Origin, call chutecall.ShardCall) Outcome {
 	t := newTransition(s, environment)
-	t.handleCall(chutegang.Origin{ID: id, From: from}, call)
+	t.handleCall(origin, call)
 	return t.outcome()
 }
 
