--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -96,7 +96,16 @@
 		return
 	}
 	t.Log(component, "start is abandoned after unanswered orders", r.ID.Task.Job, "run", r.ID, "worker", w.ID, "orders", r.OrdersSent)
-	t.StopRun(w.ID, r.ID, "start-unanswered")
+	t.abandonStart(w, r, "start-unanswered")
+}
+
+// abandonStart stops a run whose start order may still be carried out. In a gang it stops the others as well, which
+// would hold their capacity in vain until that run's end is certain.
+func (t *Transition) abandonStart(w chutepool.Worker, r chutepool.Run, reason string) {
+	t.StopRun(w.ID, r.ID, reason)
+	if j, ok := t.Job(r.ID.Task.Job); ok && j.Step(r.ID.Task.StepID).Gang {
+		t.breakGang(j, r.ID.Task)
+	}
 }
 
 // startRefused ends a run that the worker did not start, unless an earlier order for it may still be carried out.
@@ -119,7 +128,7 @@
 	w.RenewAfter = t.Now
 	t.PutWorker(w.WithRun(r))
 	if r.StartUnanswered {
-		t.StopRun(w.ID, r.ID, "start-refused")
+		t.abandonStart(w, r, "start-refused")
 		return
 	}
 	t.ReleaseRun(w.ID, r.ID, chutetask.RunEnd{Run: r.ID, Kind: chutetask.EndLost})
