Keep a deferred call as a typed value

Cause: the linter's check of sealed types: deferredCall held any event. Change: arrivedCall with origin, request id and call.

--- a/chutecore/call.go
+++ b/chutecore/call.go
@@ -52,15 +52,16 @@
 // handleShardCall answers the call from the shard's state if this host owns the shard, and forwards it to the owner
 // otherwise.
 func (t *transition) handleShardCall(e chuteevent.CallArrived, call chutecall.ShardCall) {
+	arrived := arrivedCall{origin: chutegang.Origin{ID: e.ID}, requestID: e.RequestID, call: call, arrivedAt: t.now}
 	call, shard, refusal := t.assignShard(call)
 	if refusal != nil {
-		if !chuteshard.FollowsDocument(refusal.Code) || !t.deferCall(e) {
+		if !chuteshard.FollowsDocument(refusal.Code) || !t.deferCall(arrived) {
 			t.answer(e.ID, chutecall.ResultReply{Result: *refusal})
 		}
 		return
 	}
 	if s, ok := t.state.shards.Get(shard); ok {
-		t.callShard(s, e, chutegang.Origin{ID: e.ID}, call)
+		t.callShard(s, arrived, call)
 		return
 	}
 	owner, _ := t.state.host.Owner(shard)
--- a/chutecore/peer.go
+++ b/chutecore/peer.go
@@ -100,7 +100,9 @@
 		}})
 		return
 	}
-	t.callShard(s, chuteevent.PeerMessageArrived{From: from, Message: m}, chutegang.Origin{ID: m.ID, From: from}, call)
+	t.callShard(s, arrivedCall{
+		origin: chutegang.Origin{ID: m.ID, From: from}, requestID: m.RequestID, call: call, arrivedAt: t.now,
+	}, call)
 }
 
 // handleForwardReply answers the forwarded call with the owner's reply. It drops a reply to a call that has ended.
--- a/chutecore/state.go
+++ b/chutecore/state.go
@@ -61,7 +61,7 @@
 	shards            *immutable.SortedMap[int, chuteshard.State]
 	topology          chutetopology.Topology
 	peers             *immutable.SortedMap[chutetable.HostID, peer]
-	deferred          []deferredCall // in the order of arrival
+	deferred          []arrivedCall // in the order of arrival
 	forwards          *immutable.SortedMap[chuteevent.CallID, forwardedCall]
 	store             chuteevent.StoreState
 	heartbeatSentAt   time.Time
