Honour the workspaces' guarantees on the platform

Cause: the configuration's guaranteed accelerators were read and never used there. Change: urgent jobs that their workspace's guarantee covers, oldest first, come before all other demands; they evict work of lower priority first, then urgent work that no guarantee covers, and leave their rack rather than wait. Runs that a guarantee covers are never evicted. Tests that failed first: TestAGuaranteeIsReclaimedFromUrgentWorkBeyondGuarantees (whole core, simulated clock), cases of TestPlan; TestPeakAccelerators.

--- a/chuteentry/fakeclients_test.go
+++ b/chuteentry/fakeclients_test.go
@@ -18,6 +18,7 @@
 	jobIDs    []chutegraph.JobID
 	callbacks map[chuteaction.CallID]func(chuteaction.AnswerCall)
 	lastCall  chuteaction.CallID
+	key       string // API key of the calls
 }
 
 type fakeJob struct {
@@ -33,7 +34,10 @@
 }
 
 func newFakeClients(sm *simulation) *fakeClients {
-	return &fakeClients{sim: sm, jobs: make(map[chutegraph.JobID]*fakeJob), callbacks: make(map[chuteaction.CallID]func(chuteaction.AnswerCall))}
+	return &fakeClients{
+		sim: sm, key: "key", jobs: make(map[chutegraph.JobID]*fakeJob),
+		callbacks: make(map[chuteaction.CallID]func(chuteaction.AnswerCall)),
+	}
 }
 
 func (c *fakeClients) deliverAnswer(a chuteaction.AnswerCall) {
@@ -54,7 +58,7 @@
 	c.callbacks[id] = callback
 	sm.after(sm.jittered(3*time.Millisecond), func() {
 		h.deliver(chuteaction.CallArrived{
-			ID: id, Deadline: sm.now.Add(3 * time.Second), Host: "q.example", Path: "/" + queue + "/" + path, Key: "key", Call: request,
+			ID: id, Deadline: sm.now.Add(3 * time.Second), Host: "q.example", Path: "/" + queue + "/" + path, Key: c.key, Call: request,
 		})
 	})
 	sm.after(3*time.Second, func() {
--- /dev/null
+++ b/chuteentry/guarantee_test.go
@@ -0,0 +1,77 @@
+package chuteentry_test
+
+import (
+	"testing"
+	"time"
+
+	"monsoonchute.example/monsoonchute/chutegraph"
+)
+
+// reclaimBound is the time within which a workspace's urgent job must start on its guarantee.
+const reclaimBound = 2 * time.Second
+
+// startDelay returns the time from the acceptance of a job to the start of its last task, and false if not all of its
+// tasks have started.
+func (j *fakeJob) startDelay() (time.Duration, bool) {
+	latest := j.acceptedAt
+	for _, at := range j.startedAt {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return latest.Sub(j.acceptedAt), !j.acceptedAt.IsZero() && len(j.startedAt) == j.spec.Steps[0].Count
+}
+
+// TestAGuaranteeIsReclaimedFromUrgentWorkBeyondGuarantees fills all workers with urgent jobs of a workspace without a
+// guarantee, and lets more of them wait. It guards against a guarantee that is worth nothing while others' urgent jobs
+// came first.
+func TestAGuaranteeIsReclaimedFromUrgentWorkBeyondGuarantees(t *testing.T) {
+	sm := newSimulation(1, 2, 4)
+	sm.run(3 * time.Second)
+	sm.clients.key = "guest"
+	for range 12 {
+		sm.clients.submit("urgent", 20*time.Second, gangStep(8, 1))
+	}
+	sm.run(2 * time.Second)
+	sm.clients.key = "key"
+	var guaranteed []*fakeJob
+	for _, step := range []chutegraph.Step{gangStep(1, 8), gangStep(8, 1)} {
+		guaranteed = append(guaranteed, sm.clients.submit("urgent", 5*time.Second, step))
+	}
+	sm.run(100 * time.Millisecond)
+	beyond := sm.clients.submit("urgent", time.Second, gangStep(1, 8))
+	sm.run(reclaimBound)
+	for _, j := range guaranteed {
+		if delay, ok := j.startDelay(); !ok {
+			t.Errorf("job %s within the guarantee has not started whole within %s", j.id, reclaimBound)
+		} else {
+			t.Logf("job %s started %s after its acceptance", j.id, delay)
+		}
+	}
+	if _, ok := beyond.startDelay(); ok {
+		t.Errorf("job %s beyond the guarantee started although urgent work came first", beyond.id)
+	}
+	sm.failOnViolations(t)
+}
+
+// TestAGuaranteeIsTakenFromLowerPrioritiesFirst checks that urgent work of others goes on while work of lower priority
+// can make room.
+func TestAGuaranteeIsTakenFromLowerPrioritiesFirst(t *testing.T) {
+	sm := newSimulation(1, 2, 4)
+	sm.run(3 * time.Second)
+	sm.clients.key = "guest"
+	others := sm.clients.submit("urgent", 4*time.Second, gangStep(16, 1))
+	sm.clients.submit("low", 20*time.Second, gangStep(16, 1))
+	sm.run(time.Second)
+	sm.clients.key = "key"
+	guaranteed := sm.clients.submit("urgent", time.Second, gangStep(16, 1))
+	sm.run(reclaimBound)
+	if _, ok := guaranteed.startDelay(); !ok {
+		t.Errorf("the job within the guarantee has not started whole within %s", reclaimBound)
+	}
+	sm.run(4 * time.Second)
+	if len(others.doneAt) < 16 {
+		t.Errorf("%d of 16 tasks of the other workspace's urgent job are done", len(others.doneAt))
+	}
+	sm.failOnViolations(t)
+}
--- a/chuteentry/simulation_test.go
+++ b/chuteentry/simulation_test.go
@@ -59,8 +59,10 @@
 			{Name: "normal", Host: "q.example", PathPrefix: "/normal/", Service: "main", Priority: 1, Attempts: 4, Stretch: 3},
 			{Name: "low", Host: "q.example", PathPrefix: "/low/", Service: "main", Priority: 2, Attempts: 4, Stretch: 3},
 		},
-		Services:   []chutecatalog.Service{{Name: "main"}},
-		Workspaces: []chutecatalog.Workspace{{Name: "team", Keys: []string{"key"}, GuaranteedAccelerators: 16}},
+		Services: []chutecatalog.Service{{Name: "main"}},
+		Workspaces: []chutecatalog.Workspace{
+			{Name: "team", Keys: []string{"key"}, GuaranteedAccelerators: 16}, {Name: "guests", Keys: []string{"guest"}},
+		},
 	}
 }
 
--- a/chutegraph/graph_test.go
+++ b/chutegraph/graph_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
 )
 
@@ -46,3 +47,24 @@
 		}
 	})
 }
+
+func TestPeakAccelerators(t *testing.T) {
+	step := func(count, accelerators int, after ...int) chutegraph.Step {
+		return chutegraph.Step{Count: count, Request: chutecapacity.Resources{Accelerators: accelerators}, After: after}
+	}
+	cases := []struct {
+		name  string
+		steps []chutegraph.Step
+		want  int
+	}{
+		{"one step", []chutegraph.Step{step(3, 8)}, 24},
+		{"steps one after the other", []chutegraph.Step{step(3, 8), step(4, 2, 0), step(5, 1, 1)}, 24},
+		{"two steps side by side", []chutegraph.Step{step(1, 1), step(4, 2, 0), step(5, 1, 0)}, 13},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(chutegraph.Spec{Steps: c.steps}.PeakAccelerators(), c.want)
+		})
+	}
+}
--- a/chutegraph/spec.go
+++ b/chutegraph/spec.go
@@ -66,6 +66,22 @@
 	return s.Recurrence.Start + time.Duration(occurrence)*s.Recurrence.Interval
 }
 
+// PeakAccelerators returns the number of accelerators that one occurrence needs at most at a time, if steps of the same
+// depth in the graph run together.
+func (s Spec) PeakAccelerators() int {
+	depths := make([]int, len(s.Steps))
+	needs := make([]int, len(s.Steps))
+	peak := 0
+	for i, step := range s.Steps {
+		for _, dependency := range step.After {
+			depths[i] = max(depths[i], depths[dependency]+1)
+		}
+		needs[depths[i]] += step.Count * step.Request.Accelerators
+		peak = max(peak, needs[depths[i]])
+	}
+	return peak
+}
+
 // Step is the specification of one or more equal tasks.
 type Step struct {
 	Count          int                     `json:"count"`
--- a/chuteplacement/evict.go
+++ b/chuteplacement/evict.go
@@ -14,27 +14,37 @@
 	cost   float64 // sum of the groups' costs and of the workers' penalties
 }
 
-// preempt evicts the cheapest run groups of lower priority that free enough capacity for the demand, and reports
-// whether there are such groups.
+// preempt evicts the cheapest run groups that free enough capacity for the demand, and reports whether there are such
+// groups. They have a lower priority, unless only equal priority makes room for a demand that a guarantee covers.
 func (p *pass) preempt(d Demand) bool {
-	var best evictionPlan
-	found := false
-	for _, workers := range p.scopes(d) {
-		plan, ok := p.cheapestEvictions(d, workers)
-		if ok && (!found || plan.cost < best.cost) {
-			best, found = plan, true
-		}
+	plan, ok := p.cheapestScope(d, p.scopes(d), d.Priority)
+	if !ok && d.Guaranteed {
+		plan, ok = p.cheapestScope(d, p.scopes(d), d.Priority-1)
 	}
-	if !found {
+	if !ok {
 		return false
 	}
-	for _, g := range best.groups {
+	for _, g := range plan.groups {
 		p.evict(g, d)
 	}
-	p.reserve(d, best.placed)
+	p.reserve(d, plan.placed)
 	return true
 }
 
+// cheapestScope returns the cheapest plan for any of the sets of workers that evicts only groups whose priority number
+// is above the given one, and false if there is none.
+func (p *pass) cheapestScope(d Demand, scopes [][]int, above int) (evictionPlan, bool) {
+	var best evictionPlan
+	found := false
+	for _, workers := range scopes {
+		plan, ok := p.cheapestEvictions(d, workers, above)
+		if ok && (!found || plan.cost < best.cost) {
+			best, found = plan, true
+		}
+	}
+	return best, found
+}
+
 // evict decides to stop all runs of the group, and counts what they reserve as free once they have stopped.
 func (p *pass) evict(group int, d Demand) {
 	p.evicted[group] = true
@@ -49,7 +59,7 @@
 
 // cheapestEvictions places the waiting tasks one by one, each on the worker where freeing capacity for it costs least.
 // It returns false if the workers can't hold all of them.
-func (p *pass) cheapestEvictions(d Demand, workers []int) (evictionPlan, bool) {
+func (p *pass) cheapestEvictions(d Demand, workers []int, above int) (evictionPlan, bool) {
 	need := d.Step.Reserved()
 	search := &evictionSearch{pass: p, freed: make(map[int]chutecapacity.Resources), selected: make(map[int]bool)}
 	taken := make(map[int]int, len(d.Indexes))
@@ -61,7 +71,7 @@
 			if !p.antiAffinityAllows(d, w, taken[w]) {
 				continue
 			}
-			groups, cost, ok := search.cheapestGroups(w, need.Times(taken[w]+1), d.Priority)
+			groups, cost, ok := search.cheapestGroups(w, need.Times(taken[w]+1), above)
 			cost += p.workers[w].Penalty
 			if ok && (best < 0 || cost < bestCost) {
 				best, bestCost, bestGroups = w, cost, groups
@@ -87,13 +97,13 @@
 }
 
 // cheapestGroups returns the groups to evict so that the resources fit on the worker, cheapest first, and their total
-// cost. It returns false if they don't fit even without all groups of lower priority.
-func (s *evictionSearch) cheapestGroups(worker int, need chutecapacity.Resources, priority int) ([]int, float64, bool) {
+// cost. It returns false if they don't fit even without all groups whose priority number is above the given one.
+func (s *evictionSearch) cheapestGroups(worker int, need chutecapacity.Resources, above int) ([]int, float64, bool) {
 	free := s.workers[worker].afterStops.Plus(s.freed[worker])
 	if need.Fits(free) {
 		return nil, 0, true
 	}
-	candidates := s.candidates(worker, priority)
+	candidates := s.candidates(worker, above)
 	var groups []int
 	cost := 0.0
 	for _, g := range candidates {
@@ -108,11 +118,12 @@
 	return nil, 0, false
 }
 
-// candidates returns the groups on the worker that have a lower priority, the one with the lowest cost per core first.
-func (s *evictionSearch) candidates(worker, priority int) []int {
+// candidates returns the groups on the worker whose priority number is above the given one, the one with the lowest
+// cost per core first.
+func (s *evictionSearch) candidates(worker, above int) []int {
 	var candidates []int
 	for _, g := range s.onWorker[s.workers[worker].ID] {
-		if !s.evicted[g] && !s.selected[g] && s.groups[g].Priority > priority && !slices.Contains(candidates, g) {
+		if !s.evicted[g] && !s.selected[g] && s.groups[g].Priority > above && !slices.Contains(candidates, g) {
 			candidates = append(candidates, g)
 		}
 	}
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -75,6 +75,10 @@
 		if p.preempt(d) {
 			return true
 		}
+		if d.Guaranteed && d.Step.SameRack { // it runs longer on several racks, but the guarantee holds
+			d.Step.SameRack = false
+			return p.scheduleTogether(d)
+		}
 	}
 	p.unplaced = append(p.unplaced, d)
 	if d.NeedsReservation && !p.reserved {
@@ -124,7 +128,9 @@
 		return false
 	case failed.Step.SameRack && len(failed.Indexes) > 1 && !sameShape(failed, d):
 		return false // a demand that is too large for every rack may be spread over several
-	case constrained(failed) || failed.Priority > d.Priority || d.MayPreempt && !failed.MayPreempt:
+	case constrained(failed) || failed.Priority > d.Priority:
+		return false
+	case d.MayPreempt && !failed.MayPreempt || d.Guaranteed && !failed.Guaranteed:
 		return false
 	case failed.Step.Gang && (!d.Step.Gang || len(failed.Indexes) > len(d.Indexes)):
 		return false
--- a/chuteplacement/plan_test.go
+++ b/chuteplacement/plan_test.go
@@ -56,6 +56,11 @@
 	return d
 }
 
+func guaranteed(d chuteplacement.Demand) chuteplacement.Demand {
+	d.Guaranteed = true
+	return d
+}
+
 // group returns a run group with one run on each of the workers.
 func group(name string, priority int, cost float64, accelerators int, on ...int) chuteplacement.RunGroup {
 	g := chuteplacement.RunGroup{Priority: priority, Cost: cost}
@@ -142,6 +147,29 @@
 			[]chuteplacement.Demand{reserving(demand("a", 1, 2, 8, sameRackGang)), demand("b", 2, 5, 4, nil)},
 			[]string{"b>w1", "b>w6"},
 		},
+		{
+			"urgent work evicts no urgent work", workers(0),
+			[]chuteplacement.RunGroup{group("x", 0, 1, 8, 0)},
+			[]chuteplacement.Demand{demand("a", 0, 1, 8, nil)},
+			nil,
+		},
+		{
+			"work that a guarantee covers evicts urgent work", workers(0),
+			[]chuteplacement.RunGroup{group("x", 0, 1, 8, 0)},
+			[]chuteplacement.Demand{guaranteed(demand("a", 0, 1, 8, nil))},
+			[]string{"x!w0"},
+		},
+		{
+			"work that a guarantee covers evicts lower priorities first, however much that loses", workers(0, 0),
+			[]chuteplacement.RunGroup{group("x", 0, 1, 8, 0), group("y", 2, 1000, 8, 1)},
+			[]chuteplacement.Demand{guaranteed(demand("a", 0, 1, 8, nil))},
+			[]string{"y!w1"},
+		},
+		{
+			"work that a guarantee covers leaves its rack if no rack can be emptied", workers(8, 0, 0, 0, 8, 0, 0, 0), nil,
+			[]chuteplacement.Demand{guaranteed(demand("a", 0, 2, 8, sameRackGang))},
+			[]string{"a>w0", "a>w4"},
+		},
 		{
 			"a gang starts in one rack", workers(8, 0, 0, 0, 8, 8, 0, 0), nil,
 			[]chuteplacement.Demand{demand("a", 1, 2, 8, sameRackGang)},
--- a/chuteplacement/view.go
+++ b/chuteplacement/view.go
@@ -30,6 +30,7 @@
 }
 
 // RunGroup is a set of runs that can only be stopped together: the run of one task, or the runs of all tasks of a gang.
+// Runs that a guarantee covers are in no group.
 type RunGroup struct {
 	Priority int
 	Cost     float64 // core-seconds of work that are lost when it is stopped
@@ -54,6 +55,7 @@
 	Excluded         map[chutetask.WorkerID]bool   // workers on which no task of the step may start
 	Tickets          map[chutetask.WorkerID]string // approval tickets of the workers that may run the step; nil if any may
 	MayPreempt       bool                          // runs of lower priority may be evicted for it
+	Guaranteed       bool                          // its workspace's guarantee covers it: if need be, runs of equal priority are evicted as well
 	NeedsReservation bool                          // it has waited so long that capacity is reserved for it
 }
 
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -30,6 +30,7 @@
 
 // plan decides on all waiting tasks and carries out the decisions.
 func (p *pass) plan() {
+	p.guaranteed = guaranteedJobs(p.Transition)
 	demands := p.demands()
 	p.updateWaiting(demands)
 	if len(demands) == 0 {
@@ -137,7 +138,19 @@
 	order  int64
 }
 
-// demands returns the steps with tasks that wait for capacity, sorted by priority and acceptance.
+// compareGuaranteed orders demands that a guarantee covers before the others.
+func compareGuaranteed(a, b chuteplacement.Demand) int {
+	switch {
+	case a.Guaranteed && !b.Guaranteed:
+		return -1
+	case !a.Guaranteed && b.Guaranteed:
+		return 1
+	}
+	return 0
+}
+
+// demands returns the steps with tasks that wait for capacity: first those that a guarantee covers, then by priority and
+// acceptance.
 func (p *pass) demands() []chuteplacement.Demand {
 	var list []rankedDemand
 	for i := p.Live.Iterator(); !i.Done(); {
@@ -145,7 +158,7 @@
 		list = p.appendDemands(list, j)
 	}
 	slices.SortStableFunc(list, func(a, b rankedDemand) int {
-		return cmp.Or(cmp.Compare(a.demand.Priority, b.demand.Priority), cmp.Compare(a.order, b.order))
+		return cmp.Or(compareGuaranteed(a.demand, b.demand), cmp.Compare(a.demand.Priority, b.demand.Priority), cmp.Compare(a.order, b.order))
 	})
 	demands := make([]chuteplacement.Demand, len(list))
 	for i, r := range list {
@@ -178,7 +191,7 @@
 	}
 	priority := p.Priority(j)
 	d := chuteplacement.Demand{
-		ID: id, Step: step, Service: p.Service(j), Priority: priority, MayPreempt: priority == 0,
+		ID: id, Step: step, Service: p.Service(j), Priority: priority, MayPreempt: priority == 0, Guaranteed: p.guaranteed[j.ID],
 		TasksByWorker: make(map[chutetask.WorkerID]int),
 	}
 	for i, task := range tasks {
--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -45,4 +45,5 @@
 type pass struct {
 	*chuterunner.Transition
 	Planner
+	guaranteed map[chutegraph.JobID]bool // jobs that their workspaces' guarantees cover
 }
