Keep the capacity that runs were evicted for for the demand that waits for it

Each pass placed all waiting demands anew, so that one took what another's runs had been stopped for, and that one had further runs evicted. Change: a pass nominates the workers that it keeps for a waiting urgent task; the next pass claims them before any demand is placed, as long as the capacity is still about to be free. A demand with its claims needs no search for runs to evict.

--- a/chuteentry/guarantee_test.go
+++ b/chuteentry/guarantee_test.go
@@ -1,6 +1,7 @@
 package chuteentry_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -75,3 +76,37 @@
 	}
 	sm.failOnViolations(t)
 }
+
+// TestUrgentGangsEvictNoMoreThanTheyNeed plays a load of urgent gangs of different widths that keep coming while small
+// tasks of low priority fill all workers. Each gang must start soon, and no more runs may be stopped than the gangs need
+// capacity for: gangs that take from each other what runs were stopped for would have further runs stopped.
+func TestUrgentGangsEvictNoMoreThanTheyNeed(t *testing.T) {
+	sm := newSimulation(3, 2, 32)
+	sm.run(3 * time.Second)
+	for range 8 {
+		sm.clients.submit("low", time.Minute, chutegraph.Step{Count: 32, Request: taskStep(1).Request})
+	}
+	sm.run(3 * time.Second)
+	var gangs []*fakeJob
+	needed := 0
+	for n := range 12 {
+		step := gangStep(1+n%3, 8)
+		step.SameRack = true
+		needed += step.Count * step.Request.Accelerators
+		sm.after(time.Duration(n)*30*time.Millisecond, func() {
+			gangs = append(gangs, sm.clients.submit("urgent", 10*time.Second, step))
+		})
+	}
+	sm.run(3 * time.Second)
+	for _, j := range gangs {
+		if delay, ok := j.startDelay(); !ok || delay > reclaimBound {
+			t.Errorf("urgent gang %s of %d has not started whole within %s", j.id, j.spec.Steps[0].Count, reclaimBound)
+		}
+	}
+	stopped := strings.Count(sm.logLinesWith("run yields"), "run yields")
+	t.Logf("%d runs stopped for %d accelerators", stopped, needed)
+	if stopped > needed {
+		t.Errorf("%d runs of one accelerator were stopped for %d accelerators", stopped, needed)
+	}
+	sm.failOnViolations(t)
+}
--- a/chuteplacement/evict.go
+++ b/chuteplacement/evict.go
@@ -27,7 +27,7 @@
 	for _, g := range plan.groups {
 		p.evict(g, d)
 	}
-	p.reserve(d, plan.placed)
+	p.nominate(d, plan.placed)
 	return true
 }
 
--- /dev/null
+++ b/chuteplacement/nominate.go
@@ -0,0 +1,88 @@
+package chuteplacement
+
+import "monsoonchute.example/monsoonchute/chutegraph"
+
+// nominate reserves the capacity of the workers for the waiting tasks of the demand, in this pass and the next.
+func (p *pass) nominate(d Demand, placed []int) {
+	for i, w := range placed {
+		p.decisions = append(p.decisions, Nominate{Task: d.task(i), Worker: p.workers[w].ID})
+	}
+	p.reserve(d, placed)
+}
+
+// claimNominated reserves the capacity that an earlier pass nominated for the demands, where it is still about to become
+// free. A gang gets it for all of its members or for none.
+func (p *pass) claimNominated(demands []Demand) {
+	for _, d := range demands {
+		if !d.MayPreempt || len(d.Nominated) == 0 {
+			continue
+		}
+		if d.Step.Gang {
+			p.claim(d)
+			continue
+		}
+		single := d
+		for i := range d.Indexes {
+			single.Indexes = d.Indexes[i : i+1]
+			p.claim(single)
+		}
+	}
+}
+
+// claim reserves the nominated capacity for all waiting tasks of the demand, unless it won't be there for one of them.
+func (p *pass) claim(d Demand) {
+	var placed []int
+	for _, index := range d.Indexes {
+		w, ok := p.index[d.Nominated[index]]
+		if !ok || !d.Step.Reserved().Fits(p.workers[w].freeAt(freeAfterEnds)) {
+			p.unreserve(d, placed)
+			return
+		}
+		single := d
+		single.Indexes = []int{index}
+		p.reserve(single, []int{w})
+		placed = append(placed, w)
+	}
+	for i, w := range placed {
+		p.claims[d.task(i)] = w
+	}
+}
+
+// claimed reports whether nominated capacity is kept for all waiting tasks of the demand.
+func (p *pass) claimed(d Demand) bool {
+	for i := range d.Indexes {
+		if _, ok := p.claims[d.task(i)]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// releaseClaim gives up the claims of the demand's waiting tasks, and returns their workers, or nil if there are none.
+func (p *pass) releaseClaim(d Demand) []int {
+	if !p.claimed(d) {
+		return nil
+	}
+	placed := make([]int, len(d.Indexes))
+	for i := range d.Indexes {
+		placed[i] = p.claims[d.task(i)]
+		delete(p.claims, d.task(i))
+	}
+	p.unreserve(d, placed)
+	return placed
+}
+
+// unreserve gives back capacity that was reserved for tasks of the demand on the workers.
+func (p *pass) unreserve(d Demand, placed []int) {
+	need := d.Step.Reserved()
+	for _, w := range placed {
+		p.workers[w].free = p.workers[w].free.Plus(need)
+		p.workers[w].afterStops = p.workers[w].afterStops.Plus(need)
+		p.workers[w].afterEnds = p.workers[w].afterEnds.Plus(need)
+	}
+}
+
+// task returns the id of the i-th waiting task.
+func (d Demand) task(i int) chutegraph.TaskID {
+	return chutegraph.TaskID{StepID: d.ID, Index: d.Indexes[i]}
+}
--- a/chuteplacement/pass.go
+++ b/chuteplacement/pass.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
@@ -20,7 +21,8 @@
 	decisions []Decision
 	// preemptAttempts is the number of demands for which a search for runs to evict was made.
 	preemptAttempts int
-	reserved        bool // capacity is reserved for a demand that waits
+	reserved        bool                      // capacity is reserved for a demand that waits
+	claims          map[chutegraph.TaskID]int // index of the worker on which nominated capacity is kept for a task
 }
 
 // workerState is a worker with the capacity that it has left during the pass.
@@ -49,7 +51,7 @@
 func newPass(view View) *pass {
 	p := &pass{
 		index: make(map[chutetask.WorkerID]int), groups: view.RunGroups, evicted: make([]bool, len(view.RunGroups)),
-		onWorker: make(map[chutetask.WorkerID][]int),
+		onWorker: make(map[chutetask.WorkerID][]int), claims: make(map[chutegraph.TaskID]int),
 	}
 	byRack := make(map[string]int)
 	for i, w := range view.Workers {
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -1,13 +1,12 @@
 package chuteplacement
 
-import (
-	"monsoonchute.example/monsoonchute/chutegraph"
-)
-
 // Plan decides on the demands one after another: it starts the tasks that fit, and evicts runs for demands that may
-// preempt. Capacity that a preempting demand waits for is not given to later demands.
+// preempt. Capacity that a preempting demand waits for is not given to others. A demand that waits for capacity which an
+// earlier pass nominated for it keeps that capacity, whatever comes before it now: otherwise demands would take from each
+// other what runs were evicted for, and evict more.
 func Plan(view View) []Decision {
 	p := newPass(view)
+	p.claimNominated(view.Demands)
 	for _, d := range view.Demands {
 		p.schedule(d)
 	}
@@ -18,8 +17,9 @@
 // for Plan must hold the run groups and the resources that are expected to become free.
 func NeedsRunGroups(view View) bool {
 	p := newPass(view)
+	p.claimNominated(view.Demands)
 	for _, d := range view.Demands {
-		if !d.MayPreempt {
+		if !d.MayPreempt || p.claimed(d) {
 			continue
 		}
 		placed, ok := p.place(d, freeNow)
@@ -60,14 +60,19 @@
 // scheduleTogether starts all waiting tasks of the demand or none of them. It reports whether it has found capacity,
 // either free now or free once other runs have ended.
 func (p *pass) scheduleTogether(d Demand) bool {
+	claim := p.releaseClaim(d)
 	if placed, ok := p.place(d, freeNow); ok {
 		p.start(d, placed)
 		return true
 	}
+	if claim != nil {
+		p.nominate(d, claim)
+		return true
+	}
 	if d.MayPreempt && p.preemptAttempts < maxPreemptAttempts {
 		for _, a := range []availability{freeAfterStops, freeAfterEnds} {
 			if placed, ok := p.place(d, a); ok {
-				p.reserve(d, placed)
+				p.nominate(d, placed)
 				return true
 			}
 		}
@@ -91,8 +96,7 @@
 // start decides to start each waiting task on its worker and reserves the capacity.
 func (p *pass) start(d Demand, placed []int) {
 	for i, w := range placed {
-		id := chutegraph.TaskID{StepID: d.ID, Index: d.Indexes[i]}
-		p.decisions = append(p.decisions, Start{Task: id, Worker: p.workers[w].ID})
+		p.decisions = append(p.decisions, Start{Task: d.task(i), Worker: p.workers[w].ID})
 		if d.Step.AntiAffinity > 0 {
 			d.TasksByWorker[p.workers[w].ID]++
 		}
--- a/chuteplacement/plan_test.go
+++ b/chuteplacement/plan_test.go
@@ -83,6 +83,7 @@
 			lines = append(lines, fmt.Sprintf("%s>%s", d.Task.Job, d.Worker))
 		case chuteplacement.Evict:
 			lines = append(lines, fmt.Sprintf("%s!%s", d.Run.Task.Job, d.Worker))
+		case chuteplacement.Nominate:
 		}
 	}
 	slices.Sort(lines)
@@ -275,6 +276,43 @@
 	is.Equal(describe(chuteplacement.Plan(view)), nil)
 }
 
+// TestDemandsKeepTheCapacityThatRunsWereEvictedFor guards against demands that take from each other, in a later pass, the
+// capacity that runs were evicted for, so that further runs are evicted.
+func TestDemandsKeepTheCapacityThatRunsWereEvictedFor(t *testing.T) {
+	is := is.New(t)
+	view := chuteplacement.View{Workers: workers(0, 0, 0, 0, 0, 0, 0, 0), Demands: []chuteplacement.Demand{
+		demand("small", 0, 2, 8, sameRackGang), demand("large", 0, 3, 8, sameRackGang),
+	}}
+	for i := range view.Workers {
+		if i < 3 || i == 4 || i == 5 {
+			view.Workers[i].Stopping = view.Workers[i].Capacity
+		} else {
+			view.RunGroups = append(view.RunGroups, group("x", 2, 1, 8, i))
+		}
+	}
+	view.Demands[0].Nominated = map[int]chutetask.WorkerID{0: "w4", 1: "w5"}
+	view.Demands[1].Nominated = map[int]chutetask.WorkerID{0: "w0", 1: "w1", 2: "w2"}
+	is.Equal(describe(chuteplacement.Plan(view)), nil)
+	view.Demands[0].Nominated, view.Demands[1].Nominated = nil, nil
+	is.True(len(describe(chuteplacement.Plan(view))) > 0) // without nominations, the first demand takes what the second waits for
+}
+
+// TestEvictionsNominateWorkers checks that each task for which runs are evicted keeps its worker.
+func TestEvictionsNominateWorkers(t *testing.T) {
+	is := is.New(t)
+	view := chuteplacement.View{
+		Workers: workers(0, 0), RunGroups: []chuteplacement.RunGroup{group("x", 2, 1, 8, 0), group("y", 2, 9, 8, 1)},
+		Demands: []chuteplacement.Demand{demand("u", 0, 1, 8, nil)},
+	}
+	var nominated []chutetask.WorkerID
+	for _, decision := range chuteplacement.Plan(view) {
+		if d, ok := decision.(chuteplacement.Nominate); ok {
+			nominated = append(nominated, d.Worker)
+		}
+	}
+	is.Equal(nominated, []chutetask.WorkerID{"w0"})
+}
+
 func TestUrgentTaskWaitsForRunThatEndsSoonInsteadOfEvicting(t *testing.T) {
 	is := is.New(t)
 	ending := worker(1, 0)
@@ -312,6 +350,7 @@
 				if steps[d.For].Priority != 0 {
 					t.Fatalf("seed %d: %s is evicted for a demand that is not urgent", seed, d.Run)
 				}
+			case chuteplacement.Nominate:
 			}
 		}
 		for id, left := range free {
--- a/chuteplacement/view.go
+++ b/chuteplacement/view.go
@@ -55,11 +55,12 @@
 	Excluded         map[chutetask.WorkerID]bool   // workers on which no task of the step may start
 	Tickets          map[chutetask.WorkerID]string // approval tickets of the workers that may run the step; nil if any may
 	MayPreempt       bool                          // runs of lower priority may be evicted for it
+	Nominated        map[int]chutetask.WorkerID    // worker whose capacity an earlier pass nominated for a task, by its index
 	Guaranteed       bool                          // its workspace's guarantee covers it: if need be, runs of equal priority are evicted as well
 	NeedsReservation bool                          // it has waited so long that capacity is reserved for it
 }
 
-// Decision is a result of a planning pass: a Start or an Evict.
+// Decision is a result of a planning pass: a Start, an Evict or a Nominate.
 //
 //sumtype:decl
 type Decision interface{ sealedDecision() }
@@ -78,5 +79,12 @@
 	Cost   float64 // of the run's group, in core-seconds
 }
 
-func (Start) sealedDecision() {}
-func (Evict) sealedDecision() {}
+// Nominate keeps capacity that is about to become free on a worker for a task until the next pass.
+type Nominate struct {
+	Task   chutegraph.TaskID
+	Worker chutetask.WorkerID
+}
+
+func (Start) sealedDecision()    {}
+func (Evict) sealedDecision()    {}
+func (Nominate) sealedDecision() {}
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -32,6 +32,7 @@
 func (p *pass) plan() {
 	p.guaranteed = guaranteedJobs(p.Transition)
 	demands := p.demands()
+	p.nominated = make(map[chutegraph.StepID]map[int]chutetask.WorkerID)
 	p.updateWaiting(demands)
 	if len(demands) == 0 {
 		return
@@ -49,6 +50,8 @@
 		case chuteplacement.Evict:
 			p.Log(component, "run yields", d.Run.Task.Job, "run", d.Run, "to", d.For, "wasted", d.Cost)
 			p.StopRun(d.Worker, d.Run, "yields")
+		case chuteplacement.Nominate:
+			p.keepNomination(d)
 		}
 	}
 	for _, d := range demands {
@@ -58,6 +61,14 @@
 	}
 }
 
+// keepNomination stores the worker that is nominated for a task until the next pass.
+func (p *pass) keepNomination(d chuteplacement.Nominate) {
+	if p.nominated[d.Task.StepID] == nil {
+		p.nominated[d.Task.StepID] = make(map[int]chutetask.WorkerID)
+	}
+	p.nominated[d.Task.StepID][d.Task.Index] = d.Worker
+}
+
 // logStart logs on which workers the tasks of a step start, and from how many racks these are.
 func (p *pass) logStart(d chuteplacement.Demand, workers []chutetask.WorkerID) {
 	racks := make(map[string]bool)
@@ -191,7 +202,7 @@
 	}
 	priority := p.Priority(j)
 	d := chuteplacement.Demand{
-		ID: id, Step: step, Service: p.Service(j), Priority: priority, MayPreempt: priority == 0, Guaranteed: p.guaranteed[j.ID],
+		ID: id, Step: step, Service: p.Service(j), Priority: priority, MayPreempt: priority == 0, Guaranteed: p.guaranteed[j.ID], Nominated: p.nominated[id],
 		TasksByWorker: make(map[chutetask.WorkerID]int),
 	}
 	for i, task := range tasks {
--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -7,6 +7,7 @@
 
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuterunner"
+	"monsoonchute.example/monsoonchute/chutetask"
 )
 
 const (
@@ -23,6 +24,8 @@
 	workersListedAt time.Time // when all workers had been read from the list
 	approvals       *immutable.SortedMap[chutegraph.StepID, approval]
 	pendingRequests int // requests to the approval service that have no answer yet
+	// nominated is the worker on which capacity is kept for a waiting task, as the latest pass decided.
+	nominated map[chutegraph.StepID]map[int]chutetask.WorkerID // never changed once stored
 	// waitingSince is the time since when each gang has waited for capacity.
 	waitingSince *immutable.SortedMap[chutegraph.StepID, time.Time]
 }
