Report a call as uncertain if an earlier host may have carried it out

Cause: chuteclient returned the outcome of the last host, also a refusal (class not run, exit code 2), although an earlier one may have taken the call and its answer was lost or cut short. Change: the first uncertain outcome is kept; a refusal by a later host doesn't replace it, an answer that the call ran does. An answer that cannot be decoded is answer-truncated. Test that failed first: TestARefusalAfterALostAnswerDoesNotProveThatNothingRan (three of five cases).

--- a/chuteclient/client.go
+++ b/chuteclient/client.go
@@ -63,14 +63,15 @@
 }
 
 // call sends the call with the same request id to the entry hosts in turn, up to maxRounds times. If none accepts it,
-// call returns the outcome of the last host. That is a refusal, or an error with a result: NoOwner if the host could
-// not be reached, AnswerLost if it may have received the call.
+// call returns the outcome of the last host: a refusal, or the error NoOwner if the host could not be reached. If an
+// earlier host may have carried out the call, a refusal proves nothing, and call returns the error of that host instead.
 func (c *Client) call(method, path string, body []byte) (chuteform.Reply, error) {
 	requestID := c.requestID
 	if requestID == "" {
 		requestID = uuid.NewString()
 	}
 	var reply chuteform.Reply
+	var uncertain error // of the first host that may have carried out the call
 	err := error(chuteresult.New(chuteresult.NoOwner, "no entry host could be reached"))
 	for attempt := range maxRounds * len(c.addresses) {
 		if attempt > 0 && attempt%len(c.addresses) == 0 {
@@ -80,13 +81,19 @@
 		received, callErr := c.callHost(method, "http://"+address+path, requestID, body)
 		if callErr != nil {
 			err = errors.Wrap(callErr, address)
+			if !chuteresult.FromError(callErr).NotRun() && uncertain == nil {
+				uncertain = err
+			}
 			continue
 		}
 		reply, err = received, nil
 		if !shouldTryNextHost(chuteresult.Code(reply.Result.Code)) {
-			return reply, nil
+			break
 		}
 	}
+	if uncertain != nil && (err != nil || chuteresult.Code(reply.Result.Code).Class() == chuteresult.ClassNotRun) {
+		return chuteform.Reply{}, uncertain
+	}
 	return reply, err
 }
 
@@ -119,7 +126,7 @@
 		return reply, classifyError(err)
 	}
 	if err := json.Unmarshal(response.Body(), &reply); err != nil {
-		return reply, errors.Wrapf(err, "status %d", response.StatusCode())
+		return reply, chuteresult.New(chuteresult.AnswerTruncated, "status %d: %s", response.StatusCode(), err.Error())
 	}
 	return reply, nil
 }
