Wait for checkpoints taken after a stop was ordered

Cause: a part that had ever saved its progress counted as having answered the checkpoint order that precedes a stop, so that the first answer stopped the gang and up to one interval of 5 min of the other parts was lost. Change: WithStop clears the marks. Test that failed first: TestAStopWaitsForNewCheckpoints.

--- a/chutejob/job.go
+++ b/chutejob/job.go
@@ -68,7 +68,7 @@
 	BootID        string              `json:"boot"` // boot id of the worker's agent when the attempt was reserved
 	State         PartState           `json:"state"`
 	Released      bool                `json:"released"`     // a later attempt holds its accelerators, so this part has ended
-	Checkpointed  bool                `json:"checkpointed"` // has saved its progress at least once
+	Checkpointed  bool                `json:"checkpointed"` // has saved its progress since the latest stop was ordered
 	SavedProgress time.Duration       `json:"saved"`        // run time that its latest checkpoint preserves
 }
 
@@ -219,6 +219,10 @@
 
 // WithStop returns the job in the phase that leads to its stop, with the run time of the attempt added.
 func (j Job) WithStop(phase Phase, reason StopReason, now time.Time) Job {
+	j.Parts = slices.Clone(j.Parts)
+	for i := range j.Parts {
+		j.Parts[i].Checkpointed = false
+	}
 	return j.withRunTimeAdded(now).WithStopReason(reason).WithPhase(phase, now)
 }
 
