--- a/chutedocument/allot.go
+++ b/chutedocument/allot.go
@@ -60,8 +60,11 @@
 	if !d.Policy.SurviveZoneOut {
 		return d, nil
 	}
-	for zone, unpacked := range d.ZoneOutEffect(topology).UnpackedByZone {
-		return previous, chuteresult.New(chuteresult.GuaranteesNotMet, "%s does not fit with zone %s out", unpacked[0], zone)
+	unpackedByZone := d.ZoneOutEffect(topology).UnpackedByZone
+	for _, zone := range topology.Zones() {
+		if unpacked := unpackedByZone[zone]; len(unpacked) > 0 {
+			return previous, chuteresult.New(chuteresult.GuaranteesNotMet, "%s does not fit with zone %s out", unpacked[0], zone)
+		}
 	}
 	return d, nil
 }
--- a/chuterelay/peer.go
+++ b/chuterelay/peer.go
@@ -35,11 +35,16 @@
 	return &peers{group: group, log: log, links: make(map[string]*link)}
 }
 
+// setAddresses replaces the addresses. The current peer stays the current one if it is among them.
 func (p *peers) setAddresses(addresses []string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	current := ""
+	if len(p.addresses) > 0 {
+		current = p.addresses[p.current%len(p.addresses)]
+	}
 	p.addresses = slices.Clone(addresses)
-	p.current = 0
+	p.current = max(0, slices.Index(p.addresses, current))
 }
 
 // send sends the request to the current peer. If that fails, the next peer becomes the current one.
