Record nothing before the recorded progress is read

Cause: a new scheduler that saw a job's cancellation before its progress recorded the cancelled, otherwise empty state. Change: Flush returns no rows until submissions, progress and hosts are read and merged.

--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -86,7 +86,7 @@
 // mergeProgress applies the recorded progress to the submitted jobs once submissions, progress and hosts have been
 // read. It then watches the table of workers.
 func (t *transition) mergeProgress() {
-	if !t.hasProgress || !t.hasJobs || !t.hasHosts {
+	if !t.progressMerged() {
 		return
 	}
 	runs := 0
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -107,7 +107,12 @@
 
 // Ready reports whether the scheduler has read all jobs, their progress and all workers.
 func (s schedulerState) Ready() bool {
-	return s.hasProgress && s.hasJobs && s.hasWorkers
+	return s.progressMerged() && s.hasWorkers
+}
+
+// progressMerged reports whether the state of all jobs includes what earlier schedulers recorded.
+func (s schedulerState) progressMerged() bool {
+	return s.hasHosts && s.hasProgress && s.hasJobs
 }
 
 // Pending returns, by queue, how many jobs had no started task at the latest count. It leaves out jobs with set times.
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -146,9 +146,10 @@
 	t.Emit(chuteaction.RenewLease{WorkerTarget: t.Target(w), LeaseEnd: leaseEnd, AcknowledgedEnd: w.RecordedEnd, PollTimeout: pollTimeout})
 }
 
-// Flush returns up to limit rows to write and marks the write as in flight. While one is in flight it returns no rows.
+// Flush returns up to limit rows to write and marks the write as in flight. It returns no rows while one is in flight or
+// the recorded progress has not been read.
 func (s State) Flush(limit int) (State, []chuteaction.Row) {
-	if s.batch.inFlight {
+	if s.batch.inFlight || !s.progressMerged() {
 		return s, nil
 	}
 	if s.runner.Dirty.Len() == 0 {
