Hand the leadership over to a host that has been restarted already

After each hand-over the new leader reads all rows and asks all workers, and plans half a second later. Change: when a leader stops as planned, hosts that started later take over first.

--- a/chuteentry/hosts.go
+++ b/chuteentry/hosts.go
@@ -42,7 +42,7 @@
 		}
 	}
 	t.checkLeaderProcess()
-	t.state.leader = t.state.leader.WithTakeoverDelay(t.state.takeoverDelay())
+	t.state.leader = t.state.leader.WithTakeoverDelay(t.state.takeoverDelay()).WithHandOverDelay(t.state.handOverDelay())
 	if t.state.peerAddresses == known {
 		return
 	}
@@ -65,3 +65,17 @@
 	}
 	return 0
 }
+
+// handOverDelay returns how much longer than others this host waits before it takes over from a leader that stops as
+// planned: the longer, the more hosts have started later. In a rolling restart, a host that has just been restarted is
+// the one that will not stop next.
+func (s State) handOverDelay() time.Duration {
+	own, _ := s.hostRows.Get(s.settings.Host)
+	younger := 0
+	for i := s.hostRows.Iterator(); !i.Done(); {
+		if host, r, _ := i.Next(); host != s.settings.Host && r.Version > own.Version {
+			younger++
+		}
+	}
+	return min(time.Duration(younger)*handOverStep, maxHandOverDelay)
+}
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -34,7 +34,11 @@
 	largerHostRatio = 1.5
 	// smallHostTakeoverDelay is how much longer a host waits before it takes over if a larger host exists.
 	smallHostTakeoverDelay = 2500 * time.Millisecond
-	component              = "entry"
+	// handOverStep is the difference between the delays of two hosts that started one after the other.
+	handOverStep = 75 * time.Millisecond
+	// maxHandOverDelay is the longest such delay. Hosts that started later may be gone.
+	maxHandOverDelay = 450 * time.Millisecond
+	component        = "entry"
 )
 
 // Settings are the fixed parameters of the core of one entry host process.
--- a/chuteentry/takeover_test.go
+++ b/chuteentry/takeover_test.go
@@ -128,6 +128,35 @@
 	}
 }
 
+// TestARollingRestartChangesTheLeaderAtMostTwice stops and starts all hosts in turn. The leader that is stopped must hand
+// over to a host that has been restarted already, if there is one: each change of the leader delays all jobs.
+func TestARollingRestartChangesTheLeaderAtMostTwice(t *testing.T) {
+	for seed := range uint64(20) {
+		sm := newSimulation(seed, 8, 4)
+		sm.run(4 * time.Second)
+		changes := 0
+		for _, name := range sm.hostNames() {
+			former := sm.leader()
+			sm.hosts[name].deliver(chuteaction.StopRequested{})
+			sm.run(time.Second)
+			sm.hosts[name].dead = true
+			sm.startHost(name)
+			sm.run(time.Second)
+			leader := sm.leader()
+			if leader == nil {
+				t.Fatalf("seed %d: nobody leads a second after the restart of %s", seed, name)
+			}
+			if leader != former {
+				changes++
+			}
+		}
+		if changes > 2 {
+			t.Errorf("seed %d: the leader changed %d times", seed, changes)
+		}
+		sm.failOnViolations(t)
+	}
+}
+
 // TestTasksMoveFromADrainingWorker removes a worker shortly after it announces its drain; the worker reports no end of
 // its runs.
 func TestTasksMoveFromADrainingWorker(t *testing.T) {
--- a/chuteleader/leader.go
+++ b/chuteleader/leader.go
@@ -52,6 +52,7 @@
 	process       string
 	jitter        time.Duration // added to the takeover time, so that hosts do not take over at the same time
 	takeoverDelay time.Duration // how much longer than others this host waits before it takes over
+	handOverDelay time.Duration // how much longer than others it waits before it takes over from a leader that has stopped
 	role          Role
 	row           chuteaction.LeaderRow
 	predecessor   Predecessor
@@ -78,6 +79,13 @@
 	return s
 }
 
+// WithHandOverDelay returns the state of a host that waits by the delay longer than others before it takes over from a
+// leader that has released the leadership.
+func (s State) WithHandOverDelay(delay time.Duration) State {
+	s.handOverDelay = delay
+	return s
+}
+
 // Role returns the role of this host.
 func (s State) Role() Role {
 	return s.role
@@ -184,7 +192,9 @@
 	switch {
 	case s.version == 0:
 		return unchanged >= firstLeaderWait+s.jitter
-	case s.row.Released || s.endedProcess == s.row.Process:
+	case s.row.Released:
+		return unchanged >= s.handOverDelay+s.jitter/4
+	case s.endedProcess == s.row.Process:
 		return unchanged >= s.jitter/4
 	}
 	return unchanged >= leaderTimeout+s.jitter
