--- a/chutemaintenance/maintenance.go
+++ b/chutemaintenance/maintenance.go
@@ -25,6 +25,15 @@
 	Worker chutetask.WorkerID // worker on the machine; empty if there is none
 }
 
+// Find returns the machine with the id, and false if the list does not have it.
+func Find(machines []Machine, id string) (Machine, bool) {
+	index := slices.IndexFunc(machines, func(m Machine) bool { return m.ID == id })
+	if index < 0 {
+		return Machine{}, false
+	}
+	return machines[index], true
+}
+
 // Wave is the immutable state of a maintenance wave: an operator's request to maintain machines, a limited number at a
 // time.
 type Wave struct {
--- a/chuterunner/task.go
+++ b/chuterunner/task.go
@@ -49,7 +49,7 @@
 		j = j.WithStepCheckpoint(id.StepID, end.Checkpoint)
 	}
 	maxFailures := t.maxFailures(j)
-	if end.Kind == chutetask.EndFailed && !step.LongRunning && stepFailures(j, id, step) >= maxFailures {
+	if end.Kind == chutetask.EndFailed && !step.LongRunning && j.Failures(id) >= maxFailures {
 		j = j.WithPhase(chutetask.PhaseFailed)
 		t.Log(component, "job failed", j.ID, "queue", j.Queue, "task", id, "attempts", maxFailures, "took", t.Now.Sub(j.SeenAt))
 		t.PutJob(j)
@@ -62,19 +62,6 @@
 	}
 }
 
-// stepFailures returns the number of failed runs of the task, or of all members of its gang.
-func stepFailures(j chutetask.Job, id chutegraph.TaskID, step chutegraph.Step) int {
-	if !step.Gang {
-		task, _ := j.Task(id)
-		return task.Failures
-	}
-	failures := 0
-	for _, task := range j.Tasks(id.StepID) {
-		failures += task.Failures
-	}
-	return failures
-}
-
 // maxFailures returns the number of failed runs of a task at which its job fails, as the job's queue in the catalog
 // or else the job itself sets it.
 func (t *Transition) maxFailures(j chutetask.Job) int {
--- a/chutescheduler/wave.go
+++ b/chutescheduler/wave.go
@@ -1,7 +1,6 @@
 package chutescheduler
 
 import (
-	"slices"
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
@@ -143,7 +142,7 @@
 // drainMachines stops the runs on the wave's draining machines and orders the maintenance of each that is empty.
 func (t *transition) drainMachines(w waveState) {
 	for _, id := range w.Draining {
-		m, ok := t.findMachine(id)
+		m, ok := chutemaintenance.Find(t.machines, id)
 		if !ok || w.ordersInFlight[id] {
 			continue
 		}
@@ -178,21 +177,13 @@
 	}
 }
 
-func (t *transition) findMachine(id string) (chutemaintenance.Machine, bool) {
-	index := slices.IndexFunc(t.machines, func(m chutemaintenance.Machine) bool { return m.ID == id })
-	if index < 0 {
-		return chutemaintenance.Machine{}, false
-	}
-	return t.machines[index], true
-}
-
 // cordonWorkers keeps new runs off the workers whose machines are being drained.
 func (t *transition) cordonWorkers() {
 	cordoned := make(map[chutetask.WorkerID]bool)
 	for i := t.waves.Iterator(); !i.Done(); {
 		_, w, _ := i.Next()
 		for _, machine := range w.Draining {
-			if m, ok := t.findMachine(machine); ok {
+			if m, ok := chutemaintenance.Find(t.machines, machine); ok {
 				cordoned[m.Worker] = true
 			}
 		}
--- a/chutetask/job.go
+++ b/chutetask/job.go
@@ -135,6 +135,19 @@
 	return tasks[id.Index], true
 }
 
+// Failures returns the number of failed runs of the task, or of all members of its gang.
+func (j Job) Failures(id chutegraph.TaskID) int {
+	if !j.Step(id.StepID).Gang {
+		task, _ := j.Task(id)
+		return task.Failures
+	}
+	failures := 0
+	for _, task := range j.Tasks(id.StepID) {
+		failures += task.Failures
+	}
+	return failures
+}
+
 // Step returns the specification of a step.
 func (j Job) Step(id chutegraph.StepID) chutegraph.Step {
 	return j.Spec.Steps[id.Step]
