Give a slow worker time to answer a start, and ask for its report

Each repetition sent the job's payload once more. Change: three orders that wait 0.3, 0.5 and 0.7 s, in the same time as before; an order without an answer makes a report of the worker due, which confirms the start.

--- a/chuteaction/effect.go
+++ b/chuteaction/effect.go
@@ -110,6 +110,7 @@
 	LeaseEnd   time.Duration // reading of the worker's clock at which the lease expires
 	Checkpoint string
 	Ticket     string
+	Timeout    time.Duration // time without an answer after which the outcome counts as unknown
 }
 
 // StopRun orders a worker to stop a run.
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -11,7 +11,11 @@
 
 const (
 	// maxStartOrders is the number of start orders that are sent for a run before it is stopped.
-	maxStartOrders = 5
+	maxStartOrders = 3
+	// firstStartTimeout is how long the first start order of a run waits for its answer.
+	firstStartTimeout = 300 * time.Millisecond
+	// startTimeoutStep is how much longer each further order waits: the worker, or the way to it, may be slow.
+	startTimeoutStep = 200 * time.Millisecond
 	// maxClockDrift is the share by which a worker's clock may be slow, with a margin.
 	maxClockDrift = 0.03
 	// leaseMargin is added to every lease before it counts as expired.
@@ -50,7 +54,7 @@
 	t.PutWorker(w.WithRun(r.WithOrder().WithAnswerPending(true)))
 	t.Emit(chuteaction.StartRun{
 		WorkerTarget: t.Target(w), Run: r.ID, Payload: j.Spec.Payload, LeaseEnd: w.LeaseEnd,
-		Checkpoint: task.Checkpoint, Ticket: r.Ticket,
+		Checkpoint: task.Checkpoint, Ticket: r.Ticket, Timeout: firstStartTimeout + time.Duration(r.OrdersSent)*startTimeoutStep,
 	})
 }
 
@@ -86,10 +90,12 @@
 	}
 }
 
-// startUnanswered repeats a start order, or stops the run after the last one.
+// startUnanswered repeats a start order, or stops the run after the last one. It also requests a report of the worker,
+// which may have started the run.
 func (t *Transition) startUnanswered(w chutepool.Worker, r chutepool.Run) {
 	t.Count("start-unanswered", "no-answer")
 	r = r.WithStartUnanswered()
+	w.ReportDue = true
 	t.PutWorker(w.WithRun(r))
 	if r.OrdersSent < maxStartOrders {
 		t.OrderStart(w, r)
