--- a/chuteresult/result.go
+++ b/chuteresult/result.go
@@ -107,7 +107,7 @@
 	{Conflict, "conflict", 409, "The same id arrived with different content, or a concurrent change won."},
 	{Cancelled, "cancelled", 410, "The work was cancelled before it started."},
 	{BackendRefused, "backend-refused", 503, "The backend server said that it did not run the request."},
-	{NotReady, "not-ready", 503, "The entry host has not read the document head yet."},
+	{NotReady, "not-ready", 503, "The entry host has not read the document's head yet, or cannot confirm it now."},
 	{Forbidden, "forbidden", 403, "The section belongs to another team."},
 	{AlreadyEnded, "already-ended", 409, "The job has ended; nothing is left to cancel."},
 	{BackendUnreachable, "backend-unreachable", 503, "No connection to the backend server could be made; nothing was sent."},
