Start a guaranteed gang on the workers that it has claimed on several racks

Cause, found by reading the diff: a gang that a guarantee covers and that asks for one rack may be placed on several if no rack can be emptied. Its claim was kept, but each pass looked for a rack again, so that it never started. Change: a claim whose capacity is all free is started. Test that failed first: TestAClaimOnSeveralRacksStarts. Measured: go test ./chuteplacement passes.

--- a/chuteplacement/nominate.go
+++ b/chuteplacement/nominate.go
@@ -1,6 +1,11 @@
 package chuteplacement
 
-import "monsoonchute.example/monsoonchute/chutegraph"
+import (
+	"slices"
+
+	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutegraph"
+)
 
 // nominate reserves the capacity of the workers for the waiting tasks of the demand, in this pass and the next.
 func (p *pass) nominate(d Demand, placed []int) {
@@ -10,6 +15,20 @@
 	p.reserve(d, placed)
 }
 
+// startOrKeep starts the demand on the workers that it has claimed if all their capacity is free now, and keeps the claim
+// otherwise. A demand that a guarantee covers may have claimed workers of several racks.
+func (p *pass) startOrKeep(d Demand, claim []int) {
+	p.reserve(d, claim)
+	none := chutecapacity.Resources{}
+	free := !slices.ContainsFunc(claim, func(w int) bool { return !none.Fits(p.workers[w].free) })
+	p.unreserve(d, claim)
+	if free {
+		p.start(d, claim)
+		return
+	}
+	p.nominate(d, claim)
+}
+
 // claimNominated reserves the capacity that an earlier pass nominated for the demands, where it is still about to become
 // free. A gang gets it for all of its members or for none.
 func (p *pass) claimNominated(demands []Demand) {
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -66,7 +66,7 @@
 		return true
 	}
 	if claim != nil {
-		p.nominate(d, claim)
+		p.startOrKeep(d, claim)
 		return true
 	}
 	if d.MayPreempt && p.preemptAttempts < maxPreemptAttempts {
--- a/chuteplacement/plan_test.go
+++ b/chuteplacement/plan_test.go
@@ -297,6 +297,16 @@
 	is.True(len(describe(chuteplacement.Plan(view))) > 0) // without nominations, the first demand takes what the second waits for
 }
 
+// TestAClaimOnSeveralRacksStarts guards against a gang that a guarantee covers and that keeps its claim on workers of
+// several racks for good, because it asks for one rack.
+func TestAClaimOnSeveralRacksStarts(t *testing.T) {
+	is := is.New(t)
+	d := guaranteed(demand("a", 0, 2, 8, sameRackGang))
+	d.Nominated = map[int]chutetask.WorkerID{0: "w0", 1: "w4"}
+	view := chuteplacement.View{Workers: workers(8, 0, 0, 0, 8, 0, 0, 0), Demands: []chuteplacement.Demand{d}}
+	is.Equal(describe(chuteplacement.Plan(view)), []string{"a>w0", "a>w4"})
+}
+
 // TestEvictionsNominateWorkers checks that each task for which runs are evicted keeps its worker.
 func TestEvictionsNominateWorkers(t *testing.T) {
 	is := is.New(t)
--- a/chuteplanner/guarantee.go
+++ b/chuteplanner/guarantee.go
@@ -14,8 +14,8 @@
 // waits, so that a workspace within its guarantee never waits for the load of the others.
 func guaranteedJobs(t *chuterunner.Transition) map[chutegraph.JobID]bool {
 	covered := make(map[chutegraph.JobID]bool)
-	for workspace, jobs := range urgentJobs(t) {
-		left := workspace.accelerators
+	for g, jobs := range urgentJobs(t) {
+		left := g.accelerators
 		slices.SortFunc(jobs, func(a, b chutetask.Job) int { return cmp.Compare(a.AcceptanceOrder, b.AcceptanceOrder) })
 		for _, j := range jobs {
 			left -= j.Spec.PeakAccelerators()
