Log ends and recorded progress that are not applied, and the ends acknowledged to a worker before its restart

A done end that changed nothing, a progress row that could not be decoded, and the numbers acknowledged to a worker's former life left no line. Change: warnings and counters end-ignored and progress-dropped; 'worker was restarted' names the former incarnation and its end numbers, 'worker is no longer listed' says whether the worker is presumed to have ended. No decision changes.

--- a/chuterunner/listing.go
+++ b/chuterunner/listing.go
@@ -46,10 +46,11 @@
 	if !ok || !w.Listed {
 		return
 	}
-	t.Log(component, "worker is no longer listed", "", "worker", id, "reason", reason, "runs", w.RunCount())
 	w = w.WithUnlisted()
 	w.RenewAfter = t.Now
 	w.PresumedEnded = w.Contacted && t.Now.Sub(w.AnsweredAt) < recentAnswerAge && t.Now.Sub(t.Environment.ContactSince) > reregistrationTime
+	t.Log(component, "worker is no longer listed", "", "worker", id, "reason", reason, "runs", w.RunCount(),
+		"answered", t.Now.Sub(w.AnsweredAt), "presumed-ended", w.PresumedEnded)
 	t.PutWorker(w)
 }
 
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -220,6 +220,7 @@
 	}
 	task, ok := j.Task(end.Run.Task)
 	if !ok || task.Phase != chutetask.TaskActive || task.Run != end.Run.Number || task.Worker != worker {
+		t.reportIgnoredEnd(j, worker, task, end)
 		return
 	}
 	if end.Kind == chutetask.EndDone {
@@ -231,6 +232,16 @@
 	t.retryOrFail(j, end.Run.Task, task, end)
 }
 
+// reportIgnoredEnd logs a successful end that changes nothing although its task is not done.
+func (t *Transition) reportIgnoredEnd(j chutetask.Job, worker chutetask.WorkerID, task chutetask.Task, end chutetask.RunEnd) {
+	if end.Kind != chutetask.EndDone || task.Phase == chutetask.TaskDone || j.Phase.Ended() {
+		return
+	}
+	t.Count("end-ignored", "not-expected")
+	t.Warn(component, "run ended as done, but its task does not expect that end", j.ID, "run", end.Run, "worker", worker,
+		"end", end.Number, "task-active", task.Phase == chutetask.TaskActive, "task-run", task.Run, "task-worker", task.Worker)
+}
+
 // trackFailures counts the jobs whose runs failed in a row on a worker, and starts a cooldown at maxFailureStreak.
 func (t *Transition) trackFailures(w chutepool.Worker, end chutetask.RunEnd) {
 	switch end.Kind {
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -13,7 +13,8 @@
 // reach the new incarnation.
 func (t *Transition) ApplyIncarnation(w chutepool.Worker, incarnation int64) {
 	t.Count("worker-restarted", "new-incarnation")
-	t.Log(component, "worker was restarted", "", "worker", w.ID, "runs", w.RunCount(), "incarnation", incarnation)
+	t.Log(component, "worker was restarted", "", "worker", w.ID, "runs", w.RunCount(), "incarnation", incarnation,
+		"former", w.Incarnation, "ends-handled", w.HandledEnd, "ends-recorded", w.RecordedEnd, "ends-acknowledged", w.AcknowledgedEnd)
 	previous := w
 	w = w.WithIncarnation(incarnation)
 	w.RenewAfter = t.Now
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -93,11 +93,14 @@
 	for _, r := range t.progress {
 		row, ok := r.Value.(chuteaction.ProgressRow)
 		if !ok {
+			t.Count("progress-dropped", "malformed")
+			t.Warn(component, "progress row cannot be decoded", "", "key", r.Key, "version", r.Version)
 			continue
 		}
 		j, known := t.Job(row.Job)
 		if !known {
-			t.Warn(component, "progress row names an unknown job", row.Job, "version", r.Version)
+			t.Count("progress-dropped", "unknown-job")
+			t.Warn(component, "progress row names an unknown job", row.Job, "version", r.Version, "phase", row.Phase)
 			continue
 		}
 		cancelled := j.Cancelled
