Give a worker up before its lease expires only if it has removed its entry itself

What callers saw: a task that was started again after a run of it had ended as done and that end had been acknowledged (TWICE). Cause: a worker that left the list was presumed to have ended if it had answered within 3 s; one missed renewal then ended its runs without the wait for the lease. But entries also expire: a worker that reaches the hosts and not the store loses its entry after three heartbeats while its runs go on. The presumption never ended, even when the worker answered again, and an entry that another writer had overwritten counted as removed. The run's task was started elsewhere; the worker's done end was then acknowledged. Class: absence of news on one path (store) taken as proof about another (the worker). Change: the scheduler keeps the time of each worker's latest heartbeat, as late answers of the table allow to prove it. Only an entry that disappears sooner than it could have expired (two of three intervals) was removed by the worker; any answer ends the presumption; a malformed entry is no removal. The fake workers send heartbeats.

--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -27,7 +27,9 @@
 	expiredEnds     map[int64]bool            // numbers of the ends that were unacknowledged when the lease expired
 	endedAt         map[chutegraph.RunID]time.Time
 	dead            bool
-	disconnected    bool    // no host reaches the worker
+	disconnected    bool // no host reaches the worker
+	offStore        bool // the worker does not reach the store
+	heartbeatAt     time.Time
 	lostOrderRate   float64 // fraction of orders that get no answer and are executed late
 	failsRuns       bool    // every run fails
 }
@@ -56,6 +58,7 @@
 	sm.workers[name] = k
 	k.publishListing()
 	k.expireLease()
+	k.sendHeartbeats()
 	return k
 }
 
@@ -67,6 +70,19 @@
 	k.sim.store.put(k.key(), chuteaction.WorkerRow{Listing: k.listing})
 }
 
+// sendHeartbeats publishes the listing at each interval; after three intervals without a heartbeat the listing expires.
+func (k *fakeWorker) sendHeartbeats() {
+	_, listed := k.sim.store.rows[k.key()]
+	switch {
+	case !k.dead && !k.offStore:
+		k.heartbeatAt = k.sim.now
+		k.publishListing()
+	case listed && k.sim.now.Sub(k.heartbeatAt) >= 3*heartbeatInterval:
+		k.sim.store.deleteRow(k.key(), nil)
+	}
+	k.sim.after(heartbeatInterval, k.sendHeartbeats)
+}
+
 // crash ends the process; its listing is removed after the delay.
 func (k *fakeWorker) crash(listingDelay time.Duration) {
 	k.dead = true
--- a/chuteentry/simulation_test.go
+++ b/chuteentry/simulation_test.go
@@ -32,6 +32,8 @@
 	maxLease    = 6 * time.Second
 	gangTimeout = 3 * time.Second
 	stopTimeout = 200 * time.Millisecond
+	// heartbeatInterval is the time between two heartbeats of a worker.
+	heartbeatInterval = 1500 * time.Millisecond
 )
 
 func newSimulation(seed uint64, hosts, workers int) *simulation {
@@ -146,7 +148,7 @@
 	h := &fakeHost{sim: sm, name: name, process: fmt.Sprintf("%s-%d", name, sm.lastNumber), watches: make(map[chuteaction.Table]int)}
 	h.state = chuteentry.New(chuteentry.Settings{
 		Host: name, Process: h.process, RelayAddress: name, CPUShare: share, Jitter: time.Duration(sm.random.Int64N(int64(200 * time.Millisecond))),
-		Bounds: chuterunner.Bounds{MaxLease: maxLease, GangTimeout: gangTimeout, StopTimeout: stopTimeout},
+		Bounds: chuterunner.Bounds{MaxLease: maxLease, GangTimeout: gangTimeout, StopTimeout: stopTimeout, HeartbeatInterval: heartbeatInterval},
 	})
 	sm.hosts[name] = h
 	h.tick()
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -29,9 +29,11 @@
 // Worker is the immutable state of one worker.
 type Worker struct {
 	Listing
-	Listed           bool // it has an entry in the list of workers
-	Contacted        bool // its present incarnation has answered this scheduler, so that its runs are known
-	PresumedEnded    bool // its entry vanished so soon after an answer that a missed renewal means that it has ended
+	Listed           bool      // it has an entry in the list of workers
+	Contacted        bool      // its present incarnation has answered this scheduler, so that its runs are known
+	PresumedEnded    bool      // it removed its entry itself, so that a missed renewal means that it has ended
+	ListingVersion   int64     // version of its entry in the list of workers; it increases with each heartbeat
+	HeartbeatAt      time.Time // the worker wrote that version after this time; zero if unknown
 	AnsweredAt       time.Time
 	ReportClock      time.Duration // the worker's clock in its latest report of its runs
 	Lost             bool          // it did not answer before its lease expired, or has ended
@@ -102,6 +104,13 @@
 	return w
 }
 
+// WithHeartbeat returns the worker after a heartbeat, which wrote the version of its entry after the given time.
+func (w Worker) WithHeartbeat(version int64, writtenAfter time.Time) Worker {
+	w.ListingVersion = version
+	w.HeartbeatAt = writtenAfter
+	return w
+}
+
 // DiffersFrom reports whether the entry in the list says anything new about the worker.
 func (w Worker) DiffersFrom(l Listing) bool {
 	known := w.Listing
--- a/chuterunner/listing.go
+++ b/chuterunner/listing.go
@@ -8,11 +8,12 @@
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
-// ApplyListing applies the entry of a worker in the list of workers.
-func (t *Transition) ApplyListing(listing chutepool.Listing) {
+// ApplyListing applies the entry of a worker in the list of workers. The worker wrote the entry's version after the given
+// time, which is zero if nothing is known of it.
+func (t *Transition) ApplyListing(listing chutepool.Listing, version chuteaction.RowVersion, writtenAfter time.Time) {
 	w, known := t.Pool.Get(listing.ID)
 	if !known {
-		w = chutepool.NewWorker(listing, t.Now)
+		w = chutepool.NewWorker(listing, t.Now).WithHeartbeat(int64(version), writtenAfter)
 		t.PutWorker(w)
 		t.Log(component, "worker listed", "", "worker", w.ID, "zone", w.Zone, "rack", w.Rack, "draining", w.Draining)
 		return
@@ -24,6 +25,10 @@
 		t.ApplyIncarnation(w, listing.Incarnation)
 		w, _ = t.Pool.Get(listing.ID)
 	}
+	if int64(version) > w.ListingVersion {
+		w = w.WithHeartbeat(int64(version), writtenAfter)
+		t.PutWorker(w)
+	}
 	startsDraining := listing.Draining && !w.Draining
 	addressChanged := w.Address != "" && w.Address != listing.Address
 	if addressChanged {
@@ -40,23 +45,51 @@
 	}
 }
 
+// Removal is the way in which a worker's entry disappeared from the list of workers.
+type Removal int
+
+// The ways in which an entry disappears.
+const (
+	RemovalDeleted   Removal = iota // the entry was deleted
+	RemovalMissing                  // a complete list does not have the entry
+	RemovalMalformed                // the entry names no worker any more, as another writer has changed it
+)
+
+var removalNames = []string{"entry-gone", "not-in-list", "malformed"}
+
+// String returns the kebab-case name of the removal.
+func (r Removal) String() string {
+	if r < RemovalDeleted || r > RemovalMalformed {
+		return "invalid"
+	}
+	return removalNames[r]
+}
+
 // MarkUnlisted records that the list of workers no longer names the worker.
-func (t *Transition) MarkUnlisted(id chutetask.WorkerID, reason string) {
+func (t *Transition) MarkUnlisted(id chutetask.WorkerID, removal Removal) {
 	w, ok := t.Pool.Get(id)
 	if !ok || !w.Listed {
 		return
 	}
 	w = w.WithUnlisted()
 	w.RenewAfter = t.Now
-	w.PresumedEnded = w.Contacted && t.Now.Sub(w.AnsweredAt) < recentAnswerAge && t.Now.Sub(t.Environment.ContactSince) > reregistrationTime
-	t.Log(component, "worker is no longer listed", "", "worker", id, "reason", reason, "runs", w.RunCount(),
-		"answered", t.Now.Sub(w.AnsweredAt), "presumed-ended", w.PresumedEnded)
+	w.PresumedEnded = removal != RemovalMalformed && t.hasLeft(w)
+	t.Log(component, "worker is no longer listed", "", "worker", id, "reason", removal, "runs", w.RunCount(),
+		"heartbeat", t.Now.Sub(w.HeartbeatAt), "answered", t.Now.Sub(w.AnsweredAt), "presumed-ended", w.PresumedEnded)
 	t.PutWorker(w)
 }
 
+// hasLeft reports whether a worker whose entry has disappeared has removed the entry itself at its end. An entry also
+// expires after several heartbeats that do not reach the store, while the worker goes on running and may answer orders.
+func (t *Transition) hasLeft(w chutepool.Worker) bool {
+	silence := t.Now.Sub(w.HeartbeatAt)
+	return w.Contacted && silence < maxHeartbeatsBeforeLeave*t.Bounds.HeartbeatInterval &&
+		t.Now.Sub(t.Environment.ContactSince) > reregistrationTime
+}
+
 // reregistrationTime is how long after an outage of the store the entries of live workers may be missing.
 const reregistrationTime = 4 * time.Second
 
-// recentAnswerAge is the age of a worker's latest answer below which its entry cannot have expired for lack of
-// heartbeats. A worker that disappears from the list sooner and does not answer again has ended.
-const recentAnswerAge = 3 * time.Second
+// maxHeartbeatsBeforeLeave is the number of heartbeat intervals since a worker's latest heartbeat within which its entry
+// cannot have expired. Entries expire after three.
+const maxHeartbeatsBeforeLeave = 2
--- a/chuterunner/state.go
+++ b/chuterunner/state.go
@@ -91,6 +91,8 @@
 	MaxLease    time.Duration // longest lease that a worker grants
 	GangTimeout time.Duration // how long members of a gang wait for the others
 	StopTimeout time.Duration // longest time that a run takes to stop
+	// HeartbeatInterval is the time between two heartbeats of a worker; 0 if unknown.
+	HeartbeatInterval time.Duration
 	// UnconfirmedLimit is how long a scheduler renews leases without a successful write to the store.
 	UnconfirmedLimit time.Duration
 }
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -139,7 +139,7 @@
 	stale := w.Contacted && e.Clock < w.ReportClock // answers may arrive out of order
 	w.ReportClock = max(w.ReportClock, e.Clock)
 	w.Clock = chutepool.Clock{Reading: e.Clock, ReadAt: t.Now}
-	w.MissedRenewals, w.Lost = 0, false
+	w.MissedRenewals, w.Lost, w.PresumedEnded = 0, false, false
 	w.AnsweredAt = t.Now
 	w.Contacted = true
 	t.PutWorker(w)
--- a/chutescheduler/worker.go
+++ b/chutescheduler/worker.go
@@ -1,6 +1,8 @@
 package chutescheduler
 
 import (
+	"time"
+
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -9,23 +11,28 @@
 // HandleWorkers handles a change of the table of workers.
 func (s State) HandleWorkers(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.TableChanged) State {
 	u := s.transition(t, environment)
+	writtenAfter := u.workersReadAt // changes have been written since the former answer
+	if e.Complete {
+		writtenAfter = time.Time{}
+	}
+	u.workersReadAt = t.Now
 	present := make(map[chutetask.WorkerID]bool)
 	for _, r := range e.Rows {
 		id := chutetask.WorkerID(r.Key)
 		row, ok := r.Value.(chuteaction.WorkerRow)
 		if !ok {
-			u.MarkUnlisted(id, "entry-gone")
+			u.MarkUnlisted(id, removalOf(r))
 			continue
 		}
 		present[id] = true
-		u.ApplyListing(row.Listing)
+		u.ApplyListing(row.Listing, r.Version, writtenAfter)
 	}
 	if !e.Complete {
 		return u.state()
 	}
 	for _, w := range u.Pool.All() {
 		if w.Listed && !present[w.ID] {
-			u.MarkUnlisted(w.ID, "not-in-list")
+			u.MarkUnlisted(w.ID, chuterunner.RemovalMissing)
 		}
 	}
 	if !u.hasWorkers {
@@ -36,3 +43,11 @@
 	}
 	return u.state()
 }
+
+// removalOf returns how a row that names no worker has removed the worker's entry.
+func removalOf(r chuteaction.Row) chuterunner.Removal {
+	if r.Deleted {
+		return chuterunner.RemovalDeleted
+	}
+	return chuterunner.RemovalMalformed
+}
