Complete a task by the done end of a run that was taken as lost

What callers saw: a task that was started again after its done end had been acknowledged (TWICE); its job ended later than it could. Cause: chuterunner applied an end only if it belonged to the task's active run. When a run had been ended as lost and its worker came back with a done end, the end was ignored, counted as handled and acknowledged, and the task started again. This is the common last step of every wrong conclusion 'lost', whatever its cause, and of every late done end of a gang whose members had been lost. Change: a done end of any run of an unfinished task completes the task (the gang, if it is one). Runs that have replaced it are stopped: planned ones are released, those being recorded are dropped after the write. Evidence: TestADoneEndOfARunTakenAsLostCompletesItsTask, six cases, failed on the code before. The drop after the write has no test of its own. Measured: go test ./chuterunner ./chutescheduler ./chuteentry pass.

--- a/chuterunner/lost_test.go
+++ b/chuterunner/lost_test.go
@@ -65,3 +65,61 @@
 		})
 	}
 }
+
+func TestADoneEndOfARunTakenAsLostCompletesItsTask(t *testing.T) {
+	cases := []struct {
+		name    string
+		next    chutepool.RunPhase // phase of the task's next run; 0 for none
+		gang    bool
+		stopped bool // the next run is ordered to stop
+	}{
+		{"no next run", 0, false, false},
+		{"next run planned", chutepool.RunPlanned, false, false},
+		{"next run ordered", chutepool.RunOrdered, false, true},
+		{"next run started", chutepool.RunStarted, false, true},
+		{"gang without a next run", 0, true, false},
+		{"gang with a next run", chutepool.RunStarted, true, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScheduler(2, c.gang)
+			for i := range 2 {
+				s.start(i)
+				s.startEnds(i, chuteaction.OrderAccepted, 0)
+				s.handle(0, func(t *chuterunner.Transition) { t.MarkLost(s.worker(i)) })
+			}
+			if c.next != 0 {
+				s.giveNextRun(1, 0, c.next)
+			}
+			before := len(s.orders)
+			s.report(0, nil, []chutetask.RunEnd{{Number: 1, Run: taskRun(0, 1), Kind: chutetask.EndDone}})
+			is.Equal(s.task(0).Phase, chutetask.TaskDone)
+			is.Equal(s.task(1).Phase == chutetask.TaskDone, c.gang) // the end of one member completes a gang
+			is.Equal(countStops(s.orders[before:]), map[bool]int{true: 1}[c.stopped])
+			if c.next == chutepool.RunPlanned {
+				is.Equal(s.worker(1).RunCount(), 0)
+			}
+		})
+	}
+}
+
+// giveNextRun gives the task with the index its second run, in the phase, on a worker.
+func (s *scheduler) giveNextRun(worker, index int, phase chutepool.RunPhase) {
+	s.handle(0, func(t *chuterunner.Transition) {
+		run := taskRun(index, 2)
+		j, _ := t.Job(testID)
+		t.PutJob(j.WithTask(run.Task, s.task(index).WithRun(2, workerID(worker))))
+		t.PutWorker(s.worker(worker).WithRun(chutepool.Run{ID: run}.WithPhase(phase, s.now)))
+	})
+}
+
+func countStops(orders []chuteaction.Effect) int {
+	stops := 0
+	for _, order := range orders {
+		if _, ok := order.(chuteaction.StopRun); ok {
+			stops++
+		}
+	}
+	return stops
+}
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -212,15 +212,18 @@
 	t.applyEnd(worker, end)
 }
 
-// applyEnd applies the end of a run to its task, if it is the task's latest run.
+// applyEnd applies the end of a run to its task, if it is the task's latest run or completes the task.
 func (t *Transition) applyEnd(worker chutetask.WorkerID, end chutetask.RunEnd) {
 	j, ok := t.Job(end.Run.Task.Job)
 	if !ok {
 		return
 	}
 	task, ok := j.Task(end.Run.Task)
-	if !ok || task.Phase != chutetask.TaskActive || task.Run != end.Run.Number || task.Worker != worker {
-		t.reportIgnoredEnd(j, worker, task, end)
+	if !ok {
+		return
+	}
+	if task.Phase != chutetask.TaskActive || task.Run != end.Run.Number || task.Worker != worker {
+		t.applyUnexpectedEnd(j, worker, task, end)
 		return
 	}
 	if end.Kind == chutetask.EndDone {
@@ -232,14 +235,34 @@
 	t.retryOrFail(j, end.Run.Task, task, end)
 }
 
-// reportIgnoredEnd logs a successful end that changes nothing although its task is not done.
-func (t *Transition) reportIgnoredEnd(j chutetask.Job, worker chutetask.WorkerID, task chutetask.Task, end chutetask.RunEnd) {
-	if end.Kind != chutetask.EndDone || task.Phase == chutetask.TaskDone || j.Phase.Ended() {
+// applyUnexpectedEnd applies the end of a run that was taken as lost. A done one completes its task all the same, since
+// the work must not run twice; the runs that have replaced it are stopped.
+func (t *Transition) applyUnexpectedEnd(j chutetask.Job, worker chutetask.WorkerID, task chutetask.Task, end chutetask.RunEnd) {
+	step := j.Step(end.Run.Task.StepID)
+	if end.Kind != chutetask.EndDone || task.Phase == chutetask.TaskDone || j.Phase.Ended() || step.LongRunning {
 		return
 	}
-	t.Count("end-ignored", "not-expected")
-	t.Warn(component, "run ended as done, but its task does not expect that end", j.ID, "run", end.Run, "worker", worker,
+	t.Count("end-unexpected", "done")
+	t.Warn(component, "run that was taken as lost ended as done", j.ID, "run", end.Run, "worker", worker,
 		"end", end.Number, "task-active", task.Phase == chutetask.TaskActive, "task-run", task.Run, "task-worker", task.Worker)
+	t.completeTask(j, end.Run.Task, task)
+	if !step.Gang {
+		t.stopReplacement(end.Run, end.Run.Task.Index, task)
+		return
+	}
+	for i, member := range j.Tasks(end.Run.Task.StepID) {
+		t.stopReplacement(end.Run, i, member)
+	}
+}
+
+// stopReplacement stops the active run of the task with the index in the step of the ended run, unless it has that run's
+// number.
+func (t *Transition) stopReplacement(ended chutegraph.RunID, index int, task chutetask.Task) {
+	if task.Phase != chutetask.TaskActive || task.Run == ended.Number {
+		return
+	}
+	id := chutegraph.TaskID{StepID: ended.Task.StepID, Index: index}
+	t.StopRun(task.Worker, chutegraph.RunID{Task: id, Number: task.Run}, "task-done")
 }
 
 // trackFailures counts the jobs whose runs failed in a row on a worker, and starts a cooldown at maxFailureStreak.
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -243,6 +243,7 @@
 // whole or not at all.
 func (t *transition) startRecordedRuns(j chutetask.Job) {
 	invalid := make(map[chutegraph.StepID]bool)
+	completed := make(map[chutegraph.TaskID]bool) // an earlier run has ended as done during the write
 	var ready []chutepool.Run
 	var workers []chutetask.WorkerID
 	j.ForEachTask(func(id chutegraph.TaskID, task chutetask.Task) {
@@ -254,12 +255,14 @@
 		t.PutWorker(w.WithRun(r))
 		ready = append(ready, r)
 		workers = append(workers, w.ID)
+		completed[id] = task.Phase == chutetask.TaskDone
 		if j.Phase.Ended() || !w.Contacted || !t.MayStartOn(w) {
 			invalid[id.StepID] = true
 		}
 	})
 	for i, r := range ready {
-		if invalid[r.ID.Task.StepID] && (j.Phase.Ended() || j.Step(r.ID.Task.StepID).Gang || !t.mayStart(workers[i])) {
+		notStarted := invalid[r.ID.Task.StepID] && (j.Phase.Ended() || j.Step(r.ID.Task.StepID).Gang || !t.mayStart(workers[i]))
+		if notStarted || completed[r.ID.Task] {
 			t.Count("start-dropped", "no-longer-right")
 			t.ReleaseRun(workers[i], r.ID, chutetask.RunEnd{Run: r.ID, Kind: chutetask.EndStopped})
 			continue
