Apply a write's acknowledgements only to the worker's incarnation that listed the ends

What callers would see: a task that is started again after its done end was acknowledged. Cause: the acknowledgements that a write carries named the worker and a number. A worker that restarts under its id numbers its ends anew, so that the commit acknowledged ends of the new incarnation that nobody had recorded. Change: an acknowledgement names the incarnation too. Class: a number used beyond the life in which it was counted.

--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -53,10 +53,11 @@
 	acks     []ack
 }
 
-// ack says that a batch records the effects of a worker's ended runs up to a number.
+// ack says that a batch records the effects of the ended runs of a worker's incarnation up to a number.
 type ack struct {
-	worker chutetask.WorkerID
-	number int64
+	worker      chutetask.WorkerID
+	incarnation int64
+	number      int64
 }
 
 // New returns the epoch's scheduler. It begins to read hosts and the progress of all jobs, and watches submissions.
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -181,7 +181,7 @@
 	for i := s.runner.Unrecorded.Iterator(); !i.Done(); {
 		id, _, _ := i.Next()
 		if w, ok := s.runner.Pool.Get(id); ok && w.HandledEnd > w.RecordedEnd {
-			acks = append(acks, ack{worker: id, number: w.HandledEnd})
+			acks = append(acks, ack{worker: id, incarnation: w.Incarnation, number: w.HandledEnd})
 		}
 	}
 	return acks
@@ -219,7 +219,7 @@
 	b := u.batch
 	u.batch = batch{}
 	for _, a := range b.acks {
-		if w, ok := u.Pool.Get(a.worker); ok && w.HandledEnd >= a.number {
+		if w, ok := u.Pool.Get(a.worker); ok && w.Incarnation == a.incarnation && w.HandledEnd >= a.number {
 			w.RecordedEnd = max(w.RecordedEnd, a.number)
 			u.PutWorker(w)
 			if w.RecordedEnd == w.HandledEnd {
