Acknowledge ended runs only to a worker that has just listed them

What callers would see: a task that is started again after its done end was acknowledged. Cause: every renewal carried the latest acknowledged number. A worker that crashed and restarted under its id numbers its ends anew; the first renewal that reached it made it forget ends that no host had seen, and its runs then counted as absent, that is lost. Change: a renewal acknowledges only what the worker has listed and not been told yet, and nothing after a missed renewal. An end that is listed again shows that the acknowledgement was lost. A worker that left the list without an answer is forgotten as before. Evidence: TestNoEndIsAcknowledgedToAWorkerThatMayHaveRestarted failed on the code before. A renewal that a network holds back until after the restart can still do it: the protocol names no incarnation in an order. Measured: go test ./chutescheduler ./chuterunner ./chuteentry pass.

--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -155,6 +155,10 @@
 func (t *Transition) applyEnds(id chutetask.WorkerID, ends []chutetask.RunEnd) {
 	for _, end := range ends {
 		w, _ := t.Pool.Get(id)
+		if end.Number <= w.AcknowledgedEnd { // the acknowledgement was lost
+			w.AcknowledgedEnd = end.Number - 1
+			t.PutWorker(w)
+		}
 		if end.Number <= w.HandledEnd {
 			continue
 		}
--- a/chutescheduler/lostprogress_test.go
+++ b/chutescheduler/lostprogress_test.go
@@ -189,3 +189,49 @@
 		t.Errorf("the completed job is recorded as %s with %+v", row.Phase, row.Occurrences)
 	}
 }
+
+// acknowledgements returns the numbers that the renewals since the given effect acknowledge.
+func (s *successor) acknowledgements(since int) []int64 {
+	var numbers []int64
+	for _, effect := range s.effects[since:] {
+		if renewal, ok := effect.(chuteaction.RenewLease); ok {
+			numbers = append(numbers, renewal.AcknowledgedEnd)
+		}
+	}
+	return numbers
+}
+
+func TestNoEndIsAcknowledgedToAWorkerThatMayHaveRestarted(t *testing.T) {
+	is := is.New(t)
+	s := newSuccessor(released())
+	s.submissions(true, submissionRow(2))
+	s.answerReads(chuteaction.TableHosts)
+	s.answerReads(chuteaction.TableProgress, recordedRow(2, chutetask.TaskActive))
+	s.listWorker()
+	s.tick(200 * time.Millisecond)
+	s.report(1, []chutetask.RunReport{{Run: runID(1)}}, []chutetask.RunEnd{{Number: 1, Run: runID(0), Kind: chutetask.EndDone}})
+	_, ok := s.flush()
+	is.True(ok)
+	since := len(s.effects)
+	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+		s.state = s.state.HandleCommit(t, environment)
+	})
+	is.Equal(s.acknowledgements(since), []int64{1}) // the worker has just listed that end
+
+	since = len(s.effects)
+	for range 3 {
+		s.handle(time.Second, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+			s.state, _ = s.state.HandleLeaseRenewed(t, environment, chuteaction.LeaseRenewed{Epoch: epoch, Worker: workerID, SentAt: s.now, Outcome: chuteaction.OrderUnknown})
+		})
+		s.tick(500 * time.Millisecond)
+	}
+	is.True(len(s.acknowledgements(since)) > 0)
+	for _, number := range s.acknowledgements(since) {
+		is.Equal(number, int64(0)) // the next incarnation counts its ends from 1
+	}
+
+	since = len(s.effects)
+	s.report(1, []chutetask.RunReport{{Run: runID(1)}}, []chutetask.RunEnd{{Number: 1, Run: runID(0), Kind: chutetask.EndDone}})
+	s.tick(500 * time.Millisecond)
+	is.Equal(s.acknowledgements(since), []int64{1}) // the first acknowledgement was lost
+}
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -84,7 +84,7 @@
 		t.MarkLost(w)
 		w, _ = t.Pool.Get(w.ID)
 	}
-	if !w.Listed && !w.Renewing && w.RunCount() == 0 && w.AcknowledgedEnd >= w.RecordedEnd && w.HandledEnd == w.RecordedEnd {
+	if t.forgettable(w) {
 		t.Pool = t.Pool.Without(w.ID)
 		t.Speeds = t.Speeds.WithoutWorker(w.ID)
 		t.Emit(chuteaction.DisconnectWorker{Worker: w.ID})
@@ -102,6 +102,12 @@
 	t.renewIfDue(w)
 }
 
+// forgettable reports whether nothing is left to do for a worker that is no longer listed.
+func (t *transition) forgettable(w chutepool.Worker) bool {
+	acknowledged := w.AcknowledgedEnd >= w.RecordedEnd || w.MissedRenewals > 0
+	return !w.Listed && !w.Renewing && w.RunCount() == 0 && acknowledged && w.HandledEnd == w.RecordedEnd
+}
+
 // leaseExpired reports whether nothing can run on the worker any more, since its lease expired before it was reached.
 func (t *transition) leaseExpired(w chutepool.Worker) bool {
 	return w.MissedRenewals > 0 && t.Now.After(w.LeaseExpiryBound) || !w.Listed && !w.Contacted && t.Now.After(w.LeaseExpiryBound)
@@ -141,9 +147,19 @@
 	w.Renewing = true
 	w.ReportDue = false
 	w.RenewedAt = t.Now
-	w.AcknowledgedEnd = w.RecordedEnd
+	acknowledged := dueAcknowledgement(w)
+	w.AcknowledgedEnd = max(w.AcknowledgedEnd, acknowledged)
 	t.PutWorker(w)
-	t.Emit(chuteaction.RenewLease{WorkerTarget: t.Target(w), LeaseEnd: leaseEnd, AcknowledgedEnd: w.RecordedEnd, PollTimeout: pollTimeout})
+	t.Emit(chuteaction.RenewLease{WorkerTarget: t.Target(w), LeaseEnd: leaseEnd, AcknowledgedEnd: acknowledged, PollTimeout: pollTimeout})
+}
+
+// dueAcknowledgement returns the number up to which the worker may delete its ended runs, or 0 if it has been told
+// already. A worker that does not answer may have restarted and counts its ends anew, so that it is told nothing.
+func dueAcknowledgement(w chutepool.Worker) int64 {
+	if !w.Contacted || w.MissedRenewals > 0 || w.AcknowledgedEnd >= w.RecordedEnd {
+		return 0
+	}
+	return w.RecordedEnd
 }
 
 // Flush returns up to limit rows to write and marks the write as in flight. It returns no rows while one is in flight or
