Keep recorded progress until its job's submission is read, and start nothing of a job whose progress is malformed

What callers would see: a completed job that runs once more. Class: absence of a record taken as proof of a beginning. A submission that comes later gets its progress; a job with a malformed row does not go on, and says so. Measured: go test ./chutescheduler ./chuteentry pass.

--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -65,7 +65,7 @@
 	return u.state()
 }
 
-// addSubmission adds a submitted job unless it is known.
+// addSubmission adds a submitted job unless it is known. Progress that was recorded for it and read before applies.
 func (t *transition) addSubmission(submission chutetask.Submission, version chuteaction.RowVersion) {
 	if _, known := t.Job(submission.ID); known {
 		return
@@ -76,8 +76,12 @@
 	} else {
 		j = j.WithOccurrenceBegun(0)
 	}
-	t.PutRecordedJob(j)
 	t.PlanDue = true
+	if r, recorded := t.unmerged.Get(j.ID); recorded {
+		t.mergeRow(j, r)
+		return
+	}
+	t.PutRecordedJob(j)
 	if t.Ready() {
 		t.Log(component, "job received", submission.ID, "queue", submission.Queue, "priority", submission.Priority, "version", version)
 	}
@@ -91,29 +95,14 @@
 	}
 	runs := 0
 	for _, r := range t.progress {
-		row, ok := r.Value.(chuteaction.ProgressRow)
-		if !ok {
-			t.Count("progress-dropped", "malformed")
-			t.Warn(component, "progress row cannot be decoded", "", "key", r.Key, "version", r.Version)
-			continue
-		}
-		j, known := t.Job(row.Job)
+		j, known := t.Job(chutegraph.JobID(r.Key))
 		if !known {
-			t.Count("progress-dropped", "unknown-job")
-			t.Warn(component, "progress row names an unknown job", row.Job, "version", r.Version, "phase", row.Phase)
+			t.Count("progress-unmerged", "unknown-job")
+			t.Warn(component, "progress row names an unknown job", chutegraph.JobID(r.Key), "version", r.Version)
+			t.unmerged = t.unmerged.Set(chutegraph.JobID(r.Key), r)
 			continue
 		}
-		cancelled := j.Cancelled
-		j = j.WithProgress(row.Progress)
-		if cancelled && !j.Phase.Ended() {
-			j = j.WithCancelled()
-		}
-		t.Live = t.Live.Delete(j.ID)
-		t.PutRecordedJob(j)
-		if cancelled && row.Phase != j.Phase {
-			t.PutJob(j)
-		}
-		runs += t.inheritRuns(j)
+		runs += t.mergeRow(j, r)
 	}
 	t.progress = nil
 	t.Log(component, "jobs and their progress read", "", "live", t.Live.Len(), "ended", t.Ended.Len(), "runs", runs,
@@ -121,6 +110,31 @@
 	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableWorkers, MinInterval: workersPollInterval, PollTimeout: tablePollTimeout})
 }
 
+// mergeRow applies a row of recorded progress to its job, and counts the runs that it inherits. A job whose row cannot be
+// decoded is left out: it may have completed, so that nothing of it may start.
+func (t *transition) mergeRow(j chutetask.Job, r chuteaction.Row) int {
+	row, ok := r.Value.(chuteaction.ProgressRow)
+	if !ok {
+		t.Count("progress-unmerged", "malformed")
+		t.Warn(component, "progress row cannot be decoded; its job does not go on", j.ID, "version", r.Version)
+		t.unmerged = t.unmerged.Set(j.ID, r)
+		t.Live = t.Live.Delete(j.ID)
+		return 0
+	}
+	t.unmerged = t.unmerged.Delete(j.ID)
+	cancelled := j.Cancelled
+	j = j.WithProgress(row.Progress)
+	if cancelled && !j.Phase.Ended() {
+		j = j.WithCancelled()
+	}
+	t.Live = t.Live.Delete(j.ID)
+	t.PutRecordedJob(j)
+	if cancelled && row.Phase != j.Phase {
+		t.PutJob(j)
+	}
+	return t.inheritRuns(j)
+}
+
 // inheritRuns reserves capacity for a job's recorded runs, running or with start orders in flight, and counts them.
 func (t *transition) inheritRuns(j chutetask.Job) int {
 	count := 0
--- a/chutescheduler/lostprogress_test.go
+++ b/chutescheduler/lostprogress_test.go
@@ -235,3 +235,30 @@
 	s.tick(500 * time.Millisecond)
 	is.Equal(s.acknowledgements(since), []int64{1}) // the first acknowledgement was lost
 }
+
+// TestACompletedJobWhoseSubmissionComesLaterDoesNotRunAgain guards against recorded progress that is dropped with an outdated list of jobs.
+func TestACompletedJobWhoseSubmissionComesLaterDoesNotRunAgain(t *testing.T) {
+	s := newSuccessor(released())
+	s.submissions(true)
+	s.answerReads(chuteaction.TableHosts)
+	s.answerReads(chuteaction.TableProgress, recordedRow(1, chutetask.TaskDone))
+	s.submissions(true, submissionRow(1))
+	s.contactWorker()
+	if row, ok := s.flush(); ok {
+		t.Errorf("the completed job is recorded as %s with %+v", row.Phase, row.Occurrences)
+	}
+}
+
+// TestAJobWhoseProgressCannotBeReadDoesNotRunAgain guards against a malformed row that counts as a job without progress.
+func TestAJobWhoseProgressCannotBeReadDoesNotRunAgain(t *testing.T) {
+	s := newSuccessor(released())
+	s.submissions(true, submissionRow(1))
+	s.answerReads(chuteaction.TableHosts)
+	malformed := recordedRow(1, chutetask.TaskDone)
+	malformed.Value = nil
+	s.answerReads(chuteaction.TableProgress, malformed)
+	s.contactWorker()
+	if row, ok := s.flush(); ok {
+		t.Errorf("the job is recorded as %s with %+v", row.Phase, row.Occurrences)
+	}
+}
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -25,18 +25,19 @@
 // schedulerState is the part of State that chuterunner.State does not hold.
 type schedulerState struct {
 	batch            batch
-	predecessor      chuteleader.Predecessor                      // the scheduler that led before this one
-	predecessorEnded bool                                         // the predecessor's process has certainly ended
-	progress         []chuteaction.Row                            // rows to merge once all submissions are known
-	hasHosts         bool                                         // the process of every host has been read
-	hasProgress      bool                                         // the progress of all jobs has been read
-	hasJobs          bool                                         // all submissions have been read
-	hasWorkers       bool                                         // all workers have been read
-	workersReadAt    time.Time                                    // time of the latest answer about the table of workers
-	timed            *immutable.SortedMap[chutegraph.JobID, bool] // live jobs whose occurrences start at set times
-	ticks            int                                          // ticks so far; they select the workers to check
-	pending          map[string]int                               // pending jobs by queue; the map is never modified
-	countedAt        time.Time                                    // when the pending jobs were last counted
+	predecessor      chuteleader.Predecessor                                 // the scheduler that led before this one
+	predecessorEnded bool                                                    // the predecessor's process has certainly ended
+	progress         []chuteaction.Row                                       // rows to merge once all submissions are known
+	unmerged         *immutable.SortedMap[chutegraph.JobID, chuteaction.Row] // progress of jobs without a submission, or malformed
+	hasHosts         bool                                                    // the process of every host has been read
+	hasProgress      bool                                                    // the progress of all jobs has been read
+	hasJobs          bool                                                    // all submissions have been read
+	hasWorkers       bool                                                    // all workers have been read
+	workersReadAt    time.Time                                               // time of the latest answer about the table of workers
+	timed            *immutable.SortedMap[chutegraph.JobID, bool]            // live jobs whose occurrences start at set times
+	ticks            int                                                     // ticks so far; they select the workers to check
+	pending          map[string]int                                          // pending jobs by queue; the map is never modified
+	countedAt        time.Time                                               // when the pending jobs were last counted
 	planner          chuteplanner.Planner
 	progressToken    chuteaction.Token
 	hostsToken       chuteaction.Token
@@ -66,9 +67,10 @@
 		runner: chuterunner.New(epoch, bounds, t.Now),
 		schedulerState: schedulerState{
 			predecessor: predecessor, predecessorEnded: predecessor.Row.Epoch == 0 || predecessor.Row.Released,
-			planner: chuteplanner.New(),
-			timed:   immutable.NewSortedMap[chutegraph.JobID, bool](nil),
-			waves:   immutable.NewSortedMap[int, waveState](nil),
+			planner:  chuteplanner.New(),
+			timed:    immutable.NewSortedMap[chutegraph.JobID, bool](nil),
+			unmerged: immutable.NewSortedMap[chutegraph.JobID, chuteaction.Row](chutegraph.JobOrder{}),
+			waves:    immutable.NewSortedMap[int, waveState](nil),
 		},
 	}
 	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableJobs, PollTimeout: tablePollTimeout})
