Ignore events of earlier watches of the tables of jobs and workers

What callers would see: a completed job that runs once more, or a run that is started elsewhere while its worker lives. Cause: an answer to a watch that a host had begun in an earlier term of leadership could be delivered to its next scheduler: a full ring wins against an ended context in half of the cases. An old complete list of jobs opened the merge too early; an old list of workers made workers whose leases had no bound yet, so that one missed renewal lost them. Class: an answer of an earlier term taken for a present one. Change: a watch has a token that its events carry; the scheduler drops events of other watches. An ended watch delivers nothing.

--- a/chuteaction/effect.go
+++ b/chuteaction/effect.go
@@ -77,6 +77,7 @@
 
 // WatchTable subscribes to a table: the core gets its rows and then all changes as TableChanged events.
 type WatchTable struct {
+	Watch       Token // in each event of this subscription; an event of an earlier one may come late
 	Table       Table
 	MinInterval time.Duration // shortest time between two polls
 	PollTimeout time.Duration // how long the store holds a poll while nothing changes
--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -90,6 +90,7 @@
 
 // TableChanged is an answer of the store about a watched table; it holds no rows if none has changed.
 type TableChanged struct {
+	Watch    Token // of the WatchTable effect
 	Table    Table
 	Complete bool // Rows holds all rows of the table, not only changes
 	Rows     []Row
--- a/chutedaemon/watch.go
+++ b/chutedaemon/watch.go
@@ -55,8 +55,11 @@
 			w.reportUnavailable(ctx, request.Table, &unavailable, err)
 			continue
 		}
+		if ctx.Err() != nil {
+			return // the watch ended during the request
+		}
 		w.reportAvailable(request.Table, &unavailable)
-		w.events.Put(ctx, chuteaction.TableChanged{Table: request.Table, Complete: true, Rows: rows})
+		w.events.Put(ctx, chuteaction.TableChanged{Watch: request.Watch, Table: request.Table, Complete: true, Rows: rows})
 		w.runChanges(ctx, request, version, &unavailable)
 	}
 }
@@ -78,7 +81,7 @@
 		}
 		w.reportAvailable(request.Table, unavailable)
 		version = next
-		w.events.Put(ctx, chuteaction.TableChanged{Table: request.Table, Rows: rows})
+		w.events.Put(ctx, chuteaction.TableChanged{Watch: request.Watch, Table: request.Table, Rows: rows})
 	}
 }
 
--- /dev/null
+++ b/chutedaemon/watch_test.go
@@ -0,0 +1,56 @@
+package chutedaemon
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chuteduty"
+	"monsoonchute.example/monsoonchute/chutering"
+)
+
+// slowStore answers each request after its latency, whether or not the caller still waits.
+type slowStore struct{ latency time.Duration }
+
+func (s slowStore) Write(context.Context, chuteaction.WriteRows) chuteaction.RowsWritten {
+	return chuteaction.RowsWritten{}
+}
+
+func (s slowStore) Read(context.Context, chuteaction.ReadRows) chuteaction.RowsRead {
+	return chuteaction.RowsRead{}
+}
+
+func (s slowStore) List(context.Context, chuteaction.Table) ([]chuteaction.Row, chuteaction.RowVersion, error) {
+	time.Sleep(s.latency)
+	return nil, 1, nil
+}
+
+func (s slowStore) Changes(context.Context, chuteaction.Table, chuteaction.RowVersion, time.Duration) ([]chuteaction.Row, chuteaction.RowVersion, error) {
+	return nil, 1, nil
+}
+
+func (s slowStore) Interrupt() {}
+
+// TestAnEndedWatchDeliversNoList guards against a list from before a takeover that reaches the next scheduler of the same host.
+func TestAnEndedWatchDeliversNoList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := slog.New(slog.DiscardHandler)
+		group, end := chuteduty.New(log)
+		defer end()
+		events := chutering.NewEntryEvents("core", 64)
+		w := newWatchers(group, slowStore{latency: time.Second}, events, log)
+		const watches = 20
+		for range watches {
+			w.watch(chuteaction.WatchTable{Table: chuteaction.TableJobs})
+			time.Sleep(10 * time.Millisecond)
+			w.unwatch(chuteaction.TableJobs)
+		}
+		time.Sleep(2 * time.Second)
+		if delivered := events.Stats().Depth; delivered > 0 {
+			t.Errorf("%d of %d ended watches delivered a list", delivered, watches)
+		}
+	})
+}
--- a/chuteentry/fakestore_test.go
+++ b/chuteentry/fakestore_test.go
@@ -141,7 +141,7 @@
 		}
 		slices.SortFunc(rows, func(a, b chuteaction.Row) int { return cmp.Compare(a.Version, b.Version) })
 		version := s.version
-		h.deliver(chuteaction.TableChanged{Table: f.Table, Complete: true, Rows: rows})
+		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, Complete: true, Rows: rows})
 		sm.after(max(f.MinInterval, time.Millisecond), func() { s.poll(h, f, generation, version, sm.now) })
 	})
 }
@@ -176,7 +176,7 @@
 		if h.watches[f.Table] != generation {
 			return
 		}
-		h.deliver(chuteaction.TableChanged{Table: f.Table, Rows: rows})
+		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, Rows: rows})
 		sm.after(max(f.MinInterval, time.Millisecond), func() { s.poll(h, f, generation, version, sm.now) })
 	})
 }
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -162,9 +162,7 @@
 		t.Count("news-dropped", "not-leading")
 		return
 	}
-	t.setScheduler(t.state.scheduler.HandleSubmissions(t.Transition, t.state.environment(), chuteaction.TableChanged{
-		Table: chuteaction.TableJobs, Rows: rows,
-	}))
+	t.setScheduler(t.state.scheduler.HandleForwarded(t.Transition, t.state.environment(), rows))
 }
 
 // applyOutcome applies the outcome of an election event: it starts the scheduler, passes a confirmed write to it, or
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -45,24 +45,39 @@
 	return u.state()
 }
 
-// HandleSubmissions handles a change of the table of submitted and cancelled jobs.
+// HandleForwarded handles rows of submitted and cancelled jobs that another host has recorded.
+func (s State) HandleForwarded(t *chuteaction.Transition, environment chuterunner.Environment, rows []chuteaction.Row) State {
+	u := s.transition(t, environment)
+	u.applyJobRows(rows)
+	return u.state()
+}
+
+// HandleSubmissions handles a change of the table of submitted and cancelled jobs. It ignores events of earlier watches.
 func (s State) HandleSubmissions(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.TableChanged) State {
+	if e.Watch != s.jobsWatch {
+		t.Count("watch-event-dropped", e.Table.String())
+		return s
+	}
 	u := s.transition(t, environment)
-	for _, r := range e.Rows {
+	u.applyJobRows(e.Rows)
+	if e.Complete && !u.hasJobs {
+		u.hasJobs = true
+		u.mergeProgress()
+	}
+	return u.state()
+}
+
+func (t *transition) applyJobRows(rows []chuteaction.Row) {
+	for _, r := range rows {
 		if row, ok := r.Value.(chuteaction.SubmissionRow); ok {
-			u.addSubmission(row.Submission, r.Version)
+			t.addSubmission(row.Submission, r.Version)
 		}
 	}
-	for _, r := range e.Rows {
+	for _, r := range rows {
 		if row, ok := r.Value.(chuteaction.CancelRow); ok {
-			u.cancelJob(row.Job)
+			t.cancelJob(row.Job)
 		}
 	}
-	if e.Complete && !u.hasJobs {
-		u.hasJobs = true
-		u.mergeProgress()
-	}
-	return u.state()
 }
 
 // addSubmission adds a submitted job unless it is known. Progress that was recorded for it and read before applies.
@@ -107,7 +122,10 @@
 	t.progress = nil
 	t.Log(component, "jobs and their progress read", "", "live", t.Live.Len(), "ended", t.Ended.Len(), "runs", runs,
 		"former", t.predecessor.Row.Host, "former-ended", t.predecessorEnded)
-	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableWorkers, MinInterval: workersPollInterval, PollTimeout: tablePollTimeout})
+	t.workersWatch = t.NewToken()
+	t.Emit(chuteaction.WatchTable{
+		Watch: t.workersWatch, Table: chuteaction.TableWorkers, MinInterval: workersPollInterval, PollTimeout: tablePollTimeout,
+	})
 }
 
 // mergeRow applies a row of recorded progress to its job, and counts the runs that it inherits. A job whose row cannot be
--- a/chutescheduler/lostprogress_test.go
+++ b/chutescheduler/lostprogress_test.go
@@ -63,9 +63,20 @@
 	}
 }
 
+// watch returns the token of the latest watch of the table, or that of an earlier scheduler's.
+func (s *successor) watch(table chuteaction.Table) chuteaction.Token {
+	token := chuteaction.Token(0)
+	for _, effect := range s.effects {
+		if w, ok := effect.(chuteaction.WatchTable); ok && w.Table == table {
+			token = w.Watch
+		}
+	}
+	return token
+}
+
 func (s *successor) submissions(complete bool, rows ...chuteaction.Row) {
 	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
-		s.state = s.state.HandleSubmissions(t, environment, chuteaction.TableChanged{Table: chuteaction.TableJobs, Complete: complete, Rows: rows})
+		s.state = s.state.HandleSubmissions(t, environment, chuteaction.TableChanged{Watch: s.watch(chuteaction.TableJobs), Table: chuteaction.TableJobs, Complete: complete, Rows: rows})
 	})
 }
 
@@ -75,7 +86,7 @@
 		Capacity: chutecapacity.Resources{Processor: 8000, Memory: 8000, Accelerators: 8},
 	}
 	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
-		s.state = s.state.HandleWorkers(t, environment, chuteaction.TableChanged{Table: chuteaction.TableWorkers, Complete: true, Rows: []chuteaction.Row{
+		s.state = s.state.HandleWorkers(t, environment, chuteaction.TableChanged{Watch: s.watch(chuteaction.TableWorkers), Table: chuteaction.TableWorkers, Complete: true, Rows: []chuteaction.Row{
 			{RowKey: chuteaction.RowKey{Table: chuteaction.TableWorkers, Key: string(workerID)}, Value: chuteaction.WorkerRow{Listing: listing}},
 		}})
 	})
@@ -262,3 +273,35 @@
 		t.Errorf("the job is recorded as %s with %+v", row.Phase, row.Occurrences)
 	}
 }
+
+func TestAListOfAnEarlierWatchIsNotTakenForThePresentOne(t *testing.T) {
+	is := is.New(t)
+	s := newSuccessor(released())
+	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+		earlier := chuteaction.TableChanged{Watch: s.watch(chuteaction.TableJobs) - 1, Table: chuteaction.TableJobs, Complete: true}
+		s.state = s.state.HandleSubmissions(t, environment, earlier)
+	})
+	s.answerReads(chuteaction.TableHosts)
+	s.answerReads(chuteaction.TableProgress, recordedRow(1, chutetask.TaskDone))
+	is.Equal(s.watch(chuteaction.TableWorkers), chuteaction.Token(0)) // nothing is merged before the present list has come
+	s.submissions(true, submissionRow(1))
+	is.True(s.watch(chuteaction.TableWorkers) != 0)
+}
+
+// TestAWorkerListedBeforeTheProgressIsReadKeepsItsLease guards against runs that count as lost at the first missed renewal.
+func TestAWorkerListedBeforeTheProgressIsReadKeepsItsLease(t *testing.T) {
+	s := newSuccessor(released())
+	s.listWorker()
+	s.submissions(true, submissionRow(1))
+	s.answerReads(chuteaction.TableHosts)
+	s.answerReads(chuteaction.TableProgress, recordedRow(1, chutetask.TaskActive))
+	s.listWorker()
+	s.tick(200 * time.Millisecond)
+	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+		s.state, _ = s.state.HandleLeaseRenewed(t, environment, chuteaction.LeaseRenewed{Epoch: epoch, Worker: workerID, SentAt: s.now, Outcome: chuteaction.OrderUnknown})
+	})
+	s.tick(500 * time.Millisecond)
+	if row, ok := s.flush(); ok {
+		t.Errorf("the job is recorded as %s with %+v", row.Phase, row.Occurrences)
+	}
+}
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -40,6 +40,8 @@
 	countedAt        time.Time                                               // when the pending jobs were last counted
 	planner          chuteplanner.Planner
 	progressToken    chuteaction.Token
+	jobsWatch        chuteaction.Token // subscription to the table of jobs
+	workersWatch     chuteaction.Token // subscription to the table of workers; 0 before it begins
 	hostsToken       chuteaction.Token
 	waves            *immutable.SortedMap[int, waveState]
 	machines         []chutemaintenance.Machine // the platform's latest list
@@ -73,7 +75,8 @@
 			waves:    immutable.NewSortedMap[int, waveState](nil),
 		},
 	}
-	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableJobs, PollTimeout: tablePollTimeout})
+	s.jobsWatch = t.NewToken()
+	t.Emit(chuteaction.WatchTable{Watch: s.jobsWatch, Table: chuteaction.TableJobs, PollTimeout: tablePollTimeout})
 	return s.readHosts(t).readProgress(t)
 }
 
--- a/chutescheduler/takeover_test.go
+++ b/chutescheduler/takeover_test.go
@@ -22,9 +22,10 @@
 	const id = chutegraph.JobID("00000000000000aa")
 	transition := chuteaction.NewTransition(time.Unix(1_800_000_000, 0), 0)
 	s := chutescheduler.New(transition, 2, chuteleader.Predecessor{Row: chuteaction.LeaderRow{Epoch: 1, Released: true}}, chuterunner.Bounds{})
+	watch, _ := transition.Effects[0].(chuteaction.WatchTable)
 	environment := chuterunner.Environment{}
 	submission := chutetask.Submission{ID: id, Spec: chutegraph.Spec{Steps: []chutegraph.Step{{Count: 1}}}}
-	s = s.HandleSubmissions(transition, environment, chuteaction.TableChanged{Table: chuteaction.TableJobs, Complete: true, Rows: []chuteaction.Row{
+	s = s.HandleSubmissions(transition, environment, chuteaction.TableChanged{Watch: watch.Watch, Table: chuteaction.TableJobs, Complete: true, Rows: []chuteaction.Row{
 		{RowKey: chuteaction.SubmissionKey(id), Version: 5, Value: chuteaction.SubmissionRow{Submission: submission}},
 		{RowKey: chuteaction.CancelKey(id), Version: 9, Value: chuteaction.CancelRow{Job: id}},
 	}})
--- a/chutescheduler/worker.go
+++ b/chutescheduler/worker.go
@@ -8,8 +8,12 @@
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
-// HandleWorkers handles a change of the table of workers.
+// HandleWorkers handles a change of the table of workers. It ignores events of earlier watches.
 func (s State) HandleWorkers(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.TableChanged) State {
+	if s.workersWatch == 0 || e.Watch != s.workersWatch {
+		t.Count("watch-event-dropped", e.Table.String())
+		return s
+	}
 	u := s.transition(t, environment)
 	writtenAfter := u.workersReadAt // changes have been written since the former answer
 	if e.Complete {
