Write a host's row only over the row that was read

What callers would see: a run that is started elsewhere while it still runs. Cause: the row that names a host's process was written without a condition. Carried out late, a row of an earlier process replaced that of a later one, with a higher version. If that host led, it looked ended: others took over at once and did not wait for the leases that it may still renew. Class: a late write without a condition. Change: the write is conditional on the row that it replaces; a conflict shows that row, or the process's own. Evidence: TestALateHostRowOfAnEarlierProcessReplacesNoLaterOne failed on the code before. Measured: go test ./chuteentry ./platform/... pass.

--- a/chuteentry/hosts.go
+++ b/chuteentry/hosts.go
@@ -7,15 +7,42 @@
 )
 
 // writeHostRow records the current process of this host, so that other hosts know that its earlier processes have ended.
+// The write is conditional on the row that it replaces: an earlier process's write may be carried out late.
 func (t *transition) writeHostRow() {
+	key := chuteaction.HostKey(t.state.settings.Host)
 	t.state.hostRowWrite = t.NewToken()
-	t.Emit(chuteaction.WriteRows{Token: t.state.hostRowWrite, Put: []chuteaction.Row{{
-		RowKey: chuteaction.HostKey(t.state.settings.Host),
-		Value: chuteaction.HostRow{
+	t.Emit(chuteaction.WriteRows{
+		Token:      t.state.hostRowWrite,
+		Conditions: []chuteaction.Condition{{RowKey: key, Version: t.state.hostRowVersion}},
+		Put: []chuteaction.Row{{RowKey: key, Value: chuteaction.HostRow{
 			Host: t.state.settings.Host, Process: t.state.settings.Process,
 			Address: t.state.settings.RelayAddress, Share: t.state.settings.CPUShare,
-		},
-	}}})
+		}}},
+	})
+}
+
+// hostRowWritten handles the result of a write of this host's row. After a conflict it writes over the row that is there,
+// unless that is this process's own.
+func (t *transition) hostRowWritten(e chuteaction.RowsWritten) {
+	switch e.Outcome {
+	case chuteaction.StoreDone:
+		return
+	case chuteaction.StoreConflict:
+		t.replaceHostRow(e.Current)
+	case chuteaction.StoreRefused, chuteaction.StoreUnknown:
+		t.state.hostRowRetryAt = t.Now.Add(hostRowRetryDelay)
+	}
+}
+
+func (t *transition) replaceHostRow(current []chuteaction.Row) {
+	t.state.hostRowVersion = 0
+	for _, r := range current {
+		if row, ok := r.Value.(chuteaction.HostRow); ok && row.Process == t.state.settings.Process {
+			return // an attempt without an answer has been carried out
+		}
+		t.state.hostRowVersion = r.Version
+	}
+	t.writeHostRow()
 }
 
 // checkLeaderProcess compares the leader's process with the current process of its host.
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -65,9 +65,10 @@
 	intake         chuteintake.State
 	scheduler      *chutescheduler.State // nil unless this host leads
 	stopping       bool
-	// hostRowWrite is the token of the latest write of this host's row; a failed write is retried at
-	// hostRowRetryAt, which is zero while no retry is due.
+	// hostRowWrite is the token of the latest write of this host's row, which replaces the row of hostRowVersion; a failed
+	// write is retried at hostRowRetryAt, which is zero while no retry is due.
 	hostRowWrite   chuteaction.Token
+	hostRowVersion chuteaction.RowVersion
 	hostRowRetryAt time.Time
 	hostRows       *immutable.SortedMap[string, chuteaction.Row] // rows of all entry hosts by host name
 	peerAddresses  *immutable.SortedMap[string, string]          // relay addresses of the other hosts by host name
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -128,9 +128,7 @@
 		t.recordContact()
 	}
 	if e.Token == t.state.hostRowWrite {
-		if e.Outcome != chuteaction.StoreDone {
-			t.state.hostRowRetryAt = t.Now.Add(hostRowRetryDelay)
-		}
+		t.hostRowWritten(e)
 		return
 	}
 	if t.state.leader.OwnsWrite(e.Token) {
