Take no run as absent from a report that lists only some of the ended runs

What callers would see: a task that is started again after it was done. Cause: a worker lists 500 ended runs at a time. A run whose end is beyond them is neither listed as running nor as ended, and counted as lost. Class: absence from an incomplete list. Change: a report says whether the worker may keep more ended runs; then nothing is absent. Measured: go test ./chuterunner ./platform/... pass.

--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -167,6 +167,7 @@
 	Incarnation int64
 	Running     []chutetask.RunReport
 	Ended       []chutetask.RunEnd
+	MoreEnded   bool // Ended holds only the first of the ended runs that the worker keeps
 }
 
 // StepApproved is the result of a RequestApproval effect: the tickets of the approved workers and their validity.
--- a/chuterunner/absent.go
+++ b/chuterunner/absent.go
@@ -12,6 +12,9 @@
 // endAbsentRuns handles the runs that the worker's report should list but does not: those that had started or were
 // being stopped have ended, and those that an earlier scheduler recorded are resumed.
 func (t *Transition) endAbsentRuns(id chutetask.WorkerID, e chuteaction.LeaseRenewed) {
+	if e.MoreEnded {
+		return // they may have ended as done
+	}
 	listed := make(map[chutegraph.RunID]bool, len(e.Running))
 	for _, report := range e.Running {
 		listed[report.Run] = true
--- a/chuterunner/lost_test.go
+++ b/chuterunner/lost_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -123,3 +124,23 @@
 	}
 	return stops
 }
+
+// TestARunWhoseEndIsBeyondAFullListIsNotAbsent guards against a lost run where a worker lists 500 of its ends at a time.
+func TestARunWhoseEndIsBeyondAFullListIsNotAbsent(t *testing.T) {
+	is := is.New(t)
+	s := startedRun()
+	ends := make([]chutetask.RunEnd, 500)
+	for i := range ends {
+		other := chutegraph.TaskID{StepID: chutegraph.StepID{Job: "00000000000000bb"}, Index: i}
+		ends[i] = chutetask.RunEnd{Number: int64(i + 1), Run: chutegraph.RunID{Task: other, Number: 1}, Kind: chutetask.EndDone}
+	}
+	s.handle(100*time.Millisecond, func(t *chuterunner.Transition) {
+		t.HandleLeaseRenewed(chuteaction.LeaseRenewed{
+			Epoch: epoch, Worker: workerID(0), SentAt: s.now, Outcome: chuteaction.OrderAccepted,
+			Clock: time.Hour + s.now.Sub(startTime), Incarnation: 1, Ended: ends, MoreEnded: true,
+		})
+	})
+	is.Equal(s.task(0).Phase, chutetask.TaskActive)
+	s.report(0, nil, append(ends[1:], chutetask.RunEnd{Number: 501, Run: taskRun(0, 1), Kind: chutetask.EndDone}))
+	is.Equal(s.task(0).Phase, chutetask.TaskDone)
+}
