Take an answer at a worker's former address as no news of the worker

What callers would see: runs that are started elsewhere while they run. Cause: the answer that another worker is at an address ended the worker that the order was for, with all its runs, even if it had restarted at another address by then. Class: an answer about a former life applied to the present one. Change: events of orders carry the address; only an answer at the worker's present address shows that it has been replaced. Evidence: TestAnOrderToAFormerAddressDoesNotEndTheWorker failed before the check was added. Measured: go test ./chuterunner ./chuteentry ./platform/front pass.

--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -141,6 +141,7 @@
 type RunStarted struct {
 	Epoch   int64
 	Worker  chutetask.WorkerID
+	Address string // to which the order was sent
 	Run     chutegraph.RunID
 	Outcome OrderOutcome
 	Reason  RefusalReason
@@ -151,6 +152,7 @@
 type RunStopped struct {
 	Epoch   int64
 	Worker  chutetask.WorkerID
+	Address string // to which the order was sent
 	Run     chutegraph.RunID
 	Outcome OrderOutcome
 	Reason  RefusalReason
@@ -160,6 +162,7 @@
 type LeaseRenewed struct {
 	Epoch       int64
 	Worker      chutetask.WorkerID
+	Address     string // to which the order was sent
 	SentAt      time.Time
 	Outcome     OrderOutcome
 	Reason      RefusalReason
--- a/chuterunner/lost_test.go
+++ b/chuterunner/lost_test.go
@@ -144,3 +144,19 @@
 	s.report(0, nil, append(ends[1:], chutetask.RunEnd{Number: 501, Run: taskRun(0, 1), Kind: chutetask.EndDone}))
 	is.Equal(s.task(0).Phase, chutetask.TaskDone)
 }
+
+func TestAnOrderToAFormerAddressDoesNotEndTheWorker(t *testing.T) {
+	for _, address := range []string{"10.0.0.1:1", "10.0.0.2:1"} {
+		is := is.New(t)
+		s := startedRun()
+		moved := s.worker(0).Listing
+		moved.Address = "10.0.0.2:1"
+		s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(moved, 7, s.now) })
+		s.handle(100*time.Millisecond, func(t *chuterunner.Transition) {
+			t.HandleLeaseRenewed(chuteaction.LeaseRenewed{
+				Epoch: epoch, Worker: workerID(0), Address: address, SentAt: s.now, Outcome: chuteaction.OrderMisdirected,
+			})
+		})
+		is.Equal(s.worker(0).Lost, address == moved.Address)
+	}
+}
--- a/chuterunner/order_test.go
+++ b/chuterunner/order_test.go
@@ -86,7 +86,8 @@
 func (s *scheduler) startEnds(index int, outcome chuteaction.OrderOutcome, reason chuteaction.RefusalReason) {
 	s.handle(300*time.Millisecond, func(t *chuterunner.Transition) {
 		t.HandleRunStarted(chuteaction.RunStarted{
-			Epoch: epoch, Worker: workerID(index), Run: taskRun(index, 1), Outcome: outcome, Reason: reason, Clock: time.Hour,
+			Epoch: epoch, Worker: workerID(index), Address: s.worker(index).Address, Run: taskRun(index, 1), Outcome: outcome, Reason: reason,
+			Clock: time.Hour,
 		})
 	})
 }
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -71,6 +71,10 @@
 	case chuteaction.OrderUnknown:
 		t.startUnanswered(w, r)
 	case chuteaction.OrderMisdirected:
+		if e.Address != w.Address {
+			t.startRefused(w, r, e)
+			return
+		}
 		t.PutWorker(w.WithRun(r))
 		t.markReplaced(w.ID)
 	case chuteaction.OrderRefused, chuteaction.OrderUnhealthy:
@@ -117,8 +121,12 @@
 // startRefused ends a run that the worker did not start, unless an earlier order for it may still be carried out.
 func (t *Transition) startRefused(w chutepool.Worker, r chutepool.Run, e chuteaction.RunStarted) {
 	reason := e.Reason.String()
-	if e.Outcome == chuteaction.OrderUnhealthy {
+	switch e.Outcome {
+	case chuteaction.OrderUnhealthy:
 		reason = "unhealthy"
+	case chuteaction.OrderMisdirected:
+		reason = "former-address"
+	case chuteaction.OrderAccepted, chuteaction.OrderRefused, chuteaction.OrderUnknown:
 	}
 	t.Count("start-refused", reason)
 	t.Log(component, "start refused", r.ID.Task.Job, "run", r.ID, "worker", w.ID, "reason", reason)
@@ -178,16 +186,25 @@
 		w.ReportDue = true
 		t.PutWorker(w.WithRun(r.WithStopAnswered(t.Now)))
 	case chuteaction.OrderMisdirected:
+		if e.Address != w.Address {
+			t.repeatStop(w, r, e.Reason)
+			return
+		}
 		t.PutWorker(w.WithRun(r))
 		t.markReplaced(w.ID)
 	case chuteaction.OrderUnknown, chuteaction.OrderUnhealthy, chuteaction.OrderRefused:
-		t.Count("stop-repeated", e.Reason.String())
 		t.Fenced = e.Reason == chuteaction.RefusedFenced
-		r.PhaseSince = t.Now
-		t.PutWorker(w.WithRun(r))
+		t.repeatStop(w, r, e.Reason)
 	}
 }
 
+// repeatStop schedules the stop order of a run again.
+func (t *Transition) repeatStop(w chutepool.Worker, r chutepool.Run, reason chuteaction.RefusalReason) {
+	t.Count("stop-repeated", reason.String())
+	r.PhaseSince = t.Now
+	t.PutWorker(w.WithRun(r))
+}
+
 // applyListedEnd applies the end of a run, as its worker reports it, to the worker's failures and to the task.
 func (t *Transition) applyListedEnd(w chutepool.Worker, end chutetask.RunEnd) {
 	t.trackFailures(w, end)
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -44,7 +44,8 @@
 	}
 }
 
-// markReplaced records that another worker answers at the worker's address: the worker and all its runs have ended.
+// markReplaced records that another worker answers at the worker's present address: the worker and all its runs have
+// ended. At a former address the answer would say nothing about the worker.
 func (t *Transition) markReplaced(id chutetask.WorkerID) {
 	w, ok := t.Pool.Get(id)
 	if !ok {
@@ -79,6 +80,10 @@
 	case chuteaction.OrderAccepted:
 		t.applyRenewal(w, e)
 	case chuteaction.OrderMisdirected:
+		if e.Address != w.Address {
+			t.applyMissedRenewal(w, "former-address")
+			return
+		}
 		t.PutWorker(w)
 		t.markReplaced(w.ID)
 	case chuteaction.OrderRefused:
