Take a worker that refuses a renewal as living

Cause: a refusal counted as a missed renewal, which loses a worker that removed its entry from the list before. Change: a refusal is an answer and ends the presumption. Evidence: TestAWorkerThatRefusesARenewalIsNotLost failed before. Measured: go test ./chuterunner passes.

--- a/chuterunner/lost_test.go
+++ b/chuterunner/lost_test.go
@@ -67,6 +67,20 @@
 	}
 }
 
+func TestAWorkerThatRefusesARenewalIsNotLost(t *testing.T) {
+	is := is.New(t)
+	s := startedRun()
+	s.handle(0, func(t *chuterunner.Transition) {
+		w := s.worker(0)
+		w.PresumedEnded = true
+		t.PutWorker(w)
+		t.HandleLeaseRenewed(chuteaction.LeaseRenewed{
+			Epoch: epoch, Worker: workerID(0), SentAt: s.now, Outcome: chuteaction.OrderRefused, Reason: chuteaction.RefusedExpired,
+		})
+	})
+	is.Equal(s.worker(0).Lost, false)
+}
+
 func TestADoneEndOfARunTakenAsLostCompletesItsTask(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -88,6 +88,7 @@
 		t.markReplaced(w.ID)
 	case chuteaction.OrderRefused:
 		t.Fenced = e.Reason == chuteaction.RefusedFenced
+		w.PresumedEnded = false
 		t.applyMissedRenewal(w, e.Reason.String())
 	case chuteaction.OrderUnhealthy:
 		t.applyMissedRenewal(w, "unhealthy")
