chuteentry tests: simulate tasks that crash their workers, and capacity that changes

A worker's capacity may change; its listing shows it within a heartbeat. Invariants: the capacity that was in force during the last contact time and heartbeat counts, as the rule says, in place of the present one alone; at most two starts by hosts in touch after three crashes.

--- a/chuteentry/entry_test.go
+++ b/chuteentry/entry_test.go
@@ -281,29 +281,41 @@
 	}
 }
 
-// TestSeededHistories runs random jobs under random faults. MONSOONCHUTE_SEEDS selects the seeds as first:count.
+// TestSeededHistories runs random jobs under random faults.
 func TestSeededHistories(t *testing.T) {
-	first, count := uint64(1), 12
+	for _, seed := range seeds(t, 12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runHistory(t, seed) })
+	}
+}
+
+// seeds returns the seeds that MONSOONCHUTE_SEEDS selects as first:count, otherwise so many from 1.
+func seeds(t *testing.T, count uint64) []uint64 {
+	t.Helper()
+	first := uint64(1)
 	if text := os.Getenv("MONSOONCHUTE_SEEDS"); text != "" {
 		a, b, _ := strings.Cut(text, ":")
-		f, err := strconv.ParseUint(a, 10, 64)
-		if err != nil {
+		var err error
+		if first, err = strconv.ParseUint(a, 10, 64); err != nil {
 			t.Fatal(err)
 		}
-		n, err := strconv.Atoi(b)
-		if err != nil {
+		if count, err = strconv.ParseUint(b, 10, 64); err != nil {
 			t.Fatal(err)
 		}
-		first, count = f, n
 	}
-	for seed := first; seed < first+uint64(count); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runHistory(t, seed) })
+	list := make([]uint64, count)
+	for i := range list {
+		list[i] = first + uint64(i)
 	}
+	return list
 }
 
-func runHistory(t *testing.T, seed uint64) {
+// runHistory runs random jobs under random faults, with the additions.
+func runHistory(t *testing.T, seed uint64, additions ...func(*simulation)) {
 	sm := newSimulation(seed, 4, 12)
 	sm.run(3 * time.Second)
+	for _, add := range additions {
+		add(sm)
+	}
 	sm.submitRandomJobs(25, 20*time.Second)
 	for range 4 + sm.random.IntN(5) {
 		sm.after(time.Duration(sm.random.Int64N(int64(22*time.Second))), sm.randomFault)
@@ -318,6 +330,8 @@
 		}
 		phase := sm.phase(j)
 		switch {
+		case j.failedWithoutCause(phase):
+			sm.reportViolation("job %s (%s) is failed without cause\n%s", id, j.queue, sm.logLinesWith(string(id)))
 		case phase == "completed" || phase == "failed":
 		case phase == "cancelled" && !j.cancelledAt.IsZero():
 		default:
@@ -393,8 +407,11 @@
 	for _, h := range sm.hosts {
 		h.disconnected = false
 	}
-	for _, k := range sm.workers {
+	for _, k := range sm.sortedWorkers() {
 		k.disconnected, k.failsRuns, k.lostOrderRate = false, false, 0
+		if k.listing.Capacity != fullCapacity() {
+			k.setCapacity(fullCapacity())
+		}
 	}
 }
 
@@ -423,7 +440,7 @@
 		sm.run(time.Second)
 		k := sm.workerOf(j)
 		k.offStore = true
-		sm.run(3 * time.Duration(1+seed%3) * heartbeatInterval)
+		sm.run(3 * time.Duration(1+seed%3) * heartbeat)
 		k.disconnected = true // long enough for a renewal to get no answer, shorter than the lease
 		sm.run(3 * time.Second)
 		k.disconnected, k.offStore = false, false
--- a/chuteentry/fakeclients_test.go
+++ b/chuteentry/fakeclients_test.go
@@ -31,6 +31,28 @@
 	doneAt       map[chutegraph.TaskID]time.Time
 	acknowledged map[chutegraph.TaskID]bool // tasks whose end the scheduler has acknowledged to the worker
 	startedAt    map[chutegraph.TaskID]time.Time
+
+	crashesWorker func(*fakeWorker, chutegraph.TaskID) bool // nil if no task crashes the worker that starts it
+	starts        map[chutegraph.TaskID]int
+	crashes       map[chutegraph.TaskID]int // workers that crashed while the task ran there
+	startsBeyond  map[chutegraph.TaskID]int // starts by hosts in touch after maxCrashes crashes
+	hasFailedRuns bool
+}
+
+// isDeadly reports whether the task crashes the worker if that starts it.
+func (j *fakeJob) isDeadly(k *fakeWorker, id chutegraph.TaskID) bool {
+	return j.crashesWorker != nil && j.crashesWorker(k, id)
+}
+
+// failedWithoutCause reports whether a job is failed although no run of it failed, and at most one worker crashed under
+// each of its tasks.
+func (j *fakeJob) failedWithoutCause(phase string) bool {
+	for _, crashes := range j.crashes {
+		if crashes > 1 {
+			return false
+		}
+	}
+	return phase == "failed" && !j.hasFailedRuns
 }
 
 func newFakeClients(sm *simulation) *fakeClients {
@@ -71,6 +93,7 @@
 		id: chutegraph.JobID(fmt.Sprintf("%016x", len(c.jobs)+1)), queue: queue, duration: duration,
 		spec: chutegraph.Spec{Payload: "work", Steps: steps}, doneAt: make(map[chutegraph.TaskID]time.Time),
 		acknowledged: make(map[chutegraph.TaskID]bool), startedAt: make(map[chutegraph.TaskID]time.Time),
+		starts: make(map[chutegraph.TaskID]int), crashes: make(map[chutegraph.TaskID]int), startsBeyond: make(map[chutegraph.TaskID]int),
 	}
 	c.jobs[j.id] = j
 	c.jobIDs = append(c.jobIDs, j.id)
--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -32,6 +32,19 @@
 	heartbeatAt     time.Time
 	lostOrderRate   float64 // fraction of orders that get no answer and are executed late
 	failsRuns       bool    // every run fails
+	formerCapacity  []capacityPeriod
+}
+
+// capacityPeriod is a capacity that was in force until the given time.
+type capacityPeriod struct {
+	capacity chutecapacity.Resources
+	until    time.Time
+}
+
+// sender is the host that sent an order.
+type sender struct {
+	sentAt  time.Time
+	inTouch bool // neither the host nor the store was disturbed for the contact time before
 }
 
 type fakeRun struct {
@@ -51,7 +64,7 @@
 		listing: chutepool.Listing{
 			ID: chutetask.WorkerID(name), Service: "main", Address: name + ":1", Zone: fmt.Sprintf("zone-%d", i%3),
 			Rack: fmt.Sprintf("rack-%d", i/4), Labels: []string{"a", fmt.Sprintf("rack-%d", i/4)},
-			Capacity: chutecapacity.Resources{Processor: 64000, Memory: 128000, Accelerators: 8},
+			Capacity: fullCapacity(),
 		},
 	}
 	k.listing.Incarnation = k.startedAt.UnixMilli()
@@ -62,6 +75,11 @@
 	return k
 }
 
+// fullCapacity returns the capacity of a worker at its start.
+func fullCapacity() chutecapacity.Resources {
+	return chutecapacity.Resources{Processor: 64000, Memory: 128000, Accelerators: 8}
+}
+
 func (k *fakeWorker) key() chuteaction.RowKey {
 	return chuteaction.RowKey{Table: chuteaction.TableWorkers, Key: string(k.listing.ID)}
 }
@@ -77,10 +95,10 @@
 	case !k.dead && !k.offStore:
 		k.heartbeatAt = k.sim.now
 		k.publishListing()
-	case listed && k.sim.now.Sub(k.heartbeatAt) >= 3*heartbeatInterval:
+	case listed && k.sim.now.Sub(k.heartbeatAt) >= 3*heartbeat:
 		k.sim.store.deleteRow(k.key(), nil)
 	}
-	k.sim.after(heartbeatInterval, k.sendHeartbeats)
+	k.sim.after(heartbeat, k.sendHeartbeats)
 }
 
 // crash ends the process; its listing is removed after the delay.
@@ -88,6 +106,7 @@
 	k.dead = true
 	for _, r := range k.runs {
 		r.ended = true
+		r.job.crashes[r.id.Task]++
 	}
 	k.runs = make(map[chutegraph.RunID]*fakeRun)
 	k.sim.after(listingDelay, func() {
@@ -112,6 +131,84 @@
 	k.publishListing()
 }
 
+// crashUnder crashes the worker of a run, unless the run has ended, and breaks the gangs that lose a member. The worker
+// comes back later as the simulation says.
+func (k *fakeWorker) crashUnder(r *fakeRun) {
+	if r.ended {
+		return
+	}
+	sm := k.sim
+	expiry := 3 * heartbeat
+	if sm.workerReturn == returnsUnlisted {
+		expiry = heartbeat
+	}
+	lost := k.sortedRuns()
+	k.crash(expiry)
+	for _, other := range lost {
+		if other.step.Gang {
+			sm.endGang(other, chutetask.EndGangBroken)
+		}
+	}
+	downTime := 2*time.Second + time.Duration(sm.random.Int64N(int64(2*time.Second)))
+	if sm.workerReturn == returnsAsNewWorker {
+		sm.after(downTime, k.replace)
+	} else {
+		sm.after(downTime, k.restart)
+	}
+	if sm.onCrash != nil {
+		sm.onCrash(r)
+	}
+}
+
+// replace starts a worker with a new id in the place of one that crashed.
+func (k *fakeWorker) replace() {
+	fresh := k.sim.addWorker(fmt.Sprintf("worker-%02d", len(k.sim.workers)), 0)
+	fresh.listing.Zone, fresh.listing.Rack, fresh.listing.Labels = k.listing.Zone, k.listing.Rack, k.listing.Labels
+	fresh.publishListing()
+}
+
+// setCapacity changes the capacity of a worker that runs on. Its listing shows the change at the next heartbeat.
+func (k *fakeWorker) setCapacity(capacity chutecapacity.Resources) {
+	k.formerCapacity = append(k.formerCapacity, capacityPeriod{capacity: k.listing.Capacity, until: k.sim.now})
+	k.listing.Capacity = capacity
+	k.sim.after(time.Duration(k.sim.random.Int64N(int64(heartbeat))), func() {
+		if !k.dead {
+			k.publishListing()
+		}
+	})
+}
+
+// resize gives the worker so many accelerators, and processor and memory in proportion.
+func (k *fakeWorker) resize(accelerators int) {
+	full := fullCapacity()
+	k.setCapacity(chutecapacity.Resources{
+		Processor: full.Processor * accelerators / full.Accelerators, Memory: full.Memory * accelerators / full.Accelerators,
+		Accelerators: accelerators,
+	})
+}
+
+// silence cuts a worker off from the hosts and the store, where its listing expires.
+func (k *fakeWorker) silence(d time.Duration) {
+	if k.disconnected {
+		return
+	}
+	k.disconnected, k.offStore = true, true
+	k.sim.after(d, func() {
+		k.disconnected, k.offStore = false, false
+		if !k.dead {
+			k.publishListing()
+		}
+	})
+}
+
+// hasRoom reports whether the resources fit in the present capacity, or in one that was in force so recently before the
+// given time that the scheduler may still count on it.
+func (k *fakeWorker) hasRoom(used chutecapacity.Resources, at time.Time) bool {
+	return used.Fits(k.listing.Capacity) || slices.ContainsFunc(k.formerCapacity, func(former capacityPeriod) bool {
+		return at.Sub(former.until) < contactTime+heartbeat && used.Fits(former.capacity)
+	})
+}
+
 func (k *fakeWorker) drain(d time.Duration) {
 	k.listing.Draining = true
 	k.listing.TimeToLeave = d
@@ -166,6 +263,7 @@
 	if kind == chutetask.EndDone {
 		r.job.doneAt[r.id.Task] = k.sim.now
 	}
+	r.job.hasFailedRuns = r.job.hasFailedRuns || kind == chutetask.EndFailed
 	if r.step.Gang {
 		k.sim.endGang(r, kind)
 	}
@@ -203,7 +301,7 @@
 	}
 }
 
-func (k *fakeWorker) handleStart(o chuteaction.StartRun) chuteaction.Event {
+func (k *fakeWorker) handleStart(o chuteaction.StartRun, from sender) chuteaction.Event {
 	refuse := func(reason chuteaction.RefusalReason) chuteaction.Event {
 		return chuteaction.RunStarted{Epoch: o.Epoch, Worker: o.Worker, Run: o.Run, Outcome: chuteaction.OrderRefused, Reason: reason, Clock: k.clock()}
 	}
@@ -219,12 +317,12 @@
 		return refuse(chuteaction.RefusedExpired)
 	}
 	k.extendLease(o.LeaseEnd)
-	k.startRun(o)
+	k.startRun(o, from)
 	return accepted
 }
 
 // startRun starts a run and checks the invariants of a start.
-func (k *fakeWorker) startRun(o chuteaction.StartRun) {
+func (k *fakeWorker) startRun(o chuteaction.StartRun, from sender) {
 	sm := k.sim
 	job := sm.clients.jobs[o.Run.Task.Job]
 	if job == nil {
@@ -232,9 +330,12 @@
 		return
 	}
 	step := job.spec.Steps[o.Run.Task.Step]
-	sm.checkStart(k, o, job, step)
+	sm.checkStart(k, o, job, from)
 	r := &fakeRun{id: o.Run, step: step, job: job, startedAt: sm.now, waitsForGang: step.Gang, pace: 100}
 	k.runs[o.Run] = r
+	if job.isDeadly(k, o.Run.Task) {
+		sm.after(50*time.Millisecond+time.Duration(sm.random.Int64N(int64(maxCrashDelay))), func() { k.crashUnder(r) })
+	}
 	if step.Gang {
 		sm.after(gangTimeout, func() {
 			if r.waitsForGang && !r.ended {
@@ -247,14 +348,16 @@
 	k.work(r)
 }
 
-func (sm *simulation) checkStart(k *fakeWorker, o chuteaction.StartRun, job *fakeJob, step chutegraph.Step) {
+func (sm *simulation) checkStart(k *fakeWorker, o chuteaction.StartRun, job *fakeJob, from sender) {
+	step := job.spec.Steps[o.Run.Task.Step]
 	used := step.Reserved()
 	for _, r := range k.runs {
 		used = used.Plus(r.step.Reserved())
 	}
-	if !used.Fits(k.listing.Capacity) {
-		sm.reportViolation("start of %s exceeds the capacity of %s", o.Run, k.listing.ID)
+	if !k.hasRoom(used, from.sentAt) {
+		sm.reportViolation("start of %s exceeds the capacity of %s: %v of %v", o.Run, k.listing.ID, used, k.listing.Capacity)
 	}
+	sm.checkCrashBudget(k, o, job, from)
 	if job.acknowledged[o.Run.Task] {
 		sm.reportViolation("%s was started after the end of its task was acknowledged", o.Run)
 	}
@@ -279,6 +382,20 @@
 	}
 }
 
+// checkCrashBudget counts the starts of a task, and those that hosts in touch order although too many workers have
+// crashed under it.
+func (sm *simulation) checkCrashBudget(k *fakeWorker, o chuteaction.StartRun, job *fakeJob, from sender) {
+	task := o.Run.Task
+	job.starts[task]++
+	if !job.isDeadly(k, task) || job.crashes[task] < maxCrashes || !from.inTouch {
+		return
+	}
+	job.startsBeyond[task]++
+	if job.startsBeyond[task] > maxStartsBeyond {
+		sm.reportViolation("%s was started although %d workers had crashed under its task", o.Run, job.crashes[task])
+	}
+}
+
 // startCompleteGang starts the work of a gang once all of its members have started.
 func (sm *simulation) startCompleteGang(r *fakeRun) {
 	var members []*fakeRun
--- a/chuteentry/simulation_test.go
+++ b/chuteentry/simulation_test.go
@@ -26,14 +26,35 @@
 	clients    *fakeClients
 	violations []string // violated invariants
 	logLines   []string // log lines of all hosts
+
+	workerReturn workerReturn         // how workers come back after their tasks crashed them
+	onCrash      func(cause *fakeRun) // called after a task has crashed its worker; may be nil
 }
 
+// workerReturn is the way in which a crashed worker comes back.
+type workerReturn int
+
+const (
+	returnsListed      workerReturn = iota // under its id, before its listing expires
+	returnsUnlisted                        // under its id, after its listing expired
+	returnsAsNewWorker                     // under another id at another address
+	workerReturns                          // number of ways
+)
+
 const (
 	maxLease    = 6 * time.Second
 	gangTimeout = 3 * time.Second
 	stopTimeout = 200 * time.Millisecond
-	// heartbeatInterval is the time between two heartbeats of a worker.
-	heartbeatInterval = 1500 * time.Millisecond
+	// contactTime is the time without disturbances after which a host counts as in touch.
+	contactTime = 3 * time.Second
+	// heartbeat is the interval at which workers write their listings.
+	heartbeat = 1500 * time.Millisecond
+	// maxCrashDelay is the longest time, beyond 50 ms, that a task runs before it crashes its worker.
+	maxCrashDelay = 1450 * time.Millisecond
+	// maxCrashes is the number of crashes under a task after which its starts are limited.
+	maxCrashes = 3
+	// maxStartsBeyond is the number of starts allowed then.
+	maxStartsBeyond = 2
 )
 
 func newSimulation(seed uint64, hosts, workers int) *simulation {
@@ -134,6 +155,7 @@
 	paused        bool
 	pendingEvents []chuteaction.Event // events received while paused
 	disconnected  bool                // the host does not reach the store
+	disturbedAt   time.Time           // latest time at which it started, was paused or did not reach the store
 	watches       map[chuteaction.Table]int
 	lastWatch     int
 }
@@ -145,10 +167,12 @@
 // startHostWithShare starts a host with the CPU share in cores.
 func (sm *simulation) startHostWithShare(name string, share float64) *fakeHost {
 	sm.lastNumber++
-	h := &fakeHost{sim: sm, name: name, process: fmt.Sprintf("%s-%d", name, sm.lastNumber), watches: make(map[chuteaction.Table]int)}
+	h := &fakeHost{
+		sim: sm, name: name, process: fmt.Sprintf("%s-%d", name, sm.lastNumber), disturbedAt: sm.now, watches: make(map[chuteaction.Table]int),
+	}
 	h.state = chuteentry.New(chuteentry.Settings{
 		Host: name, Process: h.process, RelayAddress: name, CPUShare: share, Jitter: time.Duration(sm.random.Int64N(int64(200 * time.Millisecond))),
-		Bounds: chuterunner.Bounds{MaxLease: maxLease, GangTimeout: gangTimeout, StopTimeout: stopTimeout, HeartbeatInterval: heartbeatInterval},
+		Bounds: chuterunner.Bounds{MaxLease: maxLease, GangTimeout: gangTimeout, StopTimeout: stopTimeout, HeartbeatInterval: heartbeat},
 	})
 	sm.hosts[name] = h
 	h.tick()
@@ -159,6 +183,9 @@
 	if h.dead {
 		return
 	}
+	if h.paused || h.sim.store.unreachable(h) || h.sim.store.lostAnswerRate > 0 {
+		h.disturbedAt = h.sim.now
+	}
 	h.deliver(chuteaction.Tick{})
 	h.sim.after(50*time.Millisecond, h.tick)
 }
@@ -222,6 +249,15 @@
 	return names
 }
 
+// sortedWorkers returns the workers in the order of their names.
+func (sm *simulation) sortedWorkers() []*fakeWorker {
+	var workers []*fakeWorker
+	for _, name := range sm.workerNames() {
+		workers = append(workers, sm.workers[name])
+	}
+	return workers
+}
+
 // execute carries out an effect of the host's core.
 func (h *fakeHost) execute(effect chuteaction.Effect) {
 	sm := h.sim
@@ -237,7 +273,8 @@
 	case chuteaction.UnwatchTable:
 		delete(h.watches, f.Table)
 	case chuteaction.StartRun:
-		sm.sendOrder(h, f.WorkerTarget, func(k *fakeWorker) chuteaction.Event { return k.handleStart(f) },
+		from := sender{sentAt: sm.now, inTouch: sm.now.Sub(h.disturbedAt) >= contactTime}
+		sm.sendOrder(h, f.WorkerTarget, func(k *fakeWorker) chuteaction.Event { return k.handleStart(f, from) },
 			chuteaction.RunStarted{Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnknown})
 	case chuteaction.StopRun:
 		sm.sendOrder(h, f.WorkerTarget, func(k *fakeWorker) chuteaction.Event { return k.handleStop(f) },
