Send a start order only if the worker's present capacity holds all runs there

What the platform saw: starts that bring a worker over its capacity (LIMIT), once capacity may shrink while a worker runs. Cause: free capacity was looked at when a run was planned. Between that and the order lie a write, repetitions of the order and a change of the leader; a new leader resumed recorded runs on workers that had shrunk since. Class: a check whose result is used later. Change: an order leaves only if the runs on the worker, those being stopped included, fit into its listed capacity; a start without an answer is stopped instead of repeated, and a recorded run is dropped and planned anew. Runs in progress go on.

--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -141,6 +141,12 @@
 	return w.Capacity.Minus(w.reserved)
 }
 
+// Overcommitted reports whether the runs reserve more than the worker's capacity, which may have shrunk since they were
+// placed.
+func (w Worker) Overcommitted() bool {
+	return !w.reserved.Fits(w.Capacity)
+}
+
 // Stopping returns the capacity that is reserved by runs that are being stopped.
 func (w Worker) Stopping() chutecapacity.Resources {
 	return w.stopping
--- a/chuterunner/absent.go
+++ b/chuterunner/absent.go
@@ -54,7 +54,7 @@
 	j, ok := t.Job(r.ID.Task.Job)
 	task, _ := j.Task(r.ID.Task)
 	switch {
-	case !ok || j.Phase.Ended() || !t.MayStartOn(w) || !t.expected(id, r.ID) || task.Phase != chutetask.TaskActive:
+	case !ok || j.Phase.Ended() || !t.MayOrderStart(w) || !t.expected(id, r.ID) || task.Phase != chutetask.TaskActive:
 		t.StopRun(id, r.ID, "not-resumed")
 	case !t.gangReported(j, r.ID.Task.StepID):
 		w.ReportDue = true
--- /dev/null
+++ b/chuterunner/room_test.go
@@ -0,0 +1,30 @@
+package chuterunner_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chuterunner"
+)
+
+// shrink lists the worker with less capacity than its run reserves.
+func (s *scheduler) shrink(index int) {
+	listing := s.worker(index).Listing
+	listing.Capacity = chutecapacity.Resources{Processor: 500, Memory: 8000, Accelerators: 8}
+	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(listing, 7, s.now) })
+}
+
+func TestAStartIsNotRepeatedOnAWorkerThatHasShrunk(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(1, false)
+	s.start(0)
+	s.shrink(0)
+	before := len(s.orders)
+	s.startEnds(0, chuteaction.OrderUnknown, 0)
+	is.Equal(len(s.orders), before+1)
+	_, stopped := s.orders[before].(chuteaction.StopRun) // the start may still be carried out
+	is.True(stopped)
+}
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -101,7 +101,7 @@
 	r = r.WithStartUnanswered()
 	w.ReportDue = true
 	t.PutWorker(w.WithRun(r))
-	if r.OrdersSent < maxStartOrders {
+	if r.OrdersSent < maxStartOrders && !w.Overcommitted() {
 		t.OrderStart(w, r)
 		return
 	}
--- a/chuterunner/state.go
+++ b/chuterunner/state.go
@@ -28,6 +28,7 @@
 	Speeds      chutespeed.Speeds
 	Cordoned    map[chutetask.WorkerID]bool // workers whose machines go down soon, which get no new runs; never modified
 	PlanDue     bool                        // something has changed since the latest planning pass
+	ListedAt    time.Time                   // time of the store's latest answer about the list of workers
 }
 
 // New returns the state of a scheduler that becomes leader now, without jobs and workers.
@@ -149,3 +150,8 @@
 func (t *Transition) MayStartOn(w chutepool.Worker) bool {
 	return w.Listed && !w.Draining && !w.Lost && !t.Environment.EvacuatedZones[w.Zone] && !t.Cordoned[w.ID]
 }
+
+// MayOrderStart reports whether the start order of a run that the worker has capacity reserved for may be sent now.
+func (t *Transition) MayOrderStart(w chutepool.Worker) bool {
+	return t.MayStartOn(w) && !w.Overcommitted()
+}
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -33,7 +33,6 @@
 	hasProgress      bool                                                    // the progress of all jobs has been read
 	hasJobs          bool                                                    // all submissions have been read
 	hasWorkers       bool                                                    // all workers have been read
-	workersReadAt    time.Time                                               // time of the latest answer about the table of workers
 	timed            *immutable.SortedMap[chutegraph.JobID, bool]            // live jobs whose occurrences start at set times
 	ticks            int                                                     // ticks so far; they select the workers to check
 	pending          map[string]int                                          // pending jobs by queue; the map is never modified
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -272,7 +272,7 @@
 		ready = append(ready, r)
 		workers = append(workers, w.ID)
 		completed[id] = task.Phase == chutetask.TaskDone
-		if j.Phase.Ended() || !w.Contacted || !t.MayStartOn(w) {
+		if j.Phase.Ended() || !w.Contacted || !t.MayOrderStart(w) {
 			invalid[id.StepID] = true
 		}
 	})
@@ -292,5 +292,5 @@
 // mayStart reports whether the worker has answered this scheduler and may get new work.
 func (t *transition) mayStart(id chutetask.WorkerID) bool {
 	w, ok := t.Pool.Get(id)
-	return ok && w.Contacted && t.MayStartOn(w)
+	return ok && w.Contacted && t.MayOrderStart(w)
 }
--- a/chutescheduler/worker.go
+++ b/chutescheduler/worker.go
@@ -15,11 +15,11 @@
 		return s
 	}
 	u := s.transition(t, environment)
-	writtenAfter := u.workersReadAt // changes have been written since the former answer
+	writtenAfter := u.ListedAt // changes have been written since the former answer
 	if e.Complete {
 		writtenAfter = time.Time{}
 	}
-	u.workersReadAt = t.Now
+	u.ListedAt = t.Now
 	present := make(map[chutetask.WorkerID]bool)
 	for _, r := range e.Rows {
 		id := chutetask.WorkerID(r.Key)
