--- a/chuterunner/room_test.go
+++ b/chuterunner/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -28,3 +29,12 @@
 	_, stopped := s.orders[before].(chuteaction.StopRun) // the start may still be carried out
 	is.True(stopped)
 }
+
+func TestNothingStartsByAnOldListOfWorkers(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(1, false)
+	s.shrink(0) // marks the worker as listed
+	s.state.ListedAt = s.now
+	s.handle(2*time.Second, func(t *chuterunner.Transition) { is.True(t.MayStartOn(s.worker(0))) })
+	s.handle(2*time.Second, func(t *chuterunner.Transition) { is.Equal(t.MayStartOn(s.worker(0)), false) })
+}
