Count a run of an unknown job as taking the whole worker

What the platform would see: starts that bring a worker over its capacity. Cause: a run that a worker reports and whose job the scheduler does not know reserved nothing until it had stopped. Change: it reserves the whole worker. Evidence: TestARunOfAnUnknownJobTakesTheWholeWorker failed before. Measured: go test ./chuterunner ./chuteentry pass.

--- a/chuterunner/room_test.go
+++ b/chuterunner/room_test.go
@@ -8,7 +8,9 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuterunner"
+	"monsoonchute.example/monsoonchute/chutetask"
 )
 
 // shrink lists the worker with less capacity than its run reserves.
@@ -38,3 +40,12 @@
 	s.handle(2*time.Second, func(t *chuterunner.Transition) { is.True(t.MayStartOn(s.worker(0))) })
 	s.handle(2*time.Second, func(t *chuterunner.Transition) { is.Equal(t.MayStartOn(s.worker(0)), false) })
 }
+
+func TestARunOfAnUnknownJobTakesTheWholeWorker(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(1, false)
+	unknown := chutegraph.RunID{Task: chutegraph.TaskID{StepID: chutegraph.StepID{Job: "00000000000000bb"}}, Number: 1}
+	s.report(0, []chutetask.RunReport{{Run: unknown}}, nil)
+	free := s.worker(0).Free()
+	is.True(free.Accelerators <= 0)
+}
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -219,7 +219,7 @@
 // stopUnexpected stops a run that the worker should not have. The run takes capacity until it has ended.
 func (t *Transition) stopUnexpected(id chutetask.WorkerID, report chutetask.RunReport) {
 	w, _ := t.Pool.Get(id)
-	r := chutepool.Run{ID: report.Run}
+	r := chutepool.Run{ID: report.Run, Reserved: w.Capacity} // of an unknown job: it may need the whole worker
 	if j, ok := t.Job(report.Run.Task.Job); ok && report.Run.Task.Step < len(j.Spec.Steps) {
 		r.Reserved = j.Step(report.Run.Task.StepID).Reserved()
 		r.Priority = j.Priority
