Quarantine tasks under which two workers crashed, and give them up after two crashes in quarantine

Here a crash ended a run as lost, which counts as no attempt: a deadly task ran without end and took all neighbours with it, also when the leader changed. Cause: nothing recorded that a worker crashed under a task. Class: a failure without an owner, retried without a budget. Change: chutequarantine decides. The crash of a worker (a new incarnation, another worker at its address, a lease that expired without an answer; not a planned leave) counts once against each run that it may have been running; a gang has one record. The record, the incarnation and the quarantine of a run stand in the job's progress row, apart from the tasks so that rows without them stay readable; a new leader finds the crash of a recorded run by the incarnation. After two crashes the next run has a worker to itself, one such task of a step at a time, on a worker that has not crashed lately; where none is empty, the emptiest is kept free. Two crashes in quarantine fail the job. A worker that answers again in the same incarnation takes its blame back, so cuts blame nobody.

--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -85,6 +85,7 @@
 }
 
 func (k *fakeWorker) publishListing() {
+	k.heartbeatAt = k.sim.now
 	k.sim.store.put(k.key(), chuteaction.WorkerRow{Listing: k.listing})
 }
 
@@ -93,7 +94,6 @@
 	_, listed := k.sim.store.rows[k.key()]
 	switch {
 	case !k.dead && !k.offStore:
-		k.heartbeatAt = k.sim.now
 		k.publishListing()
 	case listed && k.sim.now.Sub(k.heartbeatAt) >= 3*heartbeat:
 		k.sim.store.deleteRow(k.key(), nil)
@@ -172,7 +172,7 @@
 	k.formerCapacity = append(k.formerCapacity, capacityPeriod{capacity: k.listing.Capacity, until: k.sim.now})
 	k.listing.Capacity = capacity
 	k.sim.after(time.Duration(k.sim.random.Int64N(int64(heartbeat))), func() {
-		if !k.dead {
+		if !k.dead && !k.offStore {
 			k.publishListing()
 		}
 	})
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -31,13 +31,14 @@
 // plan decides on all waiting tasks and carries out the decisions.
 func (p *pass) plan() {
 	p.guaranteed = guaranteedJobs(p.Transition)
-	demands := p.demands()
+	demands, quarantined := p.demands()
 	p.nominated = make(map[chutegraph.StepID]map[int]chutetask.WorkerID)
 	p.updateWaiting(demands)
+	taken := p.planQuarantine(quarantined)
 	if len(demands) == 0 {
 		return
 	}
-	view := chuteplacement.View{Now: p.Now, Workers: p.usableWorkers(), Demands: demands}
+	view := chuteplacement.View{Now: p.Now, Workers: p.usableWorkers(taken), Demands: demands}
 	if chuteplacement.NeedsRunGroups(view) {
 		view = p.withRunGroups(view)
 	}
@@ -116,10 +117,15 @@
 	if j.Step(d.Task.StepID).Gang {
 		number = gangRunNumber(j, d.Task)
 	}
-	p.PutJob(j.WithPhase(chutetask.PhaseRunning).WithTask(d.Task, task.WithRun(number, d.Worker)))
+	quarantined := j.Crashes(d.Task).NeedsQuarantine()
+	task = task.WithRun(number, d.Worker).WithIncarnation(w.Incarnation)
+	if quarantined {
+		task = task.WithQuarantine()
+	}
+	p.PutJob(j.WithPhase(chutetask.PhaseRunning).WithTask(d.Task, task))
 	run := chutepool.Run{
 		ID: chutegraph.RunID{Task: d.Task, Number: number}, Reserved: j.Step(d.Task.StepID).Reserved(),
-		Priority: p.Priority(j), Checkpoint: task.Checkpoint,
+		Priority: p.Priority(j), Checkpoint: task.Checkpoint, Quarantined: quarantined,
 	}
 	if a, ok := p.approvals.Get(d.Task.StepID); ok {
 		run = run.WithTicket(a.tickets[d.Worker])
@@ -160,14 +166,24 @@
 	return 0
 }
 
-// demands returns the steps with tasks that wait for capacity: first those that a guarantee covers, then by priority and
-// acceptance.
-func (p *pass) demands() []chuteplacement.Demand {
-	var list []rankedDemand
+// demands returns the steps with tasks that wait for capacity, and those with tasks that wait for quarantine: first those
+// that a guarantee covers, then by priority and acceptance.
+func (p *pass) demands() (ordinary, quarantined []chuteplacement.Demand) {
+	var list, alone []rankedDemand
 	for i := p.Live.Iterator(); !i.Done(); {
 		_, j, _ := i.Next()
-		list = p.appendDemands(list, j)
+		for k, steps := range j.Occurrences {
+			for s := range steps {
+				id := chutegraph.StepID{Job: j.ID, Occurrence: k, Step: s}
+				list = p.appendDemand(list, j, id, ordinaryIndexes(j, id))
+				alone = p.appendDemand(alone, j, id, quarantinedIndexes(j, id))
+			}
+		}
 	}
+	return sortedDemands(list), sortedDemands(alone)
+}
+
+func sortedDemands(list []rankedDemand) []chuteplacement.Demand {
 	slices.SortStableFunc(list, func(a, b rankedDemand) int {
 		return cmp.Or(compareGuaranteed(a.demand, b.demand), cmp.Compare(a.demand.Priority, b.demand.Priority), cmp.Compare(a.order, b.order))
 	})
@@ -178,76 +194,63 @@
 	return demands
 }
 
-// appendDemands appends the demands of a job's steps to the list.
-func (p *pass) appendDemands(list []rankedDemand, j chutetask.Job) []rankedDemand {
-	for k, steps := range j.Occurrences {
-		for s := range steps {
-			id := chutegraph.StepID{Job: j.ID, Occurrence: k, Step: s}
-			if d, ok := p.demand(j, id); ok {
-				list = append(list, rankedDemand{demand: d, order: j.AcceptanceOrder})
-			}
+// ordinaryIndexes returns the waiting tasks of a step that need no quarantine.
+func ordinaryIndexes(j chutetask.Job, id chutegraph.StepID) []int {
+	var indexes []int
+	for i, task := range j.Tasks(id) {
+		if task.Phase == chutetask.TaskWaiting && !needsQuarantine(j, id, i) {
+			indexes = append(indexes, i)
 		}
 	}
-	return list
+	return indexes
 }
 
-// demand returns the demand of a step, and false if none of its tasks may start now. The members of a gang only start
-// once all of them wait.
-func (p *pass) demand(j chutetask.Job, id chutegraph.StepID) (chuteplacement.Demand, bool) {
+// appendDemand appends the demand of the waiting tasks of a step, if any of them may start now. The members of a gang only
+// start once all of them wait.
+func (p *pass) appendDemand(list []rankedDemand, j chutetask.Job, id chutegraph.StepID, indexes []int) []rankedDemand {
 	step := j.Step(id)
 	tasks := j.Tasks(id)
-	waiting := countWaiting(tasks)
-	if waiting == 0 || step.Gang && waiting < len(tasks) || !j.StepReady(id) {
-		return chuteplacement.Demand{}, false
+	if len(indexes) == 0 || step.Gang && len(indexes) < len(tasks) || !j.StepReady(id) {
+		return list
 	}
 	priority := p.Priority(j)
 	d := chuteplacement.Demand{
 		ID: id, Step: step, Service: p.Service(j), Priority: priority, MayPreempt: priority == 0, Guaranteed: p.guaranteed[j.ID], Nominated: p.nominated[id],
-		TasksByWorker: make(map[chutetask.WorkerID]int),
+		Indexes: indexes, TasksByWorker: make(map[chutetask.WorkerID]int),
 	}
-	for i, task := range tasks {
-		switch task.Phase {
-		case chutetask.TaskWaiting:
-			d.Indexes = append(d.Indexes, i)
-		case chutetask.TaskActive:
+	for _, task := range tasks {
+		if task.Phase == chutetask.TaskActive {
 			d.TasksByWorker[task.Worker]++
-		case chutetask.TaskDone:
 		}
 	}
 	if q, ok := p.Environment.Catalog.Queue(j.Queue); ok && q.Approval != nil {
 		d.Tickets = p.tickets(j, id)
-		return d, len(d.Tickets) > 0
-	}
-	return d, true
-}
-
-// countWaiting returns the number of tasks that wait.
-func countWaiting(tasks []chutetask.Task) int {
-	waiting := 0
-	for _, task := range tasks {
-		if task.Phase == chutetask.TaskWaiting {
-			waiting++
+		if len(d.Tickets) == 0 {
+			return list
 		}
 	}
-	return waiting
+	return append(list, rankedDemand{demand: d, order: j.AcceptanceOrder})
 }
 
-// usableWorkers returns the workers on which tasks may start.
-func (p *pass) usableWorkers() []chuteplacement.Worker {
+// usableWorkers returns the workers on which tasks may start, without those taken by quarantines.
+func (p *pass) usableWorkers(taken map[chutetask.WorkerID]bool) []chuteplacement.Worker {
 	var workers []chuteplacement.Worker
 	for _, w := range p.Pool.All() {
-		if !w.Usable(p.Now) || !p.MayStartOn(w) {
+		if !w.Usable(p.Now) || !p.MayStartOn(w) || taken[w.ID] || w.InQuarantine() {
 			continue
 		}
-		worker := chuteplacement.Worker{
-			ID: w.ID, Service: w.Service, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.Free(),
-			Stopping: w.Stopping(), Penalty: p.penalty(w),
-		}
-		workers = append(workers, worker)
+		workers = append(workers, p.placementWorker(w))
 	}
 	return workers
 }
 
+func (p *pass) placementWorker(w chutepool.Worker) chuteplacement.Worker {
+	return chuteplacement.Worker{
+		ID: w.ID, Service: w.Service, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.Free(),
+		Stopping: w.Stopping(), Penalty: p.penalty(w),
+	}
+}
+
 const (
 	// slowPenalty puts a worker that is much slower than the others after all of them.
 	slowPenalty = 4.0
--- /dev/null
+++ b/chuteplanner/quarantine.go
@@ -0,0 +1,112 @@
+package chuteplanner
+
+import (
+	"maps"
+	"time"
+
+	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteplacement"
+	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chutetask"
+)
+
+const (
+	// crashPenalty puts a worker that has crashed lately after all others.
+	crashPenalty = 100.0
+	// loadPenalty is the penalty of a worker of which all accelerators are reserved, when workers are chosen to be emptied.
+	loadPenalty = 10.0
+	// crashMemory is how long a crash of a worker counts against it.
+	crashMemory = time.Minute
+	// maxQuarantineShare is the reciprocal of the largest share of the workers that quarantines may take.
+	maxQuarantineShare = 4
+)
+
+// needsQuarantine reports whether the waiting task must have its worker to itself. A gang is quarantined as a whole.
+func needsQuarantine(j chutetask.Job, id chutegraph.StepID, index int) bool {
+	return j.Crashes(chutegraph.TaskID{StepID: id, Index: index}).NeedsQuarantine()
+}
+
+// quarantinedIndexes returns the waiting tasks of a step that may start in quarantine now: all members of a gang, or one
+// task at a time, so that a job whose tasks all crash their workers crashes few.
+func quarantinedIndexes(j chutetask.Job, id chutegraph.StepID) []int {
+	var indexes []int
+	for i, task := range j.Tasks(id) {
+		if task.Phase == chutetask.TaskActive && task.Quarantined {
+			return nil
+		}
+		if task.Phase == chutetask.TaskWaiting && needsQuarantine(j, id, i) {
+			indexes = append(indexes, i)
+		}
+	}
+	if !j.Step(id).Gang && len(indexes) > 1 {
+		return indexes[:1]
+	}
+	return indexes
+}
+
+// planQuarantine starts tasks that need quarantine on workers without runs. Where there are none, it keeps new runs off
+// the workers that empty soonest. It returns the workers that other tasks must not use.
+func (p *pass) planQuarantine(demands []chuteplacement.Demand) map[chutetask.WorkerID]bool {
+	taken := make(map[chutetask.WorkerID]bool)
+	for _, d := range demands {
+		if len(taken) > p.Pool.Len()/maxQuarantineShare {
+			break
+		}
+		starts := placeAlone(d, p.quarantineWorkers(taken, true))
+		if len(starts) > 0 {
+			p.Log(component, "step starts in quarantine", d.ID.Job, "step", d.ID, "tasks", len(starts))
+		}
+		for _, s := range starts {
+			taken[s.Worker] = true
+			p.assign(s)
+		}
+		if len(starts) == 0 {
+			for _, s := range placeAlone(d, p.quarantineWorkers(taken, false)) {
+				taken[s.Worker] = true
+			}
+		}
+	}
+	return taken
+}
+
+// placeAlone returns where the tasks of the demand start if only the given workers exist.
+func placeAlone(d chuteplacement.Demand, workers []chuteplacement.Worker) []chuteplacement.Start {
+	d.MayPreempt, d.Guaranteed = false, false
+	d.TasksByWorker = maps.Clone(d.TasksByWorker)
+	var starts []chuteplacement.Start
+	for _, decision := range chuteplacement.Plan(chuteplacement.View{Workers: workers, Demands: []chuteplacement.Demand{d}}) {
+		if s, ok := decision.(chuteplacement.Start); ok {
+			starts = append(starts, s)
+		}
+	}
+	return starts
+}
+
+// quarantineWorkers returns the workers on which a quarantined task may start: those without runs, or all as if they had
+// none.
+func (p *pass) quarantineWorkers(taken map[chutetask.WorkerID]bool, empty bool) []chuteplacement.Worker {
+	var workers []chuteplacement.Worker
+	for _, w := range p.Pool.All() {
+		if !w.Usable(p.Now) || !p.MayStartOn(w) || w.InQuarantine() || taken[w.ID] || empty && w.RunCount() > 0 {
+			continue
+		}
+		worker := p.placementWorker(w)
+		worker.Free, worker.Stopping = w.Capacity, chutecapacity.Resources{}
+		worker.Penalty += loadPenalty * load(w)
+		if !w.CrashedAt.IsZero() && p.Now.Sub(w.CrashedAt) < crashMemory {
+			worker.Penalty += crashPenalty
+		}
+		workers = append(workers, worker)
+	}
+	return workers
+}
+
+// load returns the share of the worker's accelerators, or else of its processor, that its runs reserve.
+func load(w chutepool.Worker) float64 {
+	reserved := w.Capacity.Minus(w.Free())
+	if w.Capacity.Accelerators > 0 {
+		return float64(reserved.Accelerators) / float64(w.Capacity.Accelerators)
+	}
+	return float64(reserved.Processor) / float64(max(1, w.Capacity.Processor))
+}
--- a/chuteplanner/running.go
+++ b/chuteplanner/running.go
@@ -93,13 +93,13 @@
 	return reserved
 }
 
-// runGroups returns the runs that may be evicted for urgent tasks. Runs that a guarantee covers, long-running ones, and
-// those that are being recorded or stopped already are never evicted.
+// runGroups returns the runs that may be evicted for urgent tasks. Runs that a guarantee covers, long-running and
+// quarantined ones, and those that are being recorded or stopped already are never evicted.
 func (p *pass) runGroups(runs []placedRun) []chuteplacement.RunGroup {
 	var groups []chuteplacement.RunGroup
 	gangs := make(map[chutegraph.StepID]int)
 	for _, r := range runs {
-		if p.guaranteed[r.ID.Task.Job] || r.Phase == chutepool.RunStopping || r.Phase == chutepool.RunRecording || r.longRunning {
+		if p.guaranteed[r.ID.Task.Job] || r.Quarantined || r.Phase == chutepool.RunStopping || r.Phase == chutepool.RunRecording || r.longRunning {
 			continue
 		}
 		i, known := gangs[r.ID.Task.StepID]
--- a/chuterow/row.go
+++ b/chuterow/row.go
@@ -9,11 +9,12 @@
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
-// encodedRow is the CBOR form of a row: exactly one field is set.
+// encodedRow is the CBOR form of a row: exactly one field is set, and Placements only beside Progress.
 type encodedRow struct {
 	Submission *chutetask.Submission `cbor:"1,keyasint,omitempty"`
 	Cancel     *chutegraph.JobID     `cbor:"2,keyasint,omitempty"`
 	Progress   *encodedProgress      `cbor:"3,keyasint,omitempty"`
+	Placements []encodedPlacement    `cbor:"7,keyasint,omitempty"`
 	Leader     *encodedLeader        `cbor:"4,keyasint,omitempty"`
 	Host       *chuteaction.HostRow  `cbor:"6,keyasint,omitempty"`
 }
@@ -55,6 +56,7 @@
 		e.Cancel = &v.Job
 	case chuteaction.ProgressRow:
 		e.Progress = encodeProgress(v)
+		e.Placements = encodePlacements(v)
 	case chuteaction.LeaderRow:
 		e.Leader = &encodedLeader{
 			Epoch: v.Epoch, Host: v.Host, Process: v.Process, Sequence: v.Sequence, Released: v.Released, Pending: v.Pending,
@@ -80,7 +82,11 @@
 	case e.Cancel != nil:
 		return chuteaction.CancelRow{Job: *e.Cancel}, nil
 	case e.Progress != nil:
-		return e.Progress.decode(), nil
+		row := e.Progress.decode()
+		for _, p := range e.Placements {
+			p.apply(row.Progress)
+		}
+		return row, nil
 	case e.Leader != nil:
 		l := e.Leader
 		return chuteaction.LeaderRow{
--- a/chuterow/row_test.go
+++ b/chuterow/row_test.go
@@ -8,6 +8,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutequarantine"
 	"monsoonchute.example/monsoonchute/chuterow"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -18,7 +19,8 @@
 	}}
 	job := chutetask.New(chutetask.Submission{ID: "0123456789abcdef", Spec: spec}, 1, time.Time{}).WithOccurrenceBegun(0)
 	id := chutegraph.TaskID{StepID: chutegraph.StepID{Job: job.ID}, Index: 1}
-	job = job.WithTask(id, chutetask.Task{}.WithRun(3, "w").WithCheckpoint("c").WithFailure())
+	job = job.WithTask(id, chutetask.Task{}.WithRun(3, "w").WithCheckpoint("c").WithFailure().
+		WithIncarnation(1_800_000_000_000).WithQuarantine().WithCrashes(chutequarantine.Record{Crashes: 2, Quarantined: 1, LastRun: 2}))
 	cases := []chuteaction.RowValue{
 		chuteaction.SubmissionRow{Submission: job.Submission},
 		chuteaction.CancelRow{Job: job.ID},
--- a/chuterunner/absent.go
+++ b/chuterunner/absent.go
@@ -35,7 +35,7 @@
 				t.ReleaseRun(id, r.ID, chutetask.RunEnd{Run: r.ID, Kind: chutetask.EndStopped})
 			}
 		case chutepool.RunOrdered:
-			if r.Inherited && r.OrdersSent == 0 {
+			if r.Inherited && r.OrdersSent == 0 && !t.endCrashedRun(w, r) {
 				t.resumeRun(id, r)
 			}
 		case chutepool.RunPlanned, chutepool.RunRecording:
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -16,12 +16,16 @@
 	t.Log(component, "worker was restarted", "", "worker", w.ID, "runs", w.RunCount(), "incarnation", incarnation,
 		"former", w.Incarnation, "ends-handled", w.HandledEnd, "ends-recorded", w.RecordedEnd, "ends-acknowledged", w.AcknowledgedEnd)
 	previous := w
-	w = w.WithIncarnation(incarnation)
+	w = w.WithIncarnation(incarnation).WithoutBlamed() // what it was blamed for before has turned out true
+	if !previous.Draining {
+		w = w.WithCrash(t.Now)
+	}
 	w.RenewAfter = t.Now
 	t.PutWorker(w)
 	for _, r := range previous.Runs() {
 		t.applyRestart(w.ID, r)
 	}
+	t.blameRuns(previous, previous.Runs())
 }
 
 // applyRestart applies a worker's restart to one of its runs. A run that the worker has never reported may have been
@@ -60,13 +64,17 @@
 func (t *Transition) MarkLost(w chutepool.Worker) {
 	w.Contacted = false
 	w.Lost = true
+	w.LostAt = t.Now
 	t.PutWorker(w)
-	for _, r := range w.Runs() {
+	runs := w.Runs()
+	for _, r := range runs {
 		if r.Phase == chutepool.RunRecording {
 			continue // the scheduler finds the worker lost after the write
 		}
 		t.ReleaseRun(w.ID, r.ID, chutetask.RunEnd{Run: r.ID, Kind: chutetask.EndLost})
 	}
+	w, _ = t.Pool.Get(w.ID)
+	t.PutWorker(t.blameRuns(w, runs))
 }
 
 // HandleLeaseRenewed handles the outcome of a lease renewal.
@@ -148,6 +156,7 @@
 	w.MissedRenewals, w.Lost, w.PresumedEnded = 0, false, false
 	w.AnsweredAt = t.Now
 	w.Contacted = true
+	w = t.clearBlame(w)
 	t.PutWorker(w)
 	t.applyEnds(w.ID, e.Ended)
 	if stale {
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -168,7 +168,7 @@
 		}
 		run := chutepool.Run{
 			ID: chutegraph.RunID{Task: id, Number: task.Run}, Reserved: j.Step(id.StepID).Reserved(),
-			Priority: j.Priority, StartUnanswered: true, Inherited: true, Checkpoint: task.Checkpoint,
+			Priority: j.Priority, StartUnanswered: true, Inherited: true, Checkpoint: task.Checkpoint, Quarantined: task.Quarantined,
 		}.WithPhase(chutepool.RunOrdered, t.Now)
 		t.PutWorker(w.WithRun(run))
 	})
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -20,6 +20,8 @@
 	ticksPerCheck = 3
 	// maxRenewalAge is the age of the latest renewal that makes the next due despite unrecorded effects of ended runs.
 	maxRenewalAge = 1500 * time.Millisecond
+	// maxCutDuration is how long a lost worker may come back as one that did not crash.
+	maxCutDuration = 30 * time.Second
 	// stopRetryInterval is the delay before a failed stop order, or one without an answer, is repeated.
 	stopRetryInterval = 300 * time.Millisecond
 )
@@ -104,6 +106,9 @@
 
 // forgettable reports whether nothing is left to do for a worker that is no longer listed.
 func (t *transition) forgettable(w chutepool.Worker) bool {
+	if len(w.Blamed()) > 0 && t.Now.Sub(w.LostAt) < maxCutDuration {
+		return false
+	}
 	acknowledged := w.AcknowledgedEnd >= w.RecordedEnd || w.MissedRenewals > 0
 	return !w.Listed && !w.Renewing && w.RunCount() == 0 && acknowledged && w.HandledEnd == w.RecordedEnd
 }
--- a/chutetask/job.go
+++ b/chutetask/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutequarantine"
 )
 
 // Phase is the phase of a job as clients see it.
@@ -148,6 +149,30 @@
 	return failures
 }
 
+// Crashes returns the record of the workers that crashed under the task, or under its gang.
+func (j Job) Crashes(id chutegraph.TaskID) chutequarantine.Record {
+	task, _ := j.Task(j.crashHolder(id))
+	return task.Crashes
+}
+
+// WithCrashes returns the job with the record of the workers that crashed under the task, or under its gang.
+func (j Job) WithCrashes(id chutegraph.TaskID, record chutequarantine.Record) Job {
+	holder := j.crashHolder(id)
+	task, ok := j.Task(holder)
+	if !ok {
+		return j
+	}
+	return j.WithTask(holder, task.WithCrashes(record))
+}
+
+// crashHolder returns the task that holds the record of crashes: the task itself, or the first member of its gang.
+func (j Job) crashHolder(id chutegraph.TaskID) chutegraph.TaskID {
+	if j.Step(id.StepID).Gang {
+		id.Index = 0
+	}
+	return id
+}
+
 // Step returns the specification of a step.
 func (j Job) Step(id chutegraph.StepID) chutegraph.Step {
 	return j.Spec.Steps[id.Step]
--- a/chutetask/task.go
+++ b/chutetask/task.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutequarantine"
 )
 
 // WorkerID identifies a worker.
@@ -34,6 +35,10 @@
 	Worker     WorkerID  `json:"worker"`     // worker of its latest run
 	Checkpoint string    `json:"checkpoint"` // from which the next run resumes; empty to start from the beginning
 	Failures   int       `json:"failures"`   // number of failed runs
+
+	Incarnation int64                  `json:"incarnation"` // of the worker when the latest run was placed there; 0 if unknown
+	Quarantined bool                   `json:"quarantined"` // the latest run has its worker to itself
+	Crashes     chutequarantine.Record `json:"crashes"`     // in a gang, its first member has the record of all
 }
 
 // WithRun returns the task with its next run on the worker.
@@ -41,6 +46,25 @@
 	t.Phase = TaskActive
 	t.Run = number
 	t.Worker = worker
+	t.Incarnation, t.Quarantined = 0, false
+	return t
+}
+
+// WithIncarnation returns the task with the incarnation of the worker of its latest run.
+func (t Task) WithIncarnation(incarnation int64) Task {
+	t.Incarnation = incarnation
+	return t
+}
+
+// WithQuarantine returns the task with its latest run in quarantine.
+func (t Task) WithQuarantine() Task {
+	t.Quarantined = true
+	return t
+}
+
+// WithCrashes returns the task with the record of crashes.
+func (t Task) WithCrashes(record chutequarantine.Record) Task {
+	t.Crashes = record
 	return t
 }
 
