--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -12,8 +12,14 @@
 	"monsoonchute.example/monsoonchute/platform/standin"
 )
 
-// acceleratorsPerWorker is the number of accelerators of each worker of the stand-in platform.
-const acceleratorsPerWorker = 8
+const (
+	// capacityGrace is how long after a worker's capacity has shrunk starts may still count on the former one: the contact
+	// time, a heartbeat, and the longest time for which a link holds back an order.
+	capacityGrace = 3*time.Second + 1500*time.Millisecond + longestLinkFault
+	// maxCrashes is the number of crashes under a task after which its starts are limited to maxStartsBeyond.
+	maxCrashes      = 3
+	maxStartsBeyond = 2
+)
 
 // stepOf returns the id and the number of the step to which the task with the given id belongs.
 func stepOf(task string) (string, int) {
@@ -39,6 +45,7 @@
 	r.checkSingleExecution(executions)
 	r.checkStepOrder(executions)
 	r.checkCapacity(executions)
+	r.checkCrashBudget(executions)
 	r.checkRefusedJobs(executions)
 }
 
@@ -93,8 +100,12 @@
 	}
 }
 
-// checkCapacity reports workers whose running tasks need more accelerators than a worker has.
+// checkCapacity reports starts after which the running tasks of a worker need more accelerators than it has.
 func (r *soakRun) checkCapacity(executions []standin.Execution) {
+	capacities := make(map[string][]standin.Capacity)
+	for _, w := range r.platform.Workers() {
+		capacities[w.ID()] = w.Capacities()
+	}
 	for _, e := range executions {
 		used := 0
 		for _, other := range executions {
@@ -104,12 +115,58 @@
 				used += j.gpu
 			}
 		}
-		if used > acceleratorsPerWorker {
+		if used > usableCapacity(capacities[e.Worker], e.StartedAt) {
 			r.ledger.reportViolation("task %s was started at %s on worker %s, which then had %d accelerators in use", e.Task, e.StartedAt, e.Worker, used)
 		}
 	}
 }
 
+// usableCapacity returns the most accelerators that a worker has had since capacityGrace before a time.
+func usableCapacity(capacities []standin.Capacity, at time.Duration) int {
+	most := 0
+	for i, c := range capacities {
+		replaced := i+1 < len(capacities) && capacities[i+1].Since < at-capacityGrace
+		if c.Since <= at && !replaced {
+			most = max(most, c.Accelerators)
+		}
+	}
+	return most
+}
+
+// checkCrashBudget reports the first start of each task beyond those allowed after too many workers have crashed under it.
+func (r *soakRun) checkCrashBudget(executions []standin.Execution) {
+	for _, e := range executions {
+		if !strings.HasPrefix(e.Spec, standin.CrashSpec) {
+			continue
+		}
+		crashedAt := crashesUnder(e.Task, executions)
+		if len(crashedAt) < maxCrashes {
+			continue
+		}
+		beyond := 0
+		for _, other := range executions {
+			if other.Task == e.Task && other.StartedAt >= crashedAt[maxCrashes-1] && other.StartedAt <= e.StartedAt {
+				beyond++
+			}
+		}
+		if beyond == maxStartsBeyond+1 {
+			r.ledger.reportViolation("task %s, run %d, was started at %s, although %d workers had crashed under it", e.Task, e.Run, e.StartedAt, maxCrashes)
+		}
+	}
+}
+
+// crashesUnder returns the times at which workers crashed while they ran the task, in their order.
+func crashesUnder(task string, executions []standin.Execution) []time.Duration {
+	var times []time.Duration
+	for _, e := range executions {
+		if e.Task == task && e.Outcome == "crashed" {
+			times = append(times, e.EndedAt)
+		}
+	}
+	slices.Sort(times)
+	return times
+}
+
 // checkRefusedJobs reports executions of jobs of which every submission was refused.
 func (r *soakRun) checkRefusedJobs(executions []standin.Execution) {
 	for _, e := range executions {
@@ -120,8 +177,8 @@
 	}
 }
 
-// awaitEnds waits, after all faults have ended, until every accepted job is completed, or cancelled on request with no
-// task running. It reports the jobs that are still open at the limit.
+// awaitEnds waits, after all faults have ended, until every accepted job is completed, or failed if it is deadly, or
+// cancelled on request with no task running. It reports the jobs that are still open at the limit.
 func (r *soakRun) awaitEnds(c *client, limit time.Duration) {
 	deadline := r.platform.Since() + limit
 	open := slices.Clone(r.ledger.inOrder)
@@ -130,7 +187,7 @@
 			switch state := c.checkState(j); {
 			case j.acceptedAt == 0:
 				return true
-			case state == "completed":
+			case state == "completed", state == "failed" && j.deadly():
 				return true
 			case state == "cancelled":
 				return j.cancelRequested && !r.isRunning(j)
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"monsoonchute.example/monsoonchute/platform/standin"
 )
 
 // jobKind describes a kind of job that clients submit.
@@ -30,6 +32,18 @@
 	{"a", "200", `[{"count":2,"cpu":1000,"gpu":1},{"count":3,"cpu":1000,"gpu":1,"after":[0]}]`, []int{2, 3}, 1},
 }
 
+// deadlyKinds are the kinds of jobs of which each task crashes the worker that starts it.
+var deadlyKinds = []jobKind{
+	{"a", standin.CrashSpec + "300ms", `[{"count":1,"cpu":1000,"gpu":1,"estimate_ms":300}]`, []int{1}, 1},
+	{"u", standin.CrashSpec + "1200ms", `[{"count":1,"cpu":1000,"gpu":4,"estimate_ms":300}]`, []int{1}, 4},
+	{"a", standin.CrashSpec + "700ms", `[{"count":2,"cpu":1000,"gpu":2,"estimate_ms":300,"gang":true}]`, []int{2}, 2},
+}
+
+// deadly reports whether the tasks of a job of the kind crash their workers.
+func (k jobKind) deadly() bool {
+	return strings.HasPrefix(k.spec, standin.CrashSpec)
+}
+
 // job is a submitted job as the clients know it.
 type job struct {
 	jobKind
@@ -87,7 +101,7 @@
 func (c *client) run(ctx context.Context) {
 	defer c.http.CloseIdleConnections()
 	for ctx.Err() == nil {
-		j := c.newJob()
+		j := c.newJob(jobKinds[c.random.IntN(len(jobKinds))])
 		c.submit(ctx, j)
 		if j.acceptedAt > 0 && c.random.IntN(6) == 0 {
 			c.cancel(j)
@@ -97,9 +111,9 @@
 	}
 }
 
-func (c *client) newJob() *job {
+func (c *client) newJob(kind jobKind) *job {
 	c.submitted++
-	j := &job{jobKind: jobKinds[c.random.IntN(len(jobKinds))], id: fmt.Sprintf("%08x%08x", c.number+1, c.submitted), sentAt: c.platform.Since()}
+	j := &job{jobKind: kind, id: fmt.Sprintf("%08x%08x", c.number+1, c.submitted), sentAt: c.platform.Since()}
 	c.ledger.mutex.Lock()
 	c.ledger.jobs[j.id] = j
 	c.ledger.inOrder = append(c.ledger.inOrder, j)
@@ -168,7 +182,7 @@
 		c.ledger.reportViolation("the state of job %s is not valid JSON: %s", j.id, body)
 	case response.State == "completed" && !c.allDone(j):
 		c.ledger.reportViolation("job %s has the state completed, but not all of its tasks have ended well", j.id)
-	case response.State == "failed":
+	case response.State == "failed" && !j.deadly():
 		c.ledger.reportViolation("job %s has the state failed", j.id)
 	}
 	return response.State
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -80,6 +80,33 @@
 	}},
 }
 
+// workerFaults are faults of jobs and workers that are injected beside the others.
+var workerFaults = []fault{
+	{"deadly job", func(r *soakRun, ctx context.Context, _ *testing.T, random *rand.Rand) {
+		c := r.newDeadlyClient(random.Uint64())
+		c.submit(ctx, c.newJob(deadlyKinds[random.IntN(len(deadlyKinds))]))
+	}},
+	{"capacity", func(r *soakRun, ctx context.Context, _ *testing.T, random *rand.Rand) {
+		worker := r.platform.Workers()[random.IntN(len(r.workerLinks))]
+		for range 1 + random.IntN(3) {
+			worker.SetCapacity(random.IntN(standin.WorkerAccelerators))
+			wait(ctx, randomDuration(random, 8*time.Second))
+		}
+		worker.SetCapacity(standin.WorkerAccelerators)
+	}},
+}
+
+// longestLinkFault is the longest time for which a link holds bytes back.
+const longestLinkFault = 4 * time.Second
+
+// newDeadlyClient returns a client with a number of its own that submits deadly jobs.
+func (r *soakRun) newDeadlyClient(seed uint64) *client {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.deadlyClients++
+	return r.newClient(clientCount+1+r.deadlyClients, seed)
+}
+
 // randomDuration returns a random duration that is shorter than the longest.
 func randomDuration(random *rand.Rand, longest time.Duration) time.Duration {
 	return time.Duration(random.Int64N(int64(longest)))
@@ -94,7 +121,7 @@
 		p.resetConnections()
 	default:
 		p.setFault(kind)
-		wait(ctx, randomDuration(random, 4*time.Second))
+		wait(ctx, randomDuration(random, longestLinkFault))
 		p.setFault(linkHealthy)
 	}
 }
@@ -141,15 +168,16 @@
 	r.platform.Put("op", "config", standin.Config(r.version, r.queues...))
 }
 
-// injectFaults starts faults, which may overlap, at random times until the context ends, and waits until all have ended.
-func (r *soakRun) injectFaults(ctx context.Context, t *testing.T, random *rand.Rand) {
+// injectFaults starts some of the faults, which may overlap, at random times until the context ends, and waits until all
+// have ended.
+func (r *soakRun) injectFaults(ctx context.Context, t *testing.T, random *rand.Rand, faults []fault, longestPause time.Duration) {
 	group := conc.NewWaitGroup()
 	for ctx.Err() == nil {
 		f := faults[random.IntN(len(faults))]
 		own := rand.New(rand.NewPCG(random.Uint64(), 1))
 		r.recordFault(f.name)
 		group.Go(func() { f.inject(r, ctx, t, own) })
-		wait(ctx, randomDuration(random, 700*time.Millisecond))
+		wait(ctx, randomDuration(random, longestPause))
 	}
 	group.Wait()
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,6 +51,7 @@
 	version        int             // of the latest configuration
 	queues         []string        // added since the start
 	served         map[string]bool // keys of the queues that a process has served, see checkConfiguration
+	deadlyClients  int             // number of clients of deadly jobs so far
 	injectedFaults []string        // start time and name of each
 }
 
@@ -139,7 +140,8 @@
 			wait(ctx, 50*time.Millisecond)
 		}
 	})
-	r.injectFaults(ctx, t, rand.New(rand.NewPCG(seed, 0)))
+	group.Go(func() { r.injectFaults(ctx, t, rand.New(rand.NewPCG(seed, 2)), workerFaults, 3*time.Second) })
+	r.injectFaults(ctx, t, rand.New(rand.NewPCG(seed, 0)), faults, 700*time.Millisecond)
 	group.Wait()
 	r.awaitEnds(checker, endTimeout)
 	r.checkExecutions()
