Handle the three ends of a store operation in one method

Cause: the core's parts (chutehost, chuterevision, chuteroute, chuteshard) each had a method for an accepted or refused commit, one for the rows of a read and one for a failure. The core chose the part by the token in three switches that were the same, and each method looked the operation up and removed it again.

Change: TableEvent is a sealed interface of the three events with the token of the operation. The core chooses the part once; each part removes the operation once and switches over the type of the event. The tests call the new method; their checks are unchanged.

--- a/chutecore/core.go
+++ b/chutecore/core.go
@@ -32,11 +32,11 @@
 	case chuteevent.PeerDisconnected:
 		t.handlePeerDisconnected(e.Host)
 	case chuteevent.TableCommitted:
-		t.handleCommit(e)
+		t.handleTableEvent(e)
 	case chuteevent.TableRead:
-		t.handleRead(e)
+		t.handleTableEvent(e)
 	case chuteevent.TableFailed:
-		t.handleStoreFailure(e.Token)
+		t.handleTableEvent(e)
 	case chuteevent.StoreStateChanged:
 		t.state.store = e.State
 	case chuteevent.MembershipListed:
--- a/chuteevent/event.go
+++ b/chuteevent/event.go
@@ -39,6 +39,16 @@
 	ShardNumber() int
 }
 
+// TableEvent is the end of a store operation.
+//
+//sumtype:decl
+type TableEvent interface {
+	Event
+	sealedTableEvent()
+	// Operation returns the token of the operation that ended.
+	Operation() Token
+}
+
 // CallID identifies a call on the entry host that received it.
 type CallID uint64
 
@@ -223,6 +233,19 @@
 func (WorkerPolled) sealedWorkerEvent() {}
 func (OrderEnded) sealedWorkerEvent()   {}
 
+func (TableCommitted) sealedTableEvent() {}
+func (TableRead) sealedTableEvent()      {}
+func (TableFailed) sealedTableEvent()    {}
+
+// Operation returns the token of the commit.
+func (e TableCommitted) Operation() Token { return e.Token }
+
+// Operation returns the token of the read.
+func (e TableRead) Operation() Token { return e.Token }
+
+// Operation returns the token of the commit or read that failed.
+func (e TableFailed) Operation() Token { return e.Token }
+
 // ShardNumber returns the shard whose owner polled the worker.
 func (e WorkerPolled) ShardNumber() int { return e.Shard }
 
--- a/chutehost/shard.go
+++ b/chutehost/shard.go
@@ -115,11 +115,24 @@
 	return t.inFlight(operationRelease)
 }
 
-// HandleTableCommitted handles the known outcome of a commit that this state started.
-func (s State) HandleTableCommitted(environment Environment, e chuteevent.TableCommitted) (State, []chuteevent.Effect, []Notice) {
+// HandleTableEvent handles the end of a store operation that this state started. An operation that had no effect starts
+// again when it is next due.
+func (s State) HandleTableEvent(environment Environment, event chuteevent.TableEvent) (State, []chuteevent.Effect, []Notice) {
 	t := &transition{state: s, environment: environment}
-	p, _ := s.pending.Get(e.Token)
-	t.state.pending = s.pending.Delete(e.Token)
+	p, _ := s.pending.Get(event.Operation())
+	t.state.pending = s.pending.Delete(event.Operation())
+	switch e := event.(type) {
+	case chuteevent.TableCommitted:
+		t.handleCommitted(p, e)
+	case chuteevent.TableRead:
+		t.handleScanned(p, e.Rows)
+	case chuteevent.TableFailed:
+	}
+	return t.state, t.effects, t.notices
+}
+
+// handleCommitted handles the known outcome of a commit.
+func (t *transition) handleCommitted(p operation, e chuteevent.TableCommitted) {
 	switch p.kind {
 	case operationHeartbeat:
 		t.handleHeartbeatCommit(p, e)
@@ -129,7 +142,6 @@
 		t.handleReleaseCommit(p, e)
 	case operationScanHosts, operationScanShards, operationDeleteHost:
 	}
-	return t.state, t.effects, t.notices
 }
 
 // handleHeartbeatCommit extends the lease, counted from when the write was sent. A refused write makes a scan due,
@@ -174,18 +186,9 @@
 	}
 }
 
-// HandleTableFailed handles a store operation of this state that had no effect.
-func (s State) HandleTableFailed(token chuteevent.Token) State {
-	s.pending = s.pending.Delete(token)
-	return s
-}
-
-// HandleTableRead handles the rows of a scan.
-func (s State) HandleTableRead(environment Environment, e chuteevent.TableRead) (State, []chuteevent.Effect, []Notice) {
-	t := &transition{state: s, environment: environment}
-	p, _ := s.pending.Get(e.Token)
-	t.state.pending = s.pending.Delete(e.Token)
-	for _, stored := range e.Rows {
+// handleScanned handles the rows of a scan.
+func (t *transition) handleScanned(p operation, rows []chutetable.StoredRow) {
+	for _, stored := range rows {
 		switch row := stored.Row.(type) {
 		case chutetable.HostRow:
 			t.observeHost(row, stored.Version)
@@ -195,10 +198,9 @@
 		}
 	}
 	if p.kind == operationScanHosts {
-		t.detectDeletedRow(e.Rows)
+		t.detectDeletedRow(rows)
 		t.deleteExpiredHost()
 	}
-	return t.state, t.effects, t.notices
 }
 
 // observeHost records the row of an entry host and when it last changed.
--- a/chutemeasure/capacity_test.go
+++ b/chutemeasure/capacity_test.go
@@ -87,7 +87,7 @@
 	state, effects := chuteshard.New(0, 1, 1, environment)
 	for _, e := range effects {
 		if read, ok := e.(chuteevent.ReadTable); ok {
-			state = state.HandleTableRead(environment, chuteevent.TableRead{Token: read.Token}).State
+			state = state.HandleTableEvent(environment, chuteevent.TableRead{Token: read.Token}).State
 		}
 	}
 	return state, environment
--- a/chuterevision/change.go
+++ b/chuterevision/change.go
@@ -71,20 +71,14 @@
 	return warnings
 }
 
-// HandleTableCommitted handles the known outcome of the commit of a change. A change that lost against a concurrent one
-// is attempted again, up to maxAttempts times in all.
-func (s State) HandleTableCommitted(environment Environment, e chuteevent.TableCommitted) (State, []chuteevent.Effect) {
-	t := &transition{state: s, environment: environment}
-	c, ok := s.changes.Get(e.Token)
-	if !ok {
-		return t.state, t.effects
-	}
-	t.state.changes = s.changes.Delete(e.Token)
+// handleCommitted handles the known outcome of the commit of a change. A change that lost against a concurrent one is
+// attempted again, up to maxAttempts times in all.
+func (t *transition) handleCommitted(c pendingChange, e chuteevent.TableCommitted) {
 	switch {
 	case e.Accepted:
 		t.adopt(c.next, e.Versions[chutetable.DocumentHeadKey])
 		t.state.confirmations = append(slices.Clone(t.state.confirmations), pendingConfirmation{
-			origin: c.origin, version: c.next.Version, warnings: t.warnings(c.next), deadline: environment.Now.Add(confirmTimeout),
+			origin: c.origin, version: c.next.Version, warnings: t.warnings(c.next), deadline: t.environment.Now.Add(confirmTimeout),
 		})
 		t.answerConfirmed()
 	case c.attempts < maxAttempts:
@@ -92,7 +86,6 @@
 	default:
 		t.refuse(c.origin, chuteresult.New(chuteresult.Conflict, "document: other changes won %d times", maxAttempts))
 	}
-	return t.state, t.effects
 }
 
 // answerConfirmed answers the accepted changes whose version all live entry hosts have confirmed or whose deadline has
--- a/chuterevision/revision.go
+++ b/chuterevision/revision.go
@@ -185,22 +185,39 @@
 	t.emit(chuteevent.ReadTable{Token: t.state.readToken, Prefix: chutetable.DocumentHeadKey, Exact: true})
 }
 
-// HandleTableRead handles the result of a read of the head.
-func (s State) HandleTableRead(environment Environment, e chuteevent.TableRead) (State, []chuteevent.Effect) {
+// HandleTableEvent handles the end of a store operation that this state started.
+func (s State) HandleTableEvent(environment Environment, event chuteevent.TableEvent) (State, []chuteevent.Effect) {
 	t := &transition{state: s, environment: environment}
-	if e.Token == s.readToken {
+	token := event.Operation()
+	if token == s.readToken {
 		t.state.readToken = ""
 	}
+	if read, ok := event.(chuteevent.TableRead); ok {
+		t.handleHeadRead(read)
+	}
+	c, waiting := s.changes.Get(token)
+	if !waiting {
+		return t.state, t.effects
+	}
+	t.state.changes = t.state.changes.Delete(token)
+	switch e := event.(type) {
+	case chuteevent.TableRead:
+		t.propose(c)
+	case chuteevent.TableCommitted:
+		t.handleCommitted(c, e)
+	case chuteevent.TableFailed:
+		t.refuse(c.origin, chuteresult.New(chuteresult.StoreUnavailable, "document: cannot be recorded now"))
+	}
+	return t.state, t.effects
+}
+
+// handleHeadRead handles the result of a read of the head.
+func (t *transition) handleHeadRead(e chuteevent.TableRead) {
 	t.adoptHead(e.Rows)
 	if !t.state.currentAt.After(e.SentAt) {
 		t.state.currentAt = e.SentAt
 	}
 	t.state.ready = true
-	if c, ok := s.changes.Get(e.Token); ok {
-		t.state.changes = t.state.changes.Delete(e.Token)
-		t.propose(c)
-	}
-	return t.state, t.effects
 }
 
 // adoptHead puts the head, if it is among the rows and newer, in force. The document in force never goes back to an older
@@ -227,16 +244,3 @@
 		t.emit(chuteevent.SendPeerMessage{To: peer.Host, Message: chuteevent.DocumentChanged{DocumentVersion: document.Version}})
 	}
 }
-
-// HandleTableFailed handles a store operation that had no effect. It refuses the change that waited for it.
-func (s State) HandleTableFailed(environment Environment, token chuteevent.Token) (State, []chuteevent.Effect) {
-	t := &transition{state: s, environment: environment}
-	if token == s.readToken {
-		t.state.readToken = ""
-	}
-	if c, ok := s.changes.Get(token); ok {
-		t.state.changes = s.changes.Delete(token)
-		t.refuse(c.origin, chuteresult.New(chuteresult.StoreUnavailable, "document: cannot be recorded now"))
-	}
-	return t.state, t.effects
-}
--- a/chuteroute/intent.go
+++ b/chuteroute/intent.go
@@ -62,19 +62,41 @@
 	})
 }
 
-// HandleTableCommitted handles the certain outcome of one of the router's commits.
-func (s State) HandleTableCommitted(environment Environment, e chuteevent.TableCommitted) (State, []chuteevent.Effect) {
+// HandleTableEvent handles the end of one of the router's store operations.
+func (s State) HandleTableEvent(environment Environment, event chuteevent.TableEvent) (State, []chuteevent.Effect) {
 	t := &transition{state: s, environment: environment}
-	if e.Token == s.cleanupToken {
-		t.state.cleanupToken = ""
+	if event.Operation() == s.cleanupToken {
+		t.handleCleanup(event)
 		return t.state, t.effects
 	}
-	id, _ := s.operations.Get(e.Token)
-	t.state.operations = s.operations.Delete(e.Token)
+	id, _ := s.operations.Get(event.Operation())
+	t.state.operations = s.operations.Delete(event.Operation())
 	x, ok := t.state.exchanges.Get(id)
 	if !ok {
 		return t.state, t.effects
 	}
+	switch e := event.(type) {
+	case chuteevent.TableCommitted:
+		t.handleCommitted(x, e)
+	case chuteevent.TableRead:
+		t.handleIntentRead(x, e.Rows)
+	case chuteevent.TableFailed:
+		t.handleFailed(x)
+	}
+	return t.state, t.effects
+}
+
+// handleCleanup handles the end of the read or the commit of a cleanup.
+func (t *transition) handleCleanup(event chuteevent.TableEvent) {
+	t.state.cleanupToken = ""
+	if read, ok := event.(chuteevent.TableRead); ok {
+		t.deleteExpiredIntents(read.Rows)
+	}
+}
+
+// handleCommitted handles the certain outcome of a commit for the request.
+func (t *transition) handleCommitted(x exchange, e chuteevent.TableCommitted) {
+	id := x.request.Exchange
 	switch {
 	case x.stage == stageRecording, x.stage == stageAbandoned && !e.Accepted:
 		t.state.exchanges = t.state.exchanges.Delete(id)
@@ -87,55 +109,32 @@
 		t.putExchange(x.withStage(stageLookup))
 		t.emit(chuteevent.ReadTable{Token: t.newOperation(id), Prefix: chutetable.IntentKey(x.request.ID), Exact: true})
 	}
-	return t.state, t.effects
 }
 
-// HandleTableFailed handles the failure of one of the router's reads, or of a commit that certainly did not take effect.
-func (s State) HandleTableFailed(environment Environment, token chuteevent.Token) (State, []chuteevent.Effect) {
-	t := &transition{state: s, environment: environment}
-	if token == s.cleanupToken {
-		t.state.cleanupToken = ""
-		return t.state, t.effects
-	}
-	id, _ := s.operations.Get(token)
-	t.state.operations = s.operations.Delete(token)
-	x, ok := t.state.exchanges.Get(id)
-	switch {
-	case !ok:
-	case x.stage == stageRecording:
+// handleFailed handles the failure of a read for the request, or of a commit that certainly did not take effect.
+func (t *transition) handleFailed(x exchange) {
+	switch x.stage {
+	case stageRecording:
 		t.commitOutcome(x)
-	case x.stage == stageAbandoned:
-		t.state.exchanges = t.state.exchanges.Delete(id)
-	case x.stage == stageLookup:
+	case stageAbandoned:
+		t.state.exchanges = t.state.exchanges.Delete(x.request.Exchange)
+	case stageLookup:
 		t.finish(x, chuteresult.New(chuteresult.IntentUnresolved, "an earlier request has this id; its record cannot be read now"), chutetable.Answer{})
-	default:
+	case stageIntent, stageQueued, stageBackoff, stageDispatched:
 		t.refuse(x, chuteresult.StoreUnavailable, "the request's intent cannot be recorded now")
 	}
-	return t.state, t.effects
 }
 
-// HandleTableRead handles the row of an earlier intent, or the list of intents that a cleanup reads.
-func (s State) HandleTableRead(environment Environment, e chuteevent.TableRead) (State, []chuteevent.Effect) {
-	t := &transition{state: s, environment: environment}
-	if e.Token == s.cleanupToken {
-		t.deleteExpiredIntents(e.Rows)
-		return t.state, t.effects
-	}
-	id, _ := s.operations.Get(e.Token)
-	t.state.operations = s.operations.Delete(e.Token)
-	x, ok := t.state.exchanges.Get(id)
-	if !ok {
-		return t.state, t.effects
-	}
-	for _, stored := range e.Rows {
+// handleIntentRead handles the row of an earlier intent with the request's id.
+func (t *transition) handleIntentRead(x exchange, rows []chutetable.StoredRow) {
+	for _, stored := range rows {
 		row, isIntent := stored.Row.(chutetable.IntentRow)
 		if isIntent && stored.Key == chutetable.IntentKey(x.request.ID) {
 			t.answerFromIntent(x, row)
-			return t.state, t.effects
+			return
 		}
 	}
 	t.refuse(x, chuteresult.Conflict, "an earlier request with this id did not run; it may be sent again")
-	return t.state, t.effects
 }
 
 // answerFromIntent answers a request with a repeated id from the intent row of the earlier request.
@@ -167,7 +166,6 @@
 
 // deleteExpiredIntents deletes up to maxIntentDeletes of the intents that are older than the policy's retention time.
 func (t *transition) deleteExpiredIntents(rows []chutetable.StoredRow) {
-	t.state.cleanupToken = ""
 	commit := chuteevent.CommitTable{}
 	for _, stored := range rows {
 		row, ok := stored.Row.(chutetable.IntentRow)
--- a/chuteroute/route_test.go
+++ b/chuteroute/route_test.go
@@ -164,7 +164,7 @@
 func (h *harness) endCommit(accepted bool) {
 	e := h.commits[len(h.commits)-1]
 	versions := map[chutetable.Key]chutetable.Version{e.Writes[0].Key: 5}
-	h.apply(h.state.HandleTableCommitted(h.environment(), chuteevent.TableCommitted{Token: e.Token, Accepted: accepted, Versions: versions}))
+	h.apply(h.state.HandleTableEvent(h.environment(), chuteevent.TableCommitted{Token: e.Token, Accepted: accepted, Versions: versions}))
 }
 
 // named sets that the client gave the id of the request.
@@ -213,7 +213,7 @@
 			for _, row := range c.rows {
 				read.Rows = append(read.Rows, chutetable.StoredRow{Key: chutetable.IntentKey("r1"), Version: 3, Row: row})
 			}
-			h.apply(h.state.HandleTableRead(h.environment(), read))
+			h.apply(h.state.HandleTableEvent(h.environment(), read))
 			is.Equal(h.answers[1].Result.Code, c.code)
 			is.Equal(len(h.dispatches), 0)
 		})
--- a/chuteshard/step.go
+++ b/chuteshard/step.go
@@ -62,41 +62,27 @@
 	return ok
 }
 
-// HandleTableCommitted handles the known outcome of a commit. A refused commit means that another host has taken the
-// shard.
-func (s State) HandleTableCommitted(environment Environment, event chuteevent.TableCommitted) Outcome {
+// HandleTableEvent handles the end of a store operation. A refused commit means that another host has taken the shard. An
+// operation that had no effect is started again, or the call that waited for it is refused.
+func (s State) HandleTableEvent(environment Environment, event chuteevent.TableEvent) Outcome {
 	t := newTransition(s, environment)
-	p, ok := s.gangs.Pending(event.Token)
+	p, ok := s.gangs.Pending(event.Operation())
 	if !ok {
 		return t.outcome()
 	}
-	t.State = t.State.WithoutPending(event.Token)
-	if !event.Accepted {
-		t.fenced = true
-		t.rejectPending(p)
-		return t.outcome()
-	}
-	t.handleCommit(p)
-	return t.outcome()
-}
-
-// HandleTableRead handles the rows that were read for the recovery.
-func (s State) HandleTableRead(environment Environment, event chuteevent.TableRead) Outcome {
-	t := newTransition(s, environment)
-	t.State = t.State.WithoutPending(event.Token)
-	t.recover(event.Rows)
-	return t.outcome()
-}
-
-// HandleTableFailed handles a store operation that had no effect. It starts the operation again, or refuses the call
-// that waited for it.
-func (s State) HandleTableFailed(environment Environment, token chuteevent.Token) Outcome {
-	t := newTransition(s, environment)
-	p, ok := s.gangs.Pending(token)
-	if !ok {
-		return t.outcome()
+	t.State = t.State.WithoutPending(event.Operation())
+	switch e := event.(type) {
+	case chuteevent.TableCommitted:
+		if e.Accepted {
+			t.handleCommit(p)
+		} else {
+			t.fenced = true
+			t.rejectPending(p)
+		}
+	case chuteevent.TableRead:
+		t.recover(e.Rows)
+	case chuteevent.TableFailed:
+		t.retryPending(p)
 	}
-	t.State = t.State.WithoutPending(token)
-	t.retryPending(p)
 	return t.outcome()
 }
