Join the calls that are sent at most once

Cause: chutebackend and chuteworker had the same dial function and its error, chuteworker and chutestore the same JSON call, and five clients the same function against fasthttp's own retries.

Change: chutecaller has Dial and ErrDial, NeverRetry, and Caller for JSON calls to one service. The links, the client of the table service, chuteclient and platform/call use it. Timeouts, limits and the texts of errors are as before.

Result: go test -race of chutecaller, chuteclient, chutestandin, chutedev and platform passes; with retries allowed, the test TestCutCallIsNotSentAgain fails.

--- a/chutebackend/link.go
+++ b/chutebackend/link.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"monsoonchute.example/monsoonchute/chutecaller"
 	"monsoonchute.example/monsoonchute/chuteduty"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chuteexchange"
@@ -28,8 +29,6 @@
 	ringSize = 64
 	// MaxResponseBytes is the largest response body that an entry host passes to a client, in bytes.
 	MaxResponseBytes = 16 << 20
-	// dialTimeout is the longest time for opening a connection.
-	dialTimeout = 500 * time.Millisecond
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 5 * time.Second
 	// probeTimeout is the longest time for a health probe.
@@ -143,23 +142,13 @@
 	}
 }
 
-// errDial marks an error that occurred before any byte of a request was sent.
-var errDial = errors.New("dial")
-
 // newClient returns a client that sends each request at most once.
 func newClient(address string, config *tls.Config) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr: address, MaxConns: MaxConcurrentRequests, MaxIdleConnDuration: idleTimeout,
 		MaxResponseBodySize: MaxResponseBytes, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 		DisablePathNormalizing: true, IsTLS: config != nil, TLSConfig: config,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial: func(addr string) (net.Conn, error) {
-			connection, err := net.DialTimeout("tcp", addr, dialTimeout)
-			if err != nil {
-				return nil, errors.Wrap(errDial, err.Error())
-			}
-			return connection, nil
-		},
+		RetryIfErr: chutecaller.NeverRetry, Dial: chutecaller.Dial,
 	}
 }
 
@@ -226,7 +215,7 @@
 // not run.
 func classifyError(err error) chuteresult.Result {
 	switch {
-	case errors.Is(err, errDial):
+	case errors.Is(err, chutecaller.ErrDial):
 		return chuteresult.New(chuteresult.BackendUnreachable, "no connection: %s", err.Error())
 	case errors.Is(err, fasthttp.ErrNoFreeConns):
 		return chuteresult.New(chuteresult.Overloaded, "every connection to the backend server is in use")
--- /dev/null
+++ b/chutecaller/doc.go
@@ -0,0 +1,2 @@
+// Package chutecaller sends HTTP requests of which each arrives at most once.
+package chutecaller
--- a/chuteclient/client.go
+++ b/chuteclient/client.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"monsoonchute.example/monsoonchute/chutecaller"
 	"monsoonchute.example/monsoonchute/chuteform"
 	"monsoonchute.example/monsoonchute/chutefront"
 	"monsoonchute.example/monsoonchute/chuteresult"
@@ -44,7 +45,7 @@
 func New(addresses []string, options ...Option) *Client {
 	c := &Client{addresses: addresses, client: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1, ReadTimeout: callTimeout, WriteTimeout: callTimeout, NoDefaultUserAgentHeader: true,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		RetryIfErr: chutecaller.NeverRetry,
 	}}
 	for _, option := range options {
 		option(c)
--- a/chutestore/client.go
+++ b/chutestore/client.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
+	"monsoonchute.example/monsoonchute/chutecaller"
 	"monsoonchute.example/monsoonchute/chuteduty"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chutering"
@@ -32,7 +33,7 @@
 
 // Client executes store effects at the table service and delivers their results as events.
 type Client struct {
-	caller  httpCaller
+	caller  chutecaller.Caller
 	events  chutering.Events
 	writes  chutering.Effects
 	reads   chutering.Effects
@@ -45,7 +46,7 @@
 func New(address string, events chutering.Events, log *slog.Logger) (*Client, func()) {
 	group, cleanUp := chuteduty.New(log)
 	c := &Client{
-		caller: newHTTPCaller(address), events: events, log: log, group: group,
+		caller: newCaller(address), events: events, log: log, group: group,
 		writes:  chutering.NewEffects("store-writes", ringSize),
 		reads:   chutering.NewEffects("store-reads", ringSize),
 		breaker: newBreaker(),
@@ -174,7 +175,7 @@
 	}
 	outcome, err := backoff.Retry(ctx, func() (Outcome, error) {
 		var outcome Outcome
-		err := c.observe(ctx, func() error { return c.caller.post("/v1/transactions", transaction, &outcome) })
+		err := c.observe(ctx, func() error { return c.caller.Post("/v1/transactions", transaction, &outcome) })
 		return outcome, err
 	}, backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(0))
 	if err != nil {
@@ -260,7 +261,7 @@
 func (c *Client) read(ctx context.Context, effect chuteevent.ReadTable) chuteevent.Event {
 	sent := time.Now()
 	var stored []StoredRow
-	err := c.observe(ctx, func() error { return c.caller.get(rowsPath(effect.Prefix, effect.Exact), &stored) })
+	err := c.observe(ctx, func() error { return c.caller.Get(rowsPath(effect.Prefix, effect.Exact), &stored) })
 	if err != nil {
 		return chuteevent.TableFailed{Token: effect.Token}
 	}
@@ -282,7 +283,7 @@
 	defer ticker.Stop()
 	for {
 		var hosts []ListedHost
-		if err := c.caller.get("/v1/hosts", &hosts); err == nil {
+		if err := c.caller.Get("/v1/hosts", &hosts); err == nil {
 			c.events.Put(ctx, chuteevent.MembershipListed{Hosts: newPlatformHosts(hosts)})
 		}
 		select {
--- a/chutestore/protocol.go
+++ b/chutestore/protocol.go
@@ -1,13 +1,12 @@
 package chutestore
 
 import (
-	"encoding/json"
 	"net/url"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"monsoonchute.example/monsoonchute/chutecaller"
 	"monsoonchute.example/monsoonchute/chutetable"
 )
 
@@ -56,48 +55,12 @@
 	Leaving      bool   `json:"leaving"`
 }
 
-// httpCaller makes HTTP calls with JSON bodies to one address.
-type httpCaller struct {
-	client *fasthttp.HostClient
-}
-
-func newHTTPCaller(address string) httpCaller {
-	return httpCaller{client: &fasthttp.HostClient{
+// newCaller returns a caller of the table service at the address.
+func newCaller(address string) chutecaller.Caller {
+	return chutecaller.New("table service", &fasthttp.HostClient{
 		Addr: address, MaxConns: 16, ReadTimeout: CallTimeout, WriteTimeout: CallTimeout, MaxResponseBodySize: MaxResponseBytes,
-		MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry, NoDefaultUserAgentHeader: true,
-	}}
-}
-
-func neverRetry(*fasthttp.Request, int, error) (bool, bool) {
-	return false, false
-}
-
-func (c httpCaller) post(path string, body, target any) error {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	return c.do(fasthttp.MethodPost, path, encoded, target)
-}
-
-func (c httpCaller) get(path string, target any) error {
-	return c.do(fasthttp.MethodGet, path, nil, target)
-}
-
-func (c httpCaller) do(method, path string, body []byte, target any) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI("http://" + c.client.Addr + path)
-	request.SetBody(body)
-	if err := c.client.Do(request, response); err != nil {
-		return errors.WithStack(err)
-	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return errors.Errorf("table service: status %d", response.StatusCode())
-	}
-	return errors.WithStack(json.Unmarshal(response.Body(), target))
+		MaxIdemponentCallAttempts: 1, RetryIfErr: chutecaller.NeverRetry, NoDefaultUserAgentHeader: true,
+	})
 }
 
 func rowsPath(prefix chutetable.Key, exact bool) string {
--- a/chuteworker/link.go
+++ b/chuteworker/link.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"monsoonchute.example/monsoonchute/chutecaller"
 	"monsoonchute.example/monsoonchute/chuteduty"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chuteorder"
@@ -23,8 +22,6 @@
 	ringSize = 256
 	// callTimeout is the longest time for sending a request to a worker and, separately, for receiving the response.
 	callTimeout = 2 * time.Second
-	// dialTimeout is the longest time for opening a connection.
-	dialTimeout = 500 * time.Millisecond
 	// maxResponseBytes is the largest response body of a worker, in bytes.
 	maxResponseBytes = 1 << 20
 	// linkIdleTimeout is the time without an order or poll after which the link to a worker is closed.
@@ -100,13 +97,12 @@
 // runLink sends the link's orders and polls one at a time, in the order of the ring, until the link has been idle for
 // linkIdleTimeout or the context ends.
 func (l *Links) runLink(ctx context.Context, target *link) {
-	client := &fasthttp.HostClient{
+	caller := chutecaller.New("worker", &fasthttp.HostClient{
 		Addr: target.address, MaxConns: 1, ReadTimeout: callTimeout, WriteTimeout: callTimeout,
 		MaxResponseBodySize: maxResponseBytes, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial:       dial,
-	}
-	defer client.CloseIdleConnections()
+		RetryIfErr: chutecaller.NeverRetry, Dial: chutecaller.Dial,
+	})
+	defer caller.Close()
 	for {
 		effect, ok := l.takeEffect(ctx, target)
 		if !ok {
@@ -118,9 +114,9 @@
 		}
 		switch e := request.(type) {
 		case chuteevent.SendOrder:
-			l.events.Put(l.group.Context(), sendOrder(client, e))
+			l.events.Put(l.group.Context(), sendOrder(caller, e))
 		case chuteevent.PollWorker:
-			if polled, answered := poll(client, e); answered {
+			if polled, answered := poll(caller, e); answered {
 				l.events.Put(l.group.Context(), polled)
 			}
 		}
@@ -134,20 +130,9 @@
 	return target.effects.Take(takeCtx)
 }
 
-// errDial marks an error that occurred before any byte of a request was sent.
-var errDial = errors.New("dial")
-
-func dial(address string) (net.Conn, error) {
-	connection, err := net.DialTimeout("tcp", address, dialTimeout)
-	if err != nil {
-		return nil, errors.Wrap(errDial, err.Error())
-	}
-	return connection, nil
-}
-
 // sendOrder sends the order and returns its outcome. It refuses an order that expired while it waited in the ring. The
 // outcome is unknown if an error occurred after the connection was opened.
-func sendOrder(client *fasthttp.HostClient, e chuteevent.SendOrder) chuteevent.OrderEnded {
+func sendOrder(caller chutecaller.Caller, e chuteevent.SendOrder) chuteevent.OrderEnded {
 	ended := chuteevent.OrderEnded{
 		Shard: e.Fence.Shard, Epoch: e.Fence.Epoch, Worker: e.Worker, Order: e.Order, Outcome: chuteorder.OutcomeRefused,
 	}
@@ -155,9 +140,9 @@
 		return ended
 	}
 	var response OrderResponse
-	err := post(client, OrderPath, EncodeOrder(e.Fence, e.Order), &response)
+	err := caller.Post(OrderPath, EncodeOrder(e.Fence, e.Order), &response)
 	switch {
-	case errors.Is(err, errDial):
+	case errors.Is(err, chutecaller.ErrDial):
 	case err != nil:
 		ended.Outcome = chuteorder.OutcomeUnknown
 	case response.Accepted:
@@ -169,13 +154,13 @@
 
 // poll requests the worker's report. It reports false if the poll has expired, the request failed, or the worker
 // refused the poll because it follows a later owner.
-func poll(client *fasthttp.HostClient, e chuteevent.PollWorker) (chuteevent.WorkerPolled, bool) {
+func poll(caller chutecaller.Caller, e chuteevent.PollWorker) (chuteevent.WorkerPolled, bool) {
 	if !time.Now().Before(e.Expires) {
 		return chuteevent.WorkerPolled{}, false
 	}
 	sentAt := time.Now()
 	var response PollResponse
-	if err := post(client, PollPath, e.Poll, &response); err != nil || !response.Accepted {
+	if err := caller.Post(PollPath, e.Poll, &response); err != nil || !response.Accepted {
 		return chuteevent.WorkerPolled{}, false
 	}
 	return chuteevent.WorkerPolled{
@@ -183,24 +168,3 @@
 		Lease: e.Poll.Lease, Report: response.Report, ReceivedAt: time.Now(),
 	}, true
 }
-
-// post sends the body as JSON to the path of a worker's agent and decodes the response into result.
-func post(client *fasthttp.HostClient, path string, body, result any) error {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.SetRequestURI("http://" + client.Addr + path)
-	request.SetBody(encoded)
-	if err := client.Do(request, response); err != nil {
-		return errors.WithStack(err)
-	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return errors.Errorf("worker: status %d", response.StatusCode())
-	}
-	return errors.WithStack(json.Unmarshal(response.Body(), result))
-}
