--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -12,7 +11,6 @@
 	"monsoonchute.example/monsoonchute/chuteentry"
 	"monsoonchute.example/monsoonchute/chutemetric"
 	"monsoonchute.example/monsoonchute/chutering"
-	"monsoonchute.example/monsoonchute/chutetask"
 )
 
 const (
@@ -38,62 +36,6 @@
 	orderDuties = 64
 )
 
-// Store is the platform's store.
-type Store interface {
-	// Write commits a transaction if all its conditions hold.
-	Write(ctx context.Context, write chuteaction.WriteRows) chuteaction.RowsWritten
-	// Read reads a range of rows.
-	Read(ctx context.Context, read chuteaction.ReadRows) chuteaction.RowsRead
-	// List reads all rows of a table, and returns the version after which Changes continues.
-	List(ctx context.Context, table chuteaction.Table) ([]chuteaction.Row, chuteaction.RowVersion, error)
-	// Changes waits up to the poll timeout for changes after the version. After ErrHistoryGone the table must be listed again.
-	Changes(ctx context.Context, table chuteaction.Table, after chuteaction.RowVersion, pollTimeout time.Duration) ([]chuteaction.Row, chuteaction.RowVersion, error)
-	// Interrupt aborts all requests in flight.
-	Interrupt()
-}
-
-// Workers sends orders to workers, and requests to the approval service.
-type Workers interface {
-	// Start orders a worker to start a run.
-	Start(ctx context.Context, order chuteaction.StartRun) chuteaction.RunStarted
-	// Stop orders a worker to stop a run.
-	Stop(ctx context.Context, order chuteaction.StopRun) chuteaction.RunStopped
-	// Renew renews the lease of a worker and returns its running tasks and its unacknowledged run ends.
-	Renew(ctx context.Context, order chuteaction.RenewLease) chuteaction.LeaseRenewed
-	// Pace orders a worker to limit a run to a percentage of its full speed.
-	Pace(ctx context.Context, order chuteaction.PaceRun) error
-	// Approve asks the approval service which workers may run a step.
-	Approve(ctx context.Context, request chuteaction.RequestApproval) chuteaction.StepApproved
-	// Disconnect closes the connections to a worker.
-	Disconnect(worker chutetask.WorkerID)
-}
-
-// Machines is the platform's service that lists machines and takes them down for maintenance.
-type Machines interface {
-	// List returns all machines.
-	List(ctx context.Context) chuteaction.MachinesListed
-	// Maintain orders the service to take a machine down for its maintenance.
-	Maintain(ctx context.Context, order chuteaction.MaintainMachine) chuteaction.MachineMaintained
-}
-
-// Dependencies are the services and hosts that an entry host communicates with.
-type Dependencies struct {
-	Store    Store
-	Workers  Workers
-	Machines Machines
-	Peers    Peers
-}
-
-// Peers are the other entry hosts.
-type Peers interface {
-	// SetPeers sets the addresses of the other entry hosts.
-	SetPeers(addresses []string)
-	// SendNotice sends a notice to the host at the address, and returns an error unless that host confirms it.
-	SendNotice(ctx context.Context, address string, notice []byte) error
-	// NextNotice waits for the next notice of another host. It returns false if the context ended first.
-	NextNotice(ctx context.Context) ([]byte, bool)
-}
-
 // Daemon is a running entry host.
 type Daemon struct {
 	events   chutering.EntryEvents
@@ -173,133 +115,6 @@
 	return d.serving.Load()
 }
 
-// runCore passes each event to the core and dispatches its effects. If the ring of an effect is full, the core gets the
-// effect's failure event at once.
-func (d *Daemon) runCore(ctx context.Context, state chuteentry.State) {
-	for {
-		event, ok := d.events.Take(ctx)
-		if !ok {
-			return
-		}
-		state = d.step(state, event)
-		for len(d.failures) > 0 {
-			next := d.failures[0]
-			d.failures = d.failures[1:]
-			state = d.step(state, next)
-		}
-	}
-}
-
-func (d *Daemon) step(state chuteentry.State, event chuteaction.Event) chuteentry.State {
-	now := time.Now()
-	state, effects := chuteentry.Step(state, chuteaction.TimedEvent{At: now, Event: event})
-	for _, effect := range effects {
-		d.dispatch(effect)
-	}
-	d.serving.Store(state.Serving(now))
-	d.setGCPercent(state.Leads())
-	return state
-}
-
-// setGCPercent sets the garbage collection target by the host's role. The leader collects less often, because its state is
-// large and changes with each event.
-func (d *Daemon) setGCPercent(leads bool) {
-	if leads == d.leading {
-		return
-	}
-	d.leading = leads
-	percent := followerGCPercent
-	if leads {
-		percent = leaderGCPercent
-	}
-	previous := debug.SetGCPercent(percent)
-	d.log.Info("daemon: garbage collection target changed", "leads", leads, "growth-percent", percent, "former", previous)
-}
-
-// dispatch passes an effect to the duty that carries it out.
-func (d *Daemon) dispatch(effect chuteaction.Effect) {
-	switch f := effect.(type) {
-	case chuteaction.AnswerCall:
-		if !d.calls.deliver(f) {
-			d.metrics.Count("answer-dropped", "nobody-waits")
-		}
-	case chuteaction.WriteRows:
-		d.dispatchToStore(f, chuteaction.RowsWritten{Token: f.Token, Outcome: chuteaction.StoreRefused})
-	case chuteaction.ReadRows:
-		d.dispatchToStore(f, chuteaction.RowsRead{Token: f.Token, Outcome: chuteaction.StoreRefused})
-	case chuteaction.WatchTable:
-		d.watchers.watch(f)
-	case chuteaction.UnwatchTable:
-		d.watchers.unwatch(f.Table)
-	case chuteaction.SetPeers:
-		d.peers.SetPeers(f.Addresses)
-	case chuteaction.ForwardRows:
-		if !d.forwards.Offer(f) {
-			d.metrics.Count("news-dropped", "ring-full")
-		}
-	case chuteaction.StartRun:
-		d.dispatchOrder(f, chuteaction.RunStarted{
-			Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnhealthy,
-		})
-	case chuteaction.StopRun:
-		d.dispatchOrder(f, chuteaction.RunStopped{
-			Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnhealthy,
-		})
-	case chuteaction.RenewLease:
-		d.dispatchRenewal(f)
-	case chuteaction.DisconnectWorker:
-		d.renewers.remove(f.Worker)
-		d.workers.Disconnect(f.Worker)
-	case chuteaction.PaceRun:
-		d.dispatchOrder(f, nil)
-	case chuteaction.RequestApproval:
-		d.dispatchOrder(f, chuteaction.StepApproved{Step: f.Step, Workers: f.Workers})
-	case chuteaction.ListMachines:
-		d.dispatchOrder(f, chuteaction.MachinesListed{})
-	case chuteaction.MaintainMachine:
-		d.dispatchOrder(f, chuteaction.MachineMaintained{
-			Epoch: f.Epoch, Machine: f.Machine, Wave: f.Wave, Outcome: chuteaction.OrderUnhealthy, Reason: "ring-full",
-		})
-	case chuteaction.Count:
-		d.metrics.Count(f.Counter, f.Reason)
-	case chuteaction.Observe:
-		d.metrics.ObserveKind(f.Histogram, f.Kind, f.Duration)
-	case chuteaction.LogLine:
-		d.logs.offer(f)
-	case chuteaction.Stopped:
-		close(d.stopped)
-	}
-}
-
-func (d *Daemon) dispatchToStore(effect chuteaction.Effect, failure chuteaction.Event) {
-	if !d.store.Offer(effect) {
-		d.metrics.Count("store-refused", "ring-full")
-		d.failures = append(d.failures, failure)
-	}
-}
-
-func (d *Daemon) dispatchOrder(effect chuteaction.Effect, failure chuteaction.Event) {
-	if !d.orders.Offer(effect) {
-		d.metrics.Count("order-refused", "ring-full")
-		if failure != nil {
-			d.failures = append(d.failures, failure)
-		}
-	}
-}
-
-// dispatchRenewal passes a long-polling renewal to the worker's own duty, and any other renewal to the order duties.
-func (d *Daemon) dispatchRenewal(f chuteaction.RenewLease) {
-	failure := chuteaction.LeaseRenewed{Epoch: f.Epoch, Worker: f.Worker, SentAt: time.Now(), Outcome: chuteaction.OrderUnhealthy}
-	if f.PollTimeout == 0 {
-		d.dispatchOrder(f, failure)
-		return
-	}
-	if !d.renewers.renew(f) {
-		d.metrics.Count("order-refused", "renewal-ring-full")
-		d.failures = append(d.failures, failure)
-	}
-}
-
 // runTicks sends the core a tick event every tickInterval and updates the metrics of the rings.
 func (d *Daemon) runTicks(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
--- /dev/null
+++ b/chutedaemon/dispatch.go
@@ -0,0 +1,137 @@
+package chutedaemon
+
+import (
+	"context"
+	"runtime/debug"
+	"time"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chuteentry"
+)
+
+// runCore passes each event to the core and dispatches its effects. If the ring of an effect is full, the core gets the
+// effect's failure event at once.
+func (d *Daemon) runCore(ctx context.Context, state chuteentry.State) {
+	for {
+		event, ok := d.events.Take(ctx)
+		if !ok {
+			return
+		}
+		state = d.step(state, event)
+		for len(d.failures) > 0 {
+			next := d.failures[0]
+			d.failures = d.failures[1:]
+			state = d.step(state, next)
+		}
+	}
+}
+
+func (d *Daemon) step(state chuteentry.State, event chuteaction.Event) chuteentry.State {
+	now := time.Now()
+	state, effects := chuteentry.Step(state, chuteaction.TimedEvent{At: now, Event: event})
+	for _, effect := range effects {
+		d.dispatch(effect)
+	}
+	d.serving.Store(state.Serving(now))
+	d.setGCPercent(state.Leads())
+	return state
+}
+
+// setGCPercent sets the garbage collection target by the host's role. The leader collects less often, because its state is
+// large and changes with each event.
+func (d *Daemon) setGCPercent(leads bool) {
+	if leads == d.leading {
+		return
+	}
+	d.leading = leads
+	percent := followerGCPercent
+	if leads {
+		percent = leaderGCPercent
+	}
+	previous := debug.SetGCPercent(percent)
+	d.log.Info("daemon: garbage collection target changed", "leads", leads, "growth-percent", percent, "former", previous)
+}
+
+// dispatch passes an effect to the duty that carries it out.
+func (d *Daemon) dispatch(effect chuteaction.Effect) {
+	switch f := effect.(type) {
+	case chuteaction.AnswerCall:
+		if !d.calls.deliver(f) {
+			d.metrics.Count("answer-dropped", "nobody-waits")
+		}
+	case chuteaction.WriteRows:
+		d.dispatchToStore(f, chuteaction.RowsWritten{Token: f.Token, Outcome: chuteaction.StoreRefused})
+	case chuteaction.ReadRows:
+		d.dispatchToStore(f, chuteaction.RowsRead{Token: f.Token, Outcome: chuteaction.StoreRefused})
+	case chuteaction.WatchTable:
+		d.watchers.watch(f)
+	case chuteaction.UnwatchTable:
+		d.watchers.unwatch(f.Table)
+	case chuteaction.SetPeers:
+		d.peers.SetPeers(f.Addresses)
+	case chuteaction.ForwardRows:
+		if !d.forwards.Offer(f) {
+			d.metrics.Count("news-dropped", "ring-full")
+		}
+	case chuteaction.StartRun:
+		d.dispatchOrder(f, chuteaction.RunStarted{
+			Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnhealthy,
+		})
+	case chuteaction.StopRun:
+		d.dispatchOrder(f, chuteaction.RunStopped{
+			Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnhealthy,
+		})
+	case chuteaction.RenewLease:
+		d.dispatchRenewal(f)
+	case chuteaction.DisconnectWorker:
+		d.renewers.remove(f.Worker)
+		d.workers.Disconnect(f.Worker)
+	case chuteaction.PaceRun:
+		d.dispatchOrder(f, nil)
+	case chuteaction.RequestApproval:
+		d.dispatchOrder(f, chuteaction.StepApproved{Step: f.Step, Workers: f.Workers})
+	case chuteaction.ListMachines:
+		d.dispatchOrder(f, chuteaction.MachinesListed{})
+	case chuteaction.MaintainMachine:
+		d.dispatchOrder(f, chuteaction.MachineMaintained{
+			Epoch: f.Epoch, Machine: f.Machine, Wave: f.Wave, Outcome: chuteaction.OrderUnhealthy, Reason: "ring-full",
+		})
+	case chuteaction.Count:
+		d.metrics.Count(f.Counter, f.Reason)
+	case chuteaction.Observe:
+		d.metrics.ObserveKind(f.Histogram, f.Kind, f.Duration)
+	case chuteaction.LogLine:
+		d.logs.offer(f)
+	case chuteaction.Stopped:
+		close(d.stopped)
+	}
+}
+
+func (d *Daemon) dispatchToStore(effect chuteaction.Effect, failure chuteaction.Event) {
+	if !d.store.Offer(effect) {
+		d.metrics.Count("store-refused", "ring-full")
+		d.failures = append(d.failures, failure)
+	}
+}
+
+func (d *Daemon) dispatchOrder(effect chuteaction.Effect, failure chuteaction.Event) {
+	if !d.orders.Offer(effect) {
+		d.metrics.Count("order-refused", "ring-full")
+		if failure != nil {
+			d.failures = append(d.failures, failure)
+		}
+	}
+}
+
+// dispatchRenewal passes a long-polling renewal to the worker's own duty, and any other renewal to the order duties.
+func (d *Daemon) dispatchRenewal(f chuteaction.RenewLease) {
+	failure := chuteaction.LeaseRenewed{Epoch: f.Epoch, Worker: f.Worker, SentAt: time.Now(), Outcome: chuteaction.OrderUnhealthy}
+	if f.PollTimeout == 0 {
+		d.dispatchOrder(f, failure)
+		return
+	}
+	if !d.renewers.renew(f) {
+		d.metrics.Count("order-refused", "renewal-ring-full")
+		d.failures = append(d.failures, failure)
+	}
+}
