Start the hosts of the end-to-end tests as the command starts them

Cause: the command (cmd/monsoonchuted/platform.go) and the end-to-end tests each put the same ten parts of a host together and stopped them, so the tests could pass with a wiring, and a planned stop, that the command does not have.

Change: platform/host has the wiring: Listen and Start, moved from the command. The command and the tests call it. Their checks and bounds are unchanged. The hosts of the tests now have a process id, a takeover jitter and a drain time (a grace period of one second) as those of the command have.

--- a/cmd/monsoonchuted/signal_test.go
+++ b/cmd/monsoonchuted/signal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,8 +9,6 @@
 	"testing"
 
 	"github.com/matryer/is"
-
-	"monsoonchute.example/monsoonchute/platform"
 )
 
 // buildDaemon builds the daemon and returns the path of the program.
@@ -52,21 +49,3 @@
 		})
 	}
 }
-
-// TestOpenListenersLeavesNoneOpenOnFailure guards against addresses that stay in use after a start that failed.
-func TestOpenListenersLeavesNoneOpenOnFailure(t *testing.T) {
-	is := is.New(t)
-	taken, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = taken.Close() }()
-	settings := platform.Settings{
-		FrontAddress: freeAddress(t), ReadyAddress: freeAddress(t), MetricsAddress: freeAddress(t), RelayAddress: taken.Addr().String(),
-	}
-	_, err = openListeners(settings)
-	is.True(err != nil)
-	for _, address := range []string{settings.FrontAddress, settings.ReadyAddress, settings.MetricsAddress} {
-		l, err := net.Listen("tcp", address)
-		is.NoErr(err)
-		is.NoErr(l.Close())
-	}
-}
