--- a/chutecore/call.go
+++ b/chutecore/call.go
@@ -13,10 +13,8 @@
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chutedocument"
 	"monsoonchute.example/monsoonchute/chuteevent"
-	"monsoonchute.example/monsoonchute/chutegang"
 	"monsoonchute.example/monsoonchute/chutejob"
 	"monsoonchute.example/monsoonchute/chuteresult"
-	"monsoonchute.example/monsoonchute/chuterevision"
 	"monsoonchute.example/monsoonchute/chuteshard"
 	"monsoonchute.example/monsoonchute/chutetopology"
 )
@@ -35,7 +33,7 @@
 	case chutecall.ShardCall:
 		t.handleShardCall(e, c)
 	case chutecall.ApplyDocument:
-		t.applyRevision(t.state.revision.Apply(t.revisionEnvironment(), chuterevision.Origin{ID: e.ID}, c))
+		t.applyRevision(t.state.revision.Apply(t.revisionEnvironment(), chuteevent.Origin{ID: e.ID}, c))
 	case chutecall.ShowDocument:
 		t.answer(e.ID, t.state.revision.Show())
 	case chutecall.ListWorkspaces:
@@ -52,7 +50,7 @@
 // handleShardCall answers the call from the shard's state if this host owns the shard, and forwards it to the owner
 // otherwise.
 func (t *transition) handleShardCall(e chuteevent.CallArrived, call chutecall.ShardCall) {
-	arrived := arrivedCall{origin: chutegang.Origin{ID: e.ID}, requestID: e.RequestID, call: call, arrivedAt: t.now}
+	arrived := arrivedCall{origin: chuteevent.Origin{ID: e.ID}, requestID: e.RequestID, call: call, arrivedAt: t.now}
 	call, shard, refusal := t.assignShard(call)
 	if refusal != nil {
 		if !chuteshard.FollowsDocument(refusal.Code) || !t.deferCall(arrived) {
--- a/chutecore/defer.go
+++ b/chutecore/defer.go
@@ -6,7 +6,6 @@
 
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chuteevent"
-	"monsoonchute.example/monsoonchute/chutegang"
 	"monsoonchute.example/monsoonchute/chuteresult"
 	"monsoonchute.example/monsoonchute/chuterevision"
 	"monsoonchute.example/monsoonchute/chuteshard"
@@ -18,7 +17,7 @@
 // arrivedCall is a call as it arrived at this host. A call that the document in force here refuses, but perhaps not the
 // head, is deferred: it is handled again once the document is known to have been the head after the call's arrival.
 type arrivedCall struct {
-	origin    chutegang.Origin
+	origin    chuteevent.Origin
 	requestID string
 	call      chutecall.ShardCall
 	arrivedAt time.Time
@@ -82,11 +81,6 @@
 }
 
 func (t *transition) refuseDeferred(a arrivedCall, result chuteresult.Result) {
-	reply := chutecall.ResultReply{Result: result}
 	t.emit(chuteevent.Count{Counter: "job-refused", Reason: result.Code.String()})
-	if a.origin.From == "" {
-		t.answer(a.origin.ID, reply)
-		return
-	}
-	t.emit(chuteevent.SendPeerMessage{To: a.origin.From, Message: chuteevent.ForwardReply{ID: a.origin.ID, Reply: reply}})
+	t.emit(a.origin.Answer(chutecall.ResultReply{Result: result}))
 }
--- a/chutecore/peer.go
+++ b/chutecore/peer.go
@@ -5,7 +5,6 @@
 
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chuteevent"
-	"monsoonchute.example/monsoonchute/chutegang"
 	"monsoonchute.example/monsoonchute/chuteresult"
 	"monsoonchute.example/monsoonchute/chutetable"
 )
@@ -85,24 +84,19 @@
 
 // handleForwardedCall handles a call that a peer forwarded; it refuses the call if this host does not own the shard.
 func (t *transition) handleForwardedCall(from chutetable.HostID, m chuteevent.ForwardCall) {
+	origin := chuteevent.Origin{ID: m.ID, From: from}
 	call, ok := m.Call.(chutecall.ShardCall)
 	if !ok {
-		t.emit(chuteevent.SendPeerMessage{To: from, Message: chuteevent.ForwardReply{
-			ID: m.ID, Reply: chutecall.Refuse(chuteresult.Malformed, "call: no shard answers it"),
-		}})
+		t.emit(origin.Answer(chutecall.Refuse(chuteresult.Malformed, "call: no shard answers it")))
 		return
 	}
 	shard := callShard(call)
 	s, owned := t.state.shards.Get(shard)
 	if !owned {
-		t.emit(chuteevent.SendPeerMessage{To: from, Message: chuteevent.ForwardReply{
-			ID: m.ID, Reply: chutecall.Refuse(chuteresult.NotOwner, "%s does not own shard %d", t.state.self.Host, shard),
-		}})
+		t.emit(origin.Answer(chutecall.Refuse(chuteresult.NotOwner, "%s does not own shard %d", t.state.self.Host, shard)))
 		return
 	}
-	t.callShard(s, arrivedCall{
-		origin: chutegang.Origin{ID: m.ID, From: from}, requestID: m.RequestID, call: call, arrivedAt: t.now,
-	}, call)
+	t.callShard(s, arrivedCall{origin: origin, requestID: m.RequestID, call: call, arrivedAt: t.now}, call)
 }
 
 // handleForwardReply answers the forwarded call with the owner's reply. It drops a reply to a call that has ended.
--- a/chutegang/state.go
+++ b/chutegang/state.go
@@ -26,12 +26,6 @@
 	StoreUp    bool
 }
 
-// Origin identifies a call and the entry host that took it.
-type Origin struct {
-	ID   chuteevent.CallID
-	From chutetable.HostID // empty for this host's front end
-}
-
 // Pending is the purpose of a store operation in flight: one of the types below.
 //
 //sumtype:decl
@@ -42,7 +36,7 @@
 
 // PendingSubmit records a new job.
 type PendingSubmit struct {
-	Call Origin
+	Call chuteevent.Origin
 	Job  chutejob.Job
 }
 
@@ -54,7 +48,7 @@
 
 // PendingCancel records an accepted cancellation.
 type PendingCancel struct {
-	Call Origin
+	Call chuteevent.Origin
 	Job  chutejob.ID
 }
 
--- a/chutegang/transition.go
+++ b/chutegang/transition.go
@@ -87,12 +87,8 @@
 }
 
 // Answer answers a call at this host's front end, or through the peer that forwarded it.
-func (t *Transition) Answer(to Origin, reply chutecall.Reply) {
-	if to.From == "" {
-		t.Emit(chuteevent.AnswerCall{ID: to.ID, Reply: reply})
-		return
-	}
-	t.Emit(chuteevent.SendPeerMessage{To: to.From, Message: chuteevent.ForwardReply{ID: to.ID, Reply: reply}})
+func (t *Transition) Answer(to chuteevent.Origin, reply chutecall.Reply) {
+	t.Emit(to.Answer(reply))
 }
 
 // SendOrder sends an order to a worker of the shard. This host refuses an order that is still unsent when it expires;
--- a/chuterevision/change.go
+++ b/chuterevision/change.go
@@ -12,7 +12,7 @@
 
 // Apply handles the call to change the document. It reads the head first, so that the change is applied to the newest
 // document.
-func (s State) Apply(environment Environment, origin Origin, call chutecall.ApplyDocument) (State, []chuteevent.Effect) {
+func (s State) Apply(environment Environment, origin chuteevent.Origin, call chutecall.ApplyDocument) (State, []chuteevent.Effect) {
 	t := &transition{state: s, environment: environment}
 	if !environment.StoreUp {
 		t.refuse(origin, chuteresult.New(chuteresult.StoreUnavailable, "document: cannot be read now"))
--- a/chuterevision/revision.go
+++ b/chuterevision/revision.go
@@ -34,15 +34,9 @@
 	Peers    []chutetable.HostRow // live entry hosts other than this one
 }
 
-// Origin identifies a call that awaits an answer.
-type Origin struct {
-	ID   chuteevent.CallID
-	From chutetable.HostID
-}
-
 // pendingChange is a proposed change with a store operation in flight: a read of the head or a commit.
 type pendingChange struct {
-	origin   Origin
+	origin   chuteevent.Origin
 	call     chutecall.ApplyDocument
 	attempts int
 	next     chutedocument.Document // document being committed, of version 0 while the head is read
@@ -50,7 +44,7 @@
 
 // pendingConfirmation is an accepted change whose answer waits until the other entry hosts have confirmed its version.
 type pendingConfirmation struct {
-	origin   Origin
+	origin   chuteevent.Origin
 	version  int
 	warnings []string
 	deadline time.Time
@@ -158,12 +152,12 @@
 	return chuteevent.Token(fmt.Sprintf("document-%s-%d", t.environment.BootID, t.state.sequence))
 }
 
-func (t *transition) answer(to Origin, reply chutecall.Reply) {
-	t.emit(chuteevent.AnswerCall{ID: to.ID, Reply: reply})
+func (t *transition) answer(to chuteevent.Origin, reply chutecall.Reply) {
+	t.emit(to.Answer(reply))
 }
 
 // refuse counts the refusal of a change and answers its call with the result.
-func (t *transition) refuse(to Origin, result chuteresult.Result) {
+func (t *transition) refuse(to chuteevent.Origin, result chuteresult.Result) {
 	t.emit(chuteevent.Count{Counter: "document-refused", Reason: result.Code.String()})
 	t.answer(to, chutecall.ResultReply{Result: result})
 }
--- a/chuteshard/call.go
+++ b/chuteshard/call.go
@@ -17,7 +17,7 @@
 const maxListed = 1000
 
 // handleCall handles a call to the shard; it refuses the call until recovery has read the shard's jobs.
-func (t *transition) handleCall(from chutegang.Origin, call chutecall.ShardCall) {
+func (t *transition) handleCall(from chuteevent.Origin, call chutecall.ShardCall) {
 	if !t.state.recovered {
 		t.Answer(from, chutecall.Refuse(chuteresult.NoOwner, "shard %d: its new owner is still reading it", t.State.Shard))
 		return
@@ -37,7 +37,7 @@
 }
 
 // submit validates a new job and records it. The call is answered once the job is recorded.
-func (t *transition) submit(from chutegang.Origin, call chutecall.SubmitJob) {
+func (t *transition) submit(from chuteevent.Origin, call chutecall.SubmitJob) {
 	if j, ok := t.State.Job(call.Job); ok {
 		t.answerDuplicate(from, j, call.Spec)
 		return
@@ -53,7 +53,7 @@
 }
 
 // answerDuplicate answers a repeated submission: it succeeds if the specification is the one recorded.
-func (t *transition) answerDuplicate(from chutegang.Origin, j chutejob.Job, spec chutejob.Spec) {
+func (t *transition) answerDuplicate(from chuteevent.Origin, j chutejob.Job, spec chutejob.Spec) {
 	if j.Spec != spec {
 		t.Answer(from, chutecall.Refuse(chuteresult.Conflict, "job %s exists with another specification", j.ID))
 		return
@@ -101,7 +101,7 @@
 
 // answerUnknown answers a call about a job that this owner does not know. Without a valid lease another owner may have
 // accepted it.
-func (t *transition) answerUnknown(from chutegang.Origin, id chutejob.ID) {
+func (t *transition) answerUnknown(from chuteevent.Origin, id chutejob.ID) {
 	if !t.Environment.LeaseValid {
 		t.Answer(from, chutecall.Refuse(chuteresult.NoOwner, "shard %d: this host's lease on it is not confirmed", t.State.Shard))
 		return
@@ -109,7 +109,7 @@
 	t.Answer(from, chutecall.Refuse(chuteresult.NotFound, "job: %q does not exist", id))
 }
 
-func (t *transition) show(from chutegang.Origin, id chutejob.ID) {
+func (t *transition) show(from chuteevent.Origin, id chutejob.ID) {
 	j, ok := t.State.Job(id)
 	if !ok {
 		t.answerUnknown(from, id)
@@ -118,13 +118,13 @@
 	t.Answer(from, chutecall.JobReply{Result: chuteresult.Result{Code: chuteresult.Done}, Job: j})
 }
 
-func (t *transition) list(from chutegang.Origin) {
+func (t *transition) list(from chuteevent.Origin) {
 	jobs := append(t.State.Live(), t.State.Ended()...)
 	t.Answer(from, chutecall.JobsReply{Jobs: jobs[:min(len(jobs), maxListed)]})
 }
 
 // cancel validates a cancellation and records it. The call is answered once the cancellation is recorded.
-func (t *transition) cancel(from chutegang.Origin, id chutejob.ID) {
+func (t *transition) cancel(from chuteevent.Origin, id chutejob.ID) {
 	j, ok := t.State.Job(id)
 	switch {
 	case !ok:
@@ -153,7 +153,7 @@
 }
 
 // explain answers with the causes that keep a job waiting.
-func (t *transition) explain(from chutegang.Origin, id chutejob.ID) {
+func (t *transition) explain(from chuteevent.Origin, id chutejob.ID) {
 	j, ok := t.State.Job(id)
 	if !ok {
 		t.answerUnknown(from, id)
--- a/chuteshard/step.go
+++ b/chuteshard/step.go
@@ -3,7 +3,6 @@
 import (
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chuteevent"
-	"monsoonchute.example/monsoonchute/chutegang"
 )
 
 // Outcome is the result of handling one event.
@@ -34,7 +33,7 @@
 }
 
 // Call handles a call to the shard.
-func (s State) Call(environment Environment, origin chutegang.Origin, call chutecall.ShardCall) Outcome {
+func (s State) Call(environment Environment, origin chuteevent.Origin, call chutecall.ShardCall) Outcome {
 	t := newTransition(s, environment)
 	t.handleCall(origin, call)
 	return t.outcome()
