--- a/chuteroute/intent_test.go
+++ b/chuteroute/intent_test.go
@@ -12,10 +12,82 @@
 	"monsoonchute.example/monsoonchute/chutetable"
 )
 
+// endCommit ends the latest commit.
+func (h *harness) endCommit(accepted bool) {
+	e := h.commits[len(h.commits)-1]
+	versions := map[chutetable.Key]chutetable.Version{e.Writes[0].Key: 5}
+	h.apply(h.state.HandleTableEvent(h.environment(), chuteevent.TableCommitted{Token: e.Token, Accepted: accepted, Versions: versions}))
+}
+
 func (h *harness) failTable(token chuteevent.Token) {
 	h.apply(h.state.HandleTableEvent(h.environment(), chuteevent.TableFailed{Token: token}))
 }
 
+// named sets that the client gave the id of the request.
+func named(r *chuteevent.Request) { r.HasClientID = true }
+
+func TestIntentIsRecordedBeforeDispatchAndOutcomeAfterAnswer(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.request(1, named)
+	is.Equal(len(h.dispatches), 0) // the router sends nothing before the intent is durable
+	h.endCommit(true)
+	is.Equal(len(h.dispatches), 1)
+	h.endAttempt(chuteresult.Done)
+	is.Equal(h.answers[1].Result.Code, chuteresult.Done)
+	row, ok := h.commits[1].Writes[0].Row.(chutetable.IntentRow)
+	is.True(ok)
+	is.True(row.Finished)
+	is.Equal(string(row.Answer.Body), "body")
+	is.True(!h.state.Idle()) // the router is still writing the outcome
+	h.endCommit(true)
+	is.True(h.state.Idle())
+}
+
+// TestRepeatedRequestID checks the answer to a repeated id for each state of the first request's intent row.
+func TestRepeatedRequestID(t *testing.T) {
+	done := chuteresult.New(chuteresult.Done, "")
+	cases := []struct {
+		name string
+		rows []chutetable.IntentRow
+		code chuteresult.Code
+	}{
+		{"finished", []chutetable.IntentRow{{Digest: 1, Finished: true, Result: done, Answer: chutetable.Answer{Status: 200}}}, chuteresult.Recorded},
+		{"finished, unknown", []chutetable.IntentRow{{Digest: 1, Finished: true, Result: chuteresult.New(chuteresult.ConnectionBroken, "")}}, chuteresult.ConnectionBroken},
+		{"in progress here", []chutetable.IntentRow{{Digest: 1, BootID: "boot"}}, chuteresult.InProgress},
+		{"taken by another process", []chutetable.IntentRow{{Digest: 1, BootID: "other"}}, chuteresult.IntentUnresolved},
+		{"other content", []chutetable.IntentRow{{Digest: 2, Finished: true, Result: done}}, chuteresult.Conflict},
+		{"deleted meanwhile", nil, chuteresult.Conflict},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(1)
+			h.request(1, named)
+			h.endCommit(false)
+			read := chuteevent.TableRead{Token: h.reads[0].Token}
+			for _, row := range c.rows {
+				read.Rows = append(read.Rows, chutetable.StoredRow{Key: chutetable.IntentKey("r1"), Version: 3, Row: row})
+			}
+			h.apply(h.state.HandleTableEvent(h.environment(), read))
+			is.Equal(h.answers[1].Result.Code, c.code)
+			is.Equal(len(h.dispatches), 0)
+		})
+	}
+}
+
+func TestLateIntentOfRefusedRequestIsDeleted(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1)
+	h.request(1, named)
+	h.tick(11 * time.Second)
+	is.Equal(h.answers[1].Result.Code, chuteresult.DeadlinePassed)
+	h.endCommit(true)
+	is.Equal(len(h.dispatches), 0)
+	last := h.commits[len(h.commits)-1]
+	is.True(last.Writes[0].Row == nil) // the write deletes the row, so the id may be used again
+}
+
 // TestFailedIntentWriteSendsNothing guards against sending a request whose intent is not durable.
 func TestFailedIntentWriteSendsNothing(t *testing.T) {
 	is := is.New(t)
