Give a worker that is met again the longest lease it may have

What the platform would see: starts beyond a worker's capacity, or beside a run that goes on. Class: an unknown time taken as the distant past. Change: the first answer sets the bound to the longest lease from now. Evidence: TestAWorkerWithoutAKnownLeaseIsNotTakenAsExpired failed before. Measured: go test ./chuterunner ./chuteentry pass.

--- a/chuterunner/lost_test.go
+++ b/chuterunner/lost_test.go
@@ -78,6 +78,18 @@
 	is.Equal(s.worker(0).MissedRenewals, 0)
 }
 
+func TestAWorkerWithoutAKnownLeaseIsNotTakenAsExpired(t *testing.T) {
+	is := is.New(t)
+	s := startedRun()
+	s.handle(0, func(t *chuterunner.Transition) {
+		t.Pool = t.Pool.Without(workerID(0))
+		t.ApplyListing(chutepool.Listing{ID: workerID(0), Address: "10.0.0.1:1", Incarnation: 1}, 7, s.now)
+	})
+	s.report(0, []chutetask.RunReport{{Run: taskRun(0, 2)}}, nil) // not expected: it is stopped, and takes its capacity until then
+	is.Equal(s.worker(0).RunCount(), 1)
+	is.True(s.worker(0).LeaseExpiryBound.After(s.now.Add(5 * time.Second)))
+}
+
 func TestAWorkerThatRefusesARenewalIsNotLost(t *testing.T) {
 	is := is.New(t)
 	s := startedRun()
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -160,6 +160,9 @@
 	w.MissedRenewals, w.Lost, w.PresumedEnded = 0, false, false
 	w.AnsweredAt = t.Now
 	w.Contacted = true
+	if w.LeaseExpiryBound.IsZero() { // orders of an earlier scheduler, or from before it was forgotten, may have set a lease
+		w.LeaseExpiryBound = t.Now.Add(t.LongestLease())
+	}
 	w = t.clearBlame(w)
 	t.PutWorker(w)
 	t.applyEnds(w.ID, e.Ended)
