--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -84,19 +84,22 @@
 	return chuteaction.RowKey{Table: chuteaction.TableWorkers, Key: string(k.listing.ID)}
 }
 
+// publishListing writes the listing, which expires three intervals after the worker's latest write of it.
 func (k *fakeWorker) publishListing() {
-	k.heartbeatAt = k.sim.now
+	at := k.sim.now
+	k.heartbeatAt = at
 	k.sim.store.put(k.key(), chuteaction.WorkerRow{Listing: k.listing})
+	k.sim.after(3*heartbeat, func() {
+		if _, listed := k.sim.store.rows[k.key()]; listed && k.heartbeatAt.Equal(at) {
+			k.sim.store.deleteRow(k.key(), nil)
+		}
+	})
 }
 
-// sendHeartbeats publishes the listing at each interval; after three intervals without a heartbeat the listing expires.
+// sendHeartbeats publishes the listing at each interval.
 func (k *fakeWorker) sendHeartbeats() {
-	_, listed := k.sim.store.rows[k.key()]
-	switch {
-	case !k.dead && !k.offStore:
+	if !k.dead && !k.offStore {
 		k.publishListing()
-	case listed && k.sim.now.Sub(k.heartbeatAt) >= 3*heartbeat:
-		k.sim.store.deleteRow(k.key(), nil)
 	}
 	k.sim.after(heartbeat, k.sendHeartbeats)
 }
