Ask an idle worker again that missed the renewal which acknowledged its ends

What callers would see: a worker that gets no work for as long as it lives, and ends that it lists for ever. Cause: an idle worker gets one renewal, to acknowledge its ends. Without an answer to it nothing was due any more: the worker counted as not answering, which keeps work off it, and its ends, which it may have kept, were not acknowledged again. Class: a state that only an answer ends, without a request that asks for it. Evidence: TestAnAcknowledgementWithoutAnswerIsSentAgain failed on the code before. Measured: go test ./chutescheduler ./chuteentry pass.

--- a/chutescheduler/lostprogress_test.go
+++ b/chutescheduler/lostprogress_test.go
@@ -1,6 +1,7 @@
 package chutescheduler_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -305,3 +306,35 @@
 		t.Errorf("the job is recorded as %s with %+v", row.Phase, row.Occurrences)
 	}
 }
+
+// acknowledgeWithoutAnswer lets the only task end, and the renewal that acknowledges its end get no answer.
+func (s *successor) acknowledgeWithoutAnswer() {
+	s.submissions(true, submissionRow(1))
+	s.answerReads(chuteaction.TableHosts)
+	s.answerReads(chuteaction.TableProgress, recordedRow(1, chutetask.TaskActive))
+	s.listWorker()
+	s.tick(200 * time.Millisecond)
+	s.report(1, nil, []chutetask.RunEnd{{Number: 1, Run: runID(0), Kind: chutetask.EndDone}})
+	s.flush()
+	s.handle(10*time.Millisecond, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+		s.state = s.state.HandleCommit(t, environment)
+	})
+	s.handle(time.Second, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+		s.state, _ = s.state.HandleLeaseRenewed(t, environment, chuteaction.LeaseRenewed{Epoch: epoch, Worker: workerID, SentAt: s.now, Outcome: chuteaction.OrderUnknown})
+	})
+}
+
+// TestAnAcknowledgementWithoutAnswerIsSentAgain guards against an idle worker that lists its ends for ever.
+func TestAnAcknowledgementWithoutAnswerIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	s := newSuccessor(released())
+	s.acknowledgeWithoutAnswer()
+	since := len(s.effects)
+	for range 5 {
+		s.tick(time.Second)
+		if len(s.acknowledgements(since)) > 0 {
+			s.report(1, nil, []chutetask.RunEnd{{Number: 1, Run: runID(0), Kind: chutetask.EndDone}})
+		}
+	}
+	is.True(slices.Contains(s.acknowledgements(since), 1))
+}
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -119,7 +119,7 @@
 }
 
 // renewIfDue renews the worker's lease if anything may run there. A renewal also fetches and acknowledges ended runs,
-// and is sent for these alone where nothing runs.
+// and is sent for these alone where nothing runs, as well as to learn whether a worker that did not answer is back.
 func (t *transition) renewIfDue(w chutepool.Worker) {
 	if w.Address == "" || t.Now.Before(w.RenewAfter) || w.Renewing && !w.ReportDue {
 		return
@@ -140,6 +140,8 @@
 		t.renew(w, renewalPollTimeout)
 	case w.AcknowledgedEnd < w.RecordedEnd:
 		t.renew(w, 0)
+	case w.MissedRenewals > 0 && w.Listed:
+		t.renew(w, 0)
 	}
 }
 
