Take a worker that answers as unhealthy as living

What callers would see: work that is started twice, on a worker that answers and on another one. Cause: a renewal that is answered with "unhealthy", and one that the host itself could not send (full ring, ended context), counted as a missed one, which loses a worker that removed its entry from the list before. Class: an answer, or our own failure, taken as silence. Change: OrderUnhealthy ends the presumption, as a refusal does. An order for which no connection could be made has an outcome of its own, OrderUnreachable, which like silence confirms the presumption; elsewhere it is handled as before, with its own reason in counters. Evidence: TestAWorkerThatAnswersIsNotLostThoughItLeftTheList, case "it answers that it is unhealthy", failed on the code before. Measured: go test ./chuterunner ./chutescheduler ./chutedaemon ./platform/... pass.

--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -109,7 +109,8 @@
 const (
 	OrderAccepted    OrderOutcome = iota + 1
 	OrderRefused                  // the worker did not execute the order, for the reason given
-	OrderUnhealthy                // the worker is unhealthy or cannot be reached and did not execute the order
+	OrderUnhealthy                // the worker is unhealthy, or the order was not sent; it was not executed
+	OrderUnreachable              // no connection to the worker could be made; the order was not executed
 	OrderMisdirected              // another worker answered at the address and did not execute the order
 	OrderUnknown                  // no answer: the worker may have executed the order, or may still execute it
 )
--- a/chuterunner/lostend_test.go
+++ b/chuterunner/lostend_test.go
@@ -93,6 +93,7 @@
 		name   string
 		answer func(*scheduler)
 	}{
+		{"it answers that it is unhealthy", func(s *scheduler) { s.renewalEnds(0, s.now, chuteaction.OrderUnhealthy, 0) }},
 		{"it refuses a lease that has expired", func(s *scheduler) {
 			s.renewalEnds(0, s.now, chuteaction.OrderRefused, chuteaction.RefusedExpired)
 		}},
@@ -150,3 +151,12 @@
 		})
 	}
 }
+
+// TestAWorkerThatLeftAndCannotBeReachedIsLost guards against work that waits for the lease of a worker that has ended.
+func TestAWorkerThatLeftAndCannotBeReachedIsLost(t *testing.T) {
+	is := is.New(t)
+	s := newStartedScheduler(1, false)
+	s.removeEntry(0)
+	s.renewalEnds(0, s.now, chuteaction.OrderUnreachable, 0)
+	is.Equal(s.task(0).Phase, chutetask.TaskWaiting)
+}
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -77,7 +77,7 @@
 		}
 		t.PutWorker(w.WithRun(r))
 		t.markReplaced(w.ID)
-	case chuteaction.OrderRefused, chuteaction.OrderUnhealthy:
+	case chuteaction.OrderRefused, chuteaction.OrderUnhealthy, chuteaction.OrderUnreachable:
 		t.startRefused(w, r, e)
 	}
 }
@@ -124,6 +124,8 @@
 	switch e.Outcome {
 	case chuteaction.OrderUnhealthy:
 		reason = "unhealthy"
+	case chuteaction.OrderUnreachable:
+		reason = "unreachable"
 	case chuteaction.OrderMisdirected:
 		reason = "former-address"
 	case chuteaction.OrderAccepted, chuteaction.OrderRefused, chuteaction.OrderUnknown:
@@ -192,7 +194,7 @@
 		}
 		t.PutWorker(w.WithRun(r))
 		t.markReplaced(w.ID)
-	case chuteaction.OrderUnknown, chuteaction.OrderUnhealthy, chuteaction.OrderRefused:
+	case chuteaction.OrderUnknown, chuteaction.OrderUnhealthy, chuteaction.OrderUnreachable, chuteaction.OrderRefused:
 		t.Fenced = e.Reason == chuteaction.RefusedFenced
 		t.repeatStop(w, r, e.Reason)
 	}
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -103,7 +103,10 @@
 		w.PresumedEnded = false
 		t.applyMissedRenewal(w, e.Reason.String())
 	case chuteaction.OrderUnhealthy:
+		w.PresumedEnded = false
 		t.applyMissedRenewal(w, "unhealthy")
+	case chuteaction.OrderUnreachable:
+		t.applyMissedRenewal(w, "unreachable")
 	case chuteaction.OrderUnknown:
 		t.applyMissedRenewal(w, "no-answer")
 	}
