Stop a gang that has worked rather than start an absent member again

What callers would see: a member of a gang that is started a second time and waits alone, after the gang has ended or while its end is on its way. Cause: after a takeover a member that its worker does not list was ordered again, as if its start order had been lost, although another member's progress shows that the whole gang had run: the member has ended, with its worker's restart for instance. Class: absence taken as "not begun". If the others only wait, the member is ordered again as before. Evidence: TestAMemberOfAGangThatHasWorkedIsNotStartedAgainAlone failed on the code before, in its four cases with progress. Measured: go test ./chuterunner ./chuteentry pass.

--- a/chuterunner/absent.go
+++ b/chuterunner/absent.go
@@ -49,6 +49,7 @@
 
 // resumeRun starts or stops a run that an earlier scheduler recorded and the worker does not list. A member of a gang
 // waits until the workers of all members have reported what they run, since the end of one member ends the whole gang.
+// If the gang has worked, the member has run before, and the gang is stopped.
 func (t *Transition) resumeRun(id chutetask.WorkerID, r chutepool.Run) {
 	w, _ := t.Pool.Get(id)
 	j, ok := t.Job(r.ID.Task.Job)
@@ -60,6 +61,8 @@
 		w.ReportDue = true
 		w.RenewAfter = t.Now.Add(resumeRetryDelay)
 		t.PutWorker(w)
+	case t.gangHasWorked(j, r.ID.Task.StepID):
+		t.abandonStart(w, r, "gang-has-worked")
 	default:
 		t.OrderStart(w, r)
 	}
@@ -78,3 +81,19 @@
 	}
 	return true
 }
+
+// gangHasWorked reports whether a member of a gang has made progress, which it does only while all members run. It is
+// false for a step without a gang.
+func (t *Transition) gangHasWorked(j chutetask.Job, id chutegraph.StepID) bool {
+	if !j.Step(id).Gang {
+		return false
+	}
+	for i, task := range j.Tasks(id) {
+		member := chutegraph.RunID{Task: chutegraph.TaskID{StepID: id, Index: i}, Number: task.Run}
+		_, r, ok := t.Pool.FindRun(task.Worker, member)
+		if ok && (r.Percent > 0 || r.Checkpoint != task.Checkpoint) {
+			return true
+		}
+	}
+	return false
+}
--- a/chuterunner/lostend_test.go
+++ b/chuterunner/lostend_test.go
@@ -1,12 +1,15 @@
 package chuterunner_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -160,3 +163,56 @@
 	s.renewalEnds(0, s.now, chuteaction.OrderUnreachable, 0)
 	is.Equal(s.task(0).Phase, chutetask.TaskWaiting)
 }
+
+// inherit turns the runs into ones that an earlier scheduler has recorded and whose workers have not reported yet.
+func (s *scheduler) inherit(count int) {
+	s.handle(0, func(t *chuterunner.Transition) {
+		t.ListedAt = t.Now
+		for i := range count {
+			w, r, _ := t.Pool.FindRun(workerID(i), taskRun(i, 1))
+			w.Listed, w.Contacted = true, false
+			r.Inherited, r.StartUnanswered = true, true
+			t.PutWorker(w.WithRun(r))
+		}
+	})
+}
+
+// started returns the runs for which start orders were sent.
+func (s *scheduler) started() []chutegraph.RunID {
+	var runs []chutegraph.RunID
+	for _, order := range s.orders {
+		if o, ok := order.(chuteaction.StartRun); ok {
+			runs = append(runs, o.Run)
+		}
+	}
+	return runs
+}
+
+// TestAMemberOfAGangThatHasWorkedIsNotStartedAgainAlone guards against a member that a new scheduler starts after its gang has ended.
+func TestAMemberOfAGangThatHasWorkedIsNotStartedAgainAlone(t *testing.T) {
+	cases := []struct {
+		name   string
+		other  chutetask.RunReport // of the member that runs
+		worked bool
+	}{
+		{"the other member has made progress", chutetask.RunReport{Run: taskRun(0, 1), Percent: 40}, true},
+		{"the other member has a new checkpoint", chutetask.RunReport{Run: taskRun(0, 1), Checkpoint: "saved"}, true},
+		{"the other member waits", chutetask.RunReport{Run: taskRun(0, 1)}, false},
+	}
+	for _, c := range cases {
+		for _, first := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%s, worker %d reports first", c.name, first), func(t *testing.T) {
+				is := is.New(t)
+				s := newScheduler(2, true)
+				s.inherit(2)
+				reports := [][]chutetask.RunReport{{c.other}, nil}
+				s.report(first, reports[first], nil)
+				s.report(1-first, reports[1-first], nil)
+				s.report(1, nil, nil)
+				is.Equal(slices.Contains(s.started(), taskRun(1, 1)), !c.worked)
+				is.Equal(slices.Contains(s.stopped(), taskRun(0, 1)), c.worked) // the gang is stopped as a whole
+				is.Equal(s.task(0).Phase, chutetask.TaskActive)
+			})
+		}
+	}
+}
