Stop a member of a gang of which another run has ended, after a takeover

What callers would see: a run that waits for its gang's timeout and ends alone; its job begins that much later. Cause: a member's run ends early (a refused start, a lost worker), which is recorded, and the others are ordered to stop. If the leader changes before these orders arrive, the new one finds the others active and the first waiting: it kept a member that its worker lists, and ordered one that its worker does not list. Class: a part of a decision that was recorded, taken for the whole. Change: a run of a gang is expected only while all members are active under its number; else it is stopped, and the gang runs again. Evidence: TestAMemberOfABrokenGangIsNotKeptOrStarted failed on the code before, in both cases. Measured: go test ./chuterunner ./chutescheduler ./chuteentry pass.

--- a/chuterunner/absent.go
+++ b/chuterunner/absent.go
@@ -1,6 +1,7 @@
 package chuterunner
 
 import (
+	"slices"
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
@@ -97,3 +98,13 @@
 	}
 	return false
 }
+
+// gangBroken reports whether the run is of a gang of which another member's run has ended, so that it would wait alone.
+func gangBroken(j chutetask.Job, run chutegraph.RunID) bool {
+	if !j.Step(run.Task.StepID).Gang {
+		return false
+	}
+	return slices.ContainsFunc(j.Tasks(run.Task.StepID), func(task chutetask.Task) bool {
+		return task.Phase != chutetask.TaskActive || task.Run != run.Number
+	})
+}
--- a/chuterunner/lostend_test.go
+++ b/chuterunner/lostend_test.go
@@ -216,3 +216,22 @@
 		}
 	}
 }
+
+// TestAMemberOfABrokenGangIsNotKeptOrStarted guards against a member that waits alone since a new scheduler finds the gang half stopped.
+func TestAMemberOfABrokenGangIsNotKeptOrStarted(t *testing.T) {
+	for _, running := range [][]chutetask.RunReport{nil, {{Run: taskRun(1, 1)}}} {
+		t.Run(fmt.Sprintf("%d runs reported", len(running)), func(t *testing.T) {
+			is := is.New(t)
+			s := newScheduler(2, true)
+			s.inherit(2)
+			s.handle(0, func(t *chuterunner.Transition) {
+				j, _ := t.Job(testID)
+				t.PutJob(j.WithTask(taskRun(0, 1).Task, s.task(0).WithPhase(chutetask.TaskWaiting)))
+				t.PutWorker(s.worker(0).WithoutRun(taskRun(0, 1)))
+			})
+			s.report(1, running, nil)
+			is.Equal(len(s.started()), 0)
+			is.True(slices.Contains(s.stopped(), taskRun(1, 1)))
+		})
+	}
+}
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -229,7 +229,7 @@
 		return false
 	}
 	ending := task.Phase == chutetask.TaskDone && j.Step(run.Task.StepID).Gang // the end of one member completes the gang
-	return task.Phase == chutetask.TaskActive || ending
+	return task.Phase == chutetask.TaskActive && !gangBroken(j, run) || ending
 }
 
 // stopUnexpected stops a run that the worker should not have. The run takes capacity until it has ended.
