Limit a write of the scheduler by its size

What callers would see: no job starts any more, under any leader. Cause: a write holds up to 95 rows, and the store takes 1 MB a call (PROTOCOL.md). 95 jobs of 190 tasks with checkpoints can exceed that once the rows are encoded as text; the store refuses the write, and the scheduler repeats it unchanged, as does its successor. Change: Flush counts an upper bound of each row's encoded size and stops at 600 kB, which are 0.8 MB as text. chuterow checks that no progress is larger than its bound. Measured: go test ./chuterow ./chutescheduler ./platform/store ./chuteentry pass.

--- a/chuterow/row_test.go
+++ b/chuterow/row_test.go
@@ -1,6 +1,7 @@
 package chuterow_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -38,6 +39,31 @@
 	}
 }
 
+// TestProgressIsNotLargerThanItsBound guards against a write that the store refuses for its size again and again.
+func TestProgressIsNotLargerThanItsBound(t *testing.T) {
+	is := is.New(t)
+	spec := chutegraph.Spec{Steps: []chutegraph.Step{{Count: 30}, {Count: 1}}, Recurrence: chutegraph.Recurrence{Count: 300}}
+	for _, run := range []int{0, 1, 1 << 30} {
+		for _, text := range []string{"", "i-0db3486068", strings.Repeat("x", 300)} {
+			j := chutetask.New(chutetask.Submission{ID: "0123456789abcdef", Spec: spec}, 1, time.Time{})
+			for k := range 4 {
+				j = j.WithOccurrenceBegun(k)
+			}
+			j.ForEachTask(func(id chutegraph.TaskID, _ chutetask.Task) {
+				task := chutetask.Task{Failures: run}.WithRun(run, chutetask.WorkerID(text)).WithCheckpoint(text)
+				task.Incarnation = int64(run) << 30
+				task.Crashes = chutequarantine.Record{Crashes: run, Quarantined: run, LastRun: run}
+				j.Occurrences[id.Occurrence][id.Step][id.Index] = task
+			})
+			body, err := chuterow.Encode(chuteaction.ProgressRow{Job: j.ID, Progress: j.Progress})
+			is.NoErr(err)
+			if len(body) > j.SizeBound() {
+				t.Errorf("%d bytes, bound %d", len(body), j.SizeBound())
+			}
+		}
+	}
+}
+
 func TestEncodeRejectsRowsOfOtherWriters(t *testing.T) {
 	is := is.New(t)
 	_, err := chuterow.Encode(chuteaction.CatalogRow{})
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -24,6 +24,8 @@
 	maxCutDuration = 30 * time.Second
 	// stopRetryInterval is the delay before a failed stop order, or one without an answer, is repeated.
 	stopRetryInterval = 300 * time.Millisecond
+	// maxBatchBytes is the largest sum of the sizes of the rows in one write. They grow by a third as text in a request.
+	maxBatchBytes = 600_000
 )
 
 // Tick starts due occurrences, checks some workers, advances maintenance waves and runs a planning pass if one is due.
@@ -169,8 +171,8 @@
 	return w.RecordedEnd
 }
 
-// Flush returns up to limit rows to write and marks the write as in flight. It returns no rows while one is in flight or
-// the recorded progress has not been read.
+// Flush returns up to limit rows to write, and no more than the store takes in one write, and marks the write as in
+// flight. It returns no rows while one is in flight or the recorded progress has not been read.
 func (s State) Flush(limit int) (State, []chuteaction.Row) {
 	if s.batch.inFlight || !s.progressMerged() {
 		return s, nil
@@ -180,9 +182,13 @@
 	}
 	b := batch{inFlight: true}
 	var rows []chuteaction.Row
+	size := 0
 	for i := s.runner.Dirty.Iterator(); !i.Done() && len(rows) < limit; {
 		id, _, _ := i.Next()
 		j, ok := s.runner.Job(id)
+		if size += j.SizeBound(); size > maxBatchBytes && len(rows) > 0 {
+			break
+		}
 		s.runner.Dirty = s.runner.Dirty.Delete(id)
 		if !ok {
 			continue
