Refuse a job whose submission or progress would not fit in a row of the store

What callers would see: no job starts any more, under any leader; or a client that is told to come back for as long as it tries. Cause: a job with up to 2,000 tasks and 10,000 occurrences was accepted. The store takes rows of 65,536 bytes (PROTOCOL.md). Once the progress of one job is larger, the write that holds it is refused and repeated for ever, with the rows of the other jobs. A submission of 100 steps with long texts does not fit either, and was answered as if the store were out of reach. Rows leave out workers and checkpoints of finished occurrences, so that recurring jobs fit; nothing reads them there. What remains: the limit is a constant, not the setting row_bytes; ids or checkpoints of several times the usual length can still exceed it; jobs that were accepted before stay.

--- a/chutegraph/check.go
+++ b/chutegraph/check.go
@@ -37,7 +37,7 @@
 	if tasks > MaxTasks {
 		return malformed("steps: have %d tasks together, the limit is %d", tasks, MaxTasks)
 	}
-	return nil
+	return s.checkSize()
 }
 
 // check returns an error if a field of the step is invalid; number is the position of the step in the job.
--- a/chutescheduler/lostprogress_test.go
+++ b/chutescheduler/lostprogress_test.go
@@ -338,3 +338,18 @@
 	}
 	is.True(slices.Contains(s.acknowledgements(since), 1))
 }
+
+// TestTheRowOfAFinishedOccurrenceLeavesOutItsPlaces guards against rows of recurring jobs that outgrow the store's limit.
+func TestTheRowOfAFinishedOccurrenceLeavesOutItsPlaces(t *testing.T) {
+	is := is.New(t)
+	s := newSuccessor(released())
+	s.submissions(true, submissionRow(1))
+	s.answerReads(chuteaction.TableHosts)
+	s.answerReads(chuteaction.TableProgress, recordedRow(1, chutetask.TaskActive))
+	s.listWorker()
+	s.tick(200 * time.Millisecond)
+	s.report(1, nil, []chutetask.RunEnd{{Number: 1, Run: runID(0), Kind: chutetask.EndDone, Checkpoint: "saved"}})
+	row, ok := s.flush()
+	is.True(ok)
+	is.Equal(row.Occurrences[0][0][0], chutetask.Task{Phase: chutetask.TaskDone, Run: 1})
+}
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -194,7 +194,7 @@
 			continue
 		}
 		b.jobs = append(b.jobs, id)
-		rows = append(rows, chuteaction.Row{RowKey: chuteaction.ProgressKey(id), Value: chuteaction.ProgressRow{Job: id, Progress: j.Progress}})
+		rows = append(rows, chuteaction.Row{RowKey: chuteaction.ProgressKey(id), Value: chuteaction.ProgressRow{Job: id, Progress: j.WithoutFinishedDetails()}})
 		s = s.withRunsRecording(j)
 	}
 	if s.runner.Dirty.Len() == 0 {
--- a/chutetask/size.go
+++ b/chutetask/size.go
@@ -1,5 +1,7 @@
 package chutetask
 
+import "slices"
+
 // Upper bounds of the size of the parts of an encoded Progress, without texts.
 const (
 	progressBytes   = 64
@@ -25,3 +27,28 @@
 	}
 	return size
 }
+
+// WithoutFinishedDetails returns the progress without workers and checkpoints of the tasks of finished occurrences.
+func (p Progress) WithoutFinishedDetails() Progress {
+	if !slices.Contains(p.Finished, true) {
+		return p
+	}
+	p.Occurrences = slices.Clone(p.Occurrences)
+	for k, steps := range p.Occurrences {
+		if p.Finished[k] {
+			p.Occurrences[k] = withoutDetails(steps)
+		}
+	}
+	return p
+}
+
+func withoutDetails(steps [][]Task) [][]Task {
+	bare := make([][]Task, len(steps))
+	for i, tasks := range steps {
+		bare[i] = make([]Task, len(tasks))
+		for k, t := range tasks {
+			bare[i][k] = Task{Phase: t.Phase, Run: t.Run, Failures: t.Failures}
+		}
+	}
+	return bare
+}
