--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -29,10 +29,16 @@
 }
 
 // applyRestart applies a worker's restart to one of its runs. A run that the worker has never reported may have been
-// started in the new incarnation, although the answer to its order arrived before the report of the restart.
+// started in the new incarnation, although the answer to its order arrived before the report of the restart. A start
+// order without an answer may still reach the new incarnation, which refuses it only once it was told to stop the run.
 func (t *Transition) applyRestart(id chutetask.WorkerID, r chutepool.Run) {
 	switch r.Phase {
 	case chutepool.RunStarted:
+		if r.StartUnanswered {
+			w, _ := t.Pool.Get(id)
+			t.abandonStart(w, r, "worker-restarted")
+			return
+		}
 		if r.Incarnation != 0 {
 			t.ReleaseRun(id, r.ID, chutetask.RunEnd{Run: r.ID, Kind: chutetask.EndLost})
 			return
@@ -103,7 +109,10 @@
 		w.PresumedEnded = false
 		t.applyMissedRenewal(w, e.Reason.String())
 	case chuteaction.OrderUnhealthy:
+		w.PresumedEnded = false
 		t.applyMissedRenewal(w, "unhealthy")
+	case chuteaction.OrderUnreachable:
+		t.applyMissedRenewal(w, "unreachable")
 	case chuteaction.OrderUnknown:
 		t.applyMissedRenewal(w, "no-answer")
 	}
@@ -229,7 +238,7 @@
 		return false
 	}
 	ending := task.Phase == chutetask.TaskDone && j.Step(run.Task.StepID).Gang // the end of one member completes the gang
-	return task.Phase == chutetask.TaskActive || ending
+	return task.Phase == chutetask.TaskActive && !gangBroken(j, run) || ending
 }
 
 // stopUnexpected stops a run that the worker should not have. The run takes capacity until it has ended.
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -24,6 +24,8 @@
 	maxCutDuration = 30 * time.Second
 	// stopRetryInterval is the delay before a failed stop order, or one without an answer, is repeated.
 	stopRetryInterval = 300 * time.Millisecond
+	// maxBatchBytes is the largest sum of the sizes of the rows in one write. They grow by a third as text in a request.
+	maxBatchBytes = 600_000
 )
 
 // Tick starts due occurrences, checks some workers, advances maintenance waves and runs a planning pass if one is due.
@@ -119,7 +121,7 @@
 }
 
 // renewIfDue renews the worker's lease if anything may run there. A renewal also fetches and acknowledges ended runs,
-// and is sent for these alone where nothing runs.
+// and is sent for these alone where nothing runs, as well as to learn whether a worker that did not answer is back.
 func (t *transition) renewIfDue(w chutepool.Worker) {
 	if w.Address == "" || t.Now.Before(w.RenewAfter) || w.Renewing && !w.ReportDue {
 		return
@@ -140,6 +142,8 @@
 		t.renew(w, renewalPollTimeout)
 	case w.AcknowledgedEnd < w.RecordedEnd:
 		t.renew(w, 0)
+	case w.MissedRenewals > 0 && w.Listed:
+		t.renew(w, 0)
 	}
 }
 
@@ -167,8 +171,8 @@
 	return w.RecordedEnd
 }
 
-// Flush returns up to limit rows to write and marks the write as in flight. It returns no rows while one is in flight or
-// the recorded progress has not been read.
+// Flush returns up to limit rows to write, and no more than the store takes in one write, and marks the write as in
+// flight. It returns no rows while one is in flight or the recorded progress has not been read.
 func (s State) Flush(limit int) (State, []chuteaction.Row) {
 	if s.batch.inFlight || !s.progressMerged() {
 		return s, nil
@@ -178,15 +182,19 @@
 	}
 	b := batch{inFlight: true}
 	var rows []chuteaction.Row
+	size := 0
 	for i := s.runner.Dirty.Iterator(); !i.Done() && len(rows) < limit; {
 		id, _, _ := i.Next()
 		j, ok := s.runner.Job(id)
+		if size += j.SizeBound(); size > maxBatchBytes && len(rows) > 0 {
+			break
+		}
 		s.runner.Dirty = s.runner.Dirty.Delete(id)
 		if !ok {
 			continue
 		}
 		b.jobs = append(b.jobs, id)
-		rows = append(rows, chuteaction.Row{RowKey: chuteaction.ProgressKey(id), Value: chuteaction.ProgressRow{Job: id, Progress: j.Progress}})
+		rows = append(rows, chuteaction.Row{RowKey: chuteaction.ProgressKey(id), Value: chuteaction.ProgressRow{Job: id, Progress: j.WithoutFinishedDetails()}})
 		s = s.withRunsRecording(j)
 	}
 	if s.runner.Dirty.Len() == 0 {
--- /dev/null
+++ b/chutetask/size.go
@@ -0,0 +1,54 @@
+package chutetask
+
+import "slices"
+
+// Upper bounds of the size of the parts of an encoded Progress, without texts.
+const (
+	progressBytes   = 64
+	occurrenceBytes = 10
+	stepBytes       = 9
+	taskBytes       = 24
+	placementBytes  = 40
+)
+
+// SizeBound returns an upper bound of the number of bytes of the encoded progress.
+func (p Progress) SizeBound() int {
+	size := progressBytes
+	for _, steps := range p.Occurrences {
+		size += occurrenceBytes + len(steps)*stepBytes
+		for _, tasks := range steps {
+			for _, t := range tasks {
+				size += taskBytes + len(t.Worker) + len(t.Checkpoint)
+				if t.Incarnation != 0 || t.Crashes.LastRun != 0 {
+					size += placementBytes
+				}
+			}
+		}
+	}
+	return size
+}
+
+// WithoutFinishedDetails returns the progress without workers and checkpoints of the tasks of finished occurrences.
+func (p Progress) WithoutFinishedDetails() Progress {
+	if !slices.Contains(p.Finished, true) {
+		return p
+	}
+	p.Occurrences = slices.Clone(p.Occurrences)
+	for k, steps := range p.Occurrences {
+		if p.Finished[k] {
+			p.Occurrences[k] = withoutDetails(steps)
+		}
+	}
+	return p
+}
+
+func withoutDetails(steps [][]Task) [][]Task {
+	bare := make([][]Task, len(steps))
+	for i, tasks := range steps {
+		bare[i] = make([]Task, len(tasks))
+		for k, t := range tasks {
+			bare[i][k] = Task{Phase: t.Phase, Run: t.Run, Failures: t.Failures}
+		}
+	}
+	return bare
+}
