Do not send a start order that has waited too long on its host

What callers saw: a task was started again after a run of it had ended as done and that end had been taken note of (TWICE).

Cause: orders wait in the order ring while workers leave calls unanswered, and were sent whatever had been decided since. A delayed process acted on a permission that had run out. The lease that a start carries expires only after the longest lease (6 s), so the worker does not refuse it sooner.

Change: StartRun carries the latest time at which it may be sent, 400 ms after the decision. An order duty checks it by the steady clock, which does not count a host's sleep, and by the wall clock, which may be set back. OrderNotSent is a new outcome, also of an order whose ring is full: the order was certainly not carried out and the worker is not to blame, so there is no cooldown and no missed renewal. The next check of the worker (150 ms at most, so that a full ring is not offered the order in a loop) orders the start again if the run may still start; otherwise, or after 2 s, the run is released, or stopped if an earlier order went unanswered.

Tests of chutedaemon, chuterunner, chutescheduler and chuteentry pass with -race. A host's sleep between the two clocks is not covered by a test.

--- a/chuteaction/effect.go
+++ b/chuteaction/effect.go
@@ -112,6 +112,7 @@
 	Checkpoint string
 	Ticket     string
 	Timeout    time.Duration // time without an answer after which the outcome counts as unknown
+	SendBefore time.Time     // latest time at which the order may be sent
 }
 
 // StopRun orders a worker to stop a run.
--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -112,6 +112,7 @@
 	OrderUnhealthy                // the worker is unhealthy or cannot be reached and did not execute the order
 	OrderMisdirected              // another worker answered at the address and did not execute the order
 	OrderUnknown                  // no answer: the worker may have executed the order, or may still execute it
+	OrderNotSent                  // the host did not send the order, which says nothing about the worker
 )
 
 // RefusalReason is the reason for which a worker refused an order.
--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -123,21 +123,18 @@
 	context.AfterFunc(group.Context(), dependencies.Store.Interrupt)
 	d := &Daemon{
 		events: chutering.NewEntryEvents("core", eventRingSize), calls: newPendingCalls(),
-		store: chutering.NewEntryEffects("store", storeRingSize), orders: chutering.NewEntryEffects("orders", orderRingSize),
+		store:    chutering.NewEntryEffects("store", storeRingSize),
 		forwards: chutering.NewEntryEffects("news", forwardRingSize),
 		workers:  dependencies.Workers, machines: dependencies.Machines, peers: dependencies.Peers, metrics: metrics, log: log, group: group, stopped: make(chan struct{}),
 	}
 	d.watchers = newWatchers(group, dependencies.Store, d.events, log)
-	d.renewers = newRenewers(group, dependencies.Workers, d.events)
 	d.logs = newLogWriter(log, metrics)
 	group.Go("log-info", d.logs.runInfo)
 	group.Go("log-warn", d.logs.runWarn)
 	for range storeDuties {
 		group.Go("store", func(ctx context.Context) { d.runStore(ctx, dependencies.Store) })
 	}
-	for range orderDuties {
-		group.Go("orders", d.runOrders)
-	}
+	d.startOrderDuties()
 	for range forwardDuties {
 		group.Go("news", d.runForwards)
 	}
@@ -237,29 +234,23 @@
 		if !d.forwards.Offer(f) {
 			d.metrics.Count("news-dropped", "ring-full")
 		}
-	case chuteaction.StartRun:
-		d.dispatchOrder(f, chuteaction.RunStarted{
-			Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnhealthy,
-		})
-	case chuteaction.StopRun:
-		d.dispatchOrder(f, chuteaction.RunStopped{
-			Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnhealthy,
-		})
 	case chuteaction.RenewLease:
 		d.dispatchRenewal(f)
 	case chuteaction.DisconnectWorker:
 		d.renewers.remove(f.Worker)
 		d.workers.Disconnect(f.Worker)
+	case chuteaction.StartRun:
+		d.dispatchOrder(f)
+	case chuteaction.StopRun:
+		d.dispatchOrder(f)
 	case chuteaction.PaceRun:
-		d.dispatchOrder(f, nil)
+		d.dispatchOrder(f)
 	case chuteaction.RequestApproval:
-		d.dispatchOrder(f, chuteaction.StepApproved{Step: f.Step, Workers: f.Workers})
+		d.dispatchOrder(f)
 	case chuteaction.ListMachines:
-		d.dispatchOrder(f, chuteaction.MachinesListed{})
+		d.dispatchOrder(f)
 	case chuteaction.MaintainMachine:
-		d.dispatchOrder(f, chuteaction.MachineMaintained{
-			Epoch: f.Epoch, Machine: f.Machine, Wave: f.Wave, Outcome: chuteaction.OrderUnhealthy, Reason: "ring-full",
-		})
+		d.dispatchOrder(f)
 	case chuteaction.Count:
 		d.metrics.Count(f.Counter, f.Reason)
 	case chuteaction.Observe:
@@ -278,24 +269,28 @@
 	}
 }
 
-func (d *Daemon) dispatchOrder(effect chuteaction.Effect, failure chuteaction.Event) {
-	if !d.orders.Offer(effect) {
+func (d *Daemon) dispatchOrder(order chuteaction.OrderEffect) {
+	if !d.orders.Offer(order) {
 		d.metrics.Count("order-refused", "ring-full")
-		if failure != nil {
-			d.failures = append(d.failures, failure)
-		}
+		d.failOrder(order)
 	}
 }
 
 // dispatchRenewal passes a long-polling renewal to the worker's own duty, and any other renewal to the order duties.
 func (d *Daemon) dispatchRenewal(f chuteaction.RenewLease) {
-	failure := chuteaction.LeaseRenewed{Epoch: f.Epoch, Worker: f.Worker, SentAt: time.Now(), Outcome: chuteaction.OrderUnhealthy}
 	if f.PollTimeout == 0 {
-		d.dispatchOrder(f, failure)
+		d.dispatchOrder(f)
 		return
 	}
 	if !d.renewers.renew(f) {
 		d.metrics.Count("order-refused", "renewal-ring-full")
+		d.failOrder(f)
+	}
+}
+
+// failOrder lets the core handle next that the order was not sent.
+func (d *Daemon) failOrder(order chuteaction.OrderEffect) {
+	if failure := notSent(order); failure != nil {
 		d.failures = append(d.failures, failure)
 	}
 }
--- a/chutedaemon/orders.go
+++ b/chutedaemon/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutering"
 )
 
 func (d *Daemon) runStore(ctx context.Context, store Store) {
@@ -39,6 +40,15 @@
 	chuteaction.StoreRefused: "refused", chuteaction.StoreUnknown: "no-answer",
 }
 
+// startOrderDuties starts the duties that send orders.
+func (d *Daemon) startOrderDuties() {
+	d.orders = chutering.NewEntryEffects("orders", orderRingSize)
+	d.renewers = newRenewers(d.group, d.workers, d.events)
+	for range orderDuties {
+		d.group.Go("orders", d.runOrders)
+	}
+}
+
 func (d *Daemon) runOrders(ctx context.Context) {
 	for {
 		effect, ok := d.orders.Take(ctx)
@@ -52,7 +62,7 @@
 		}
 		switch f := order.(type) {
 		case chuteaction.StartRun:
-			d.events.Put(ctx, d.workers.Start(ctx, f))
+			d.events.Put(ctx, d.startRun(ctx, f))
 		case chuteaction.StopRun:
 			d.events.Put(ctx, d.workers.Stop(ctx, f))
 		case chuteaction.RenewLease:
@@ -71,3 +81,11 @@
 		}
 	}
 }
+
+// startRun sends a start order unless it is too late for it.
+func (d *Daemon) startRun(ctx context.Context, order chuteaction.StartRun) chuteaction.Event {
+	if passed(order.SendBefore) {
+		return notSent(order)
+	}
+	return d.workers.Start(ctx, order)
+}
--- /dev/null
+++ b/chutedaemon/orders_test.go
@@ -0,0 +1,189 @@
+package chutedaemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chuteduty"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutemetric"
+	"monsoonchute.example/monsoonchute/chutering"
+	"monsoonchute.example/monsoonchute/chutetask"
+)
+
+// sentOrder is an order that reached a worker.
+type sentOrder struct {
+	order chuteaction.OrderEffect
+	at    time.Time
+}
+
+// someSilentWorkers answer at once, except those named silent, which never answer.
+type someSilentWorkers struct {
+	silent map[chutetask.WorkerID]bool
+	mutex  sync.Mutex
+	sent   []sentOrder
+}
+
+// send records the order and reports whether its worker answers; if not, it returns after the timeout.
+func (w *someSilentWorkers) send(order chuteaction.OrderEffect, worker chutetask.WorkerID, timeout time.Duration) chuteaction.OrderOutcome {
+	w.mutex.Lock()
+	w.sent = append(w.sent, sentOrder{order: order, at: time.Now()})
+	w.mutex.Unlock()
+	if !w.silent[worker] {
+		return chuteaction.OrderAccepted
+	}
+	time.Sleep(timeout)
+	return chuteaction.OrderUnknown
+}
+
+func (w *someSilentWorkers) Start(_ context.Context, o chuteaction.StartRun) chuteaction.RunStarted {
+	return chuteaction.RunStarted{Worker: o.Worker, Run: o.Run, Outcome: w.send(o, o.Worker, o.Timeout)}
+}
+
+func (w *someSilentWorkers) Stop(_ context.Context, o chuteaction.StopRun) chuteaction.RunStopped {
+	return chuteaction.RunStopped{Worker: o.Worker, Run: o.Run, Outcome: w.send(o, o.Worker, silentTimeout)}
+}
+
+func (w *someSilentWorkers) Renew(_ context.Context, o chuteaction.RenewLease) chuteaction.LeaseRenewed {
+	return chuteaction.LeaseRenewed{Worker: o.Worker, Outcome: w.send(o, o.Worker, o.PollTimeout+silentTimeout)}
+}
+
+func (w *someSilentWorkers) Pace(_ context.Context, o chuteaction.PaceRun) error {
+	w.send(o, o.Worker, silentTimeout)
+	return nil
+}
+
+func (w *someSilentWorkers) Approve(context.Context, chuteaction.RequestApproval) chuteaction.StepApproved {
+	return chuteaction.StepApproved{}
+}
+
+func (w *someSilentWorkers) Disconnect(chutetask.WorkerID) {}
+
+// sentTo returns the orders that were sent to the worker.
+func (w *someSilentWorkers) sentTo(worker chutetask.WorkerID) []sentOrder {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var sent []sentOrder
+	for _, s := range w.sent {
+		switch o := s.order.(type) {
+		case chuteaction.StartRun:
+			if o.Worker == worker {
+				sent = append(sent, s)
+			}
+		case chuteaction.StopRun:
+			if o.Worker == worker {
+				sent = append(sent, s)
+			}
+		case chuteaction.RenewLease:
+			if o.Worker == worker {
+				sent = append(sent, s)
+			}
+		case chuteaction.PaceRun, chuteaction.RequestApproval, chuteaction.ListMachines, chuteaction.MaintainMachine:
+		}
+	}
+	return sent
+}
+
+const (
+	silentTimeout = 700 * time.Millisecond
+	startDelay    = 400 * time.Millisecond
+	silentWorkers = 162 // three tenths of 540
+)
+
+// newOrderDaemon returns a daemon that has only the duties for orders.
+func newOrderDaemon(workers Workers) (*Daemon, func()) {
+	log := slog.New(slog.DiscardHandler)
+	group, endDuties := chuteduty.New(log)
+	metrics, endMetrics := chutemetric.New()
+	d := &Daemon{events: chutering.NewEntryEvents("core", eventRingSize), workers: workers, metrics: metrics, log: log, group: group}
+	d.startOrderDuties()
+	return d, func() {
+		endDuties()
+		endMetrics()
+	}
+}
+
+func silentNames() map[chutetask.WorkerID]bool {
+	silent := make(map[chutetask.WorkerID]bool)
+	for i := range silentWorkers {
+		silent[silentName(i)] = true
+	}
+	return silent
+}
+
+func silentName(i int) chutetask.WorkerID {
+	return chutetask.WorkerID(fmt.Sprintf("silent-%d", i))
+}
+
+func startOf(worker chutetask.WorkerID, index int) chuteaction.StartRun {
+	return chuteaction.StartRun{
+		WorkerTarget: chuteaction.WorkerTarget{Worker: worker, Epoch: 1}, Timeout: silentTimeout, SendBefore: time.Now().Add(startDelay),
+		Run: chutegraph.RunID{Task: chutegraph.TaskID{StepID: chutegraph.StepID{Job: chutegraph.JobID(worker)}, Index: index}, Number: 1},
+	}
+}
+
+// dispatchSilentStarts orders the starts of count runs on each silent worker.
+func dispatchSilentStarts(d *Daemon, count int) {
+	for i := range silentWorkers {
+		for k := range count {
+			d.dispatch(startOf(silentName(i), k))
+		}
+	}
+}
+
+// takeStarted returns the outcomes of the worker's start orders among the events so far.
+func takeStarted(d *Daemon, worker chutetask.WorkerID) []chuteaction.OrderOutcome {
+	ctx, cancel := context.WithCancel(context.Background())
+	var outcomes []chuteaction.OrderOutcome
+	for range d.events.Stats().Depth {
+		event, _ := d.events.Take(ctx)
+		if started, ok := event.(chuteaction.RunStarted); ok && started.Worker == worker {
+			outcomes = append(outcomes, started.Outcome)
+		}
+	}
+	cancel()
+	return outcomes
+}
+
+func TestAStartOrderThatWaitedTooLongIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		workers := &someSilentWorkers{silent: silentNames()}
+		d, cleanUp := newOrderDaemon(workers)
+		defer cleanUp()
+		dispatchSilentStarts(d, 8)
+		d.dispatch(startOf("prompt", 0))
+		time.Sleep(20 * time.Second)
+		for i := range silentWorkers {
+			for _, s := range workers.sentTo(silentName(i)) {
+				is.True(!s.at.After(s.order.(chuteaction.StartRun).SendBefore)) // sent in time
+			}
+		}
+		outcomes := takeStarted(d, "prompt")
+		is.Equal(len(outcomes), 1)
+		is.Equal(outcomes[0] == chuteaction.OrderNotSent, len(workers.sentTo("prompt")) == 0)
+	})
+}
+
+func TestAnOrderThatFindsItsRingFullSaysNothingAboutItsWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, cleanUp := newOrderDaemon(&someSilentWorkers{silent: silentNames()})
+		defer cleanUp()
+		for range 2 * orderRingSize {
+			d.dispatch(startOf(silentName(0), 0))
+		}
+		is.True(len(d.failures) > 0)
+		for _, failure := range d.failures {
+			is.Equal(failure.(chuteaction.RunStarted).Outcome, chuteaction.OrderNotSent)
+		}
+	})
+}
--- a/chuteentry/simulation_test.go
+++ b/chuteentry/simulation_test.go
@@ -27,6 +27,7 @@
 	violations []string // violated invariants
 	logLines   []string // log lines of all hosts
 
+	maxOrderWait time.Duration        // longest time that a start order waits on its host
 	workerReturn workerReturn         // how workers come back after their tasks crashed them
 	onCrash      func(cause *fakeRun) // called after a task has crashed its worker; may be nil
 }
@@ -273,9 +274,7 @@
 	case chuteaction.UnwatchTable:
 		delete(h.watches, f.Table)
 	case chuteaction.StartRun:
-		from := sender{sentAt: sm.now, inTouch: sm.now.Sub(h.disturbedAt) >= contactTime}
-		sm.sendOrder(h, f.WorkerTarget, func(k *fakeWorker) chuteaction.Event { return k.handleStart(f, from) },
-			chuteaction.RunStarted{Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnknown})
+		h.queueStart(f)
 	case chuteaction.StopRun:
 		sm.sendOrder(h, f.WorkerTarget, func(k *fakeWorker) chuteaction.Event { return k.handleStop(f) },
 			chuteaction.RunStopped{Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnknown})
@@ -305,6 +304,30 @@
 	}
 }
 
+// queueStart sends a start order after it has waited on the host, unless it is too late by then.
+func (h *fakeHost) queueStart(o chuteaction.StartRun) {
+	sm := h.sim
+	if sm.maxOrderWait == 0 {
+		h.sendStart(o)
+		return
+	}
+	sm.after(time.Duration(sm.random.Int64N(int64(sm.maxOrderWait))), func() {
+		switch {
+		case h.dead:
+		case sm.now.After(o.SendBefore):
+			h.deliver(chuteaction.RunStarted{Epoch: o.Epoch, Worker: o.Worker, Run: o.Run, Outcome: chuteaction.OrderNotSent})
+		default:
+			h.sendStart(o)
+		}
+	})
+}
+
+func (h *fakeHost) sendStart(o chuteaction.StartRun) {
+	from := sender{sentAt: h.sim.now, inTouch: h.sim.now.Sub(h.disturbedAt) >= contactTime}
+	h.sim.sendOrder(h, o.WorkerTarget, func(k *fakeWorker) chuteaction.Event { return k.handleStart(o, from) },
+		chuteaction.RunStarted{Epoch: o.Epoch, Worker: o.Worker, Run: o.Run, Outcome: chuteaction.OrderUnknown})
+}
+
 // logLinesWith returns the log lines that contain the text.
 func (sm *simulation) logLinesWith(text string) string {
 	var lines []string
--- a/chutepool/run.go
+++ b/chutepool/run.go
@@ -30,6 +30,7 @@
 	OrdersSent      int       // number of start or stop orders sent in this phase
 	AnswerPending   bool      // an order has no answer yet
 	StartUnanswered bool      // a start order got no answer and may still be carried out
+	StartNotSent    bool      // the host did not send the latest start order, and it is due again
 	StopAnsweredAt  time.Time // when the worker answered a stop order; zero before
 	StartedAt       time.Time // when the worker first confirmed it; zero before
 	CheckpointedAt  time.Time // when its checkpoint last changed; StartedAt before the first change
@@ -59,6 +60,14 @@
 // WithOrder returns the run with one more order sent in its phase.
 func (r Run) WithOrder() Run {
 	r.OrdersSent++
+	r.StartNotSent = false
+	return r
+}
+
+// WithStartNotSent returns the run without its latest start order, which was not sent.
+func (r Run) WithStartNotSent() Run {
+	r.OrdersSent--
+	r.StartNotSent = true
 	return r
 }
 
--- a/chuterunner/absent.go
+++ b/chuterunner/absent.go
@@ -51,10 +51,9 @@
 // waits until the workers of all members have reported what they run, since the end of one member ends the whole gang.
 func (t *Transition) resumeRun(id chutetask.WorkerID, r chutepool.Run) {
 	w, _ := t.Pool.Get(id)
-	j, ok := t.Job(r.ID.Task.Job)
-	task, _ := j.Task(r.ID.Task)
+	j, _ := t.Job(r.ID.Task.Job)
 	switch {
-	case !ok || j.Phase.Ended() || !t.MayOrderStart(w) || !t.expected(id, r.ID) || task.Phase != chutetask.TaskActive:
+	case !t.startStillDue(w, r):
 		t.StopRun(id, r.ID, "not-resumed")
 	case !t.gangReported(j, r.ID.Task.StepID):
 		w.ReportDue = true
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -16,6 +16,10 @@
 	firstStartTimeout = 300 * time.Millisecond
 	// startTimeoutStep is how much longer each further order waits: the worker, or the way to it, may be slow.
 	startTimeoutStep = 200 * time.Millisecond
+	// maxStartDelay is how long after its decision a start order may be sent.
+	maxStartDelay = 400 * time.Millisecond
+	// maxUnsentTime is how long the start of a run is tried while none of its orders is sent.
+	maxUnsentTime = 2 * time.Second
 	// maxClockDrift is the share by which a worker's clock may be slow, with a margin.
 	maxClockDrift = 0.03
 	// leaseMargin is added to every lease before it counts as expired.
@@ -55,6 +59,7 @@
 	t.Emit(chuteaction.StartRun{
 		WorkerTarget: t.Target(w), Run: r.ID, Payload: j.Spec.Payload, LeaseEnd: w.LeaseEnd,
 		Checkpoint: task.Checkpoint, Ticket: r.Ticket, Timeout: firstStartTimeout + time.Duration(r.OrdersSent)*startTimeoutStep,
+		SendBefore: t.Now.Add(maxStartDelay),
 	})
 }
 
@@ -79,9 +84,37 @@
 		t.markReplaced(w.ID)
 	case chuteaction.OrderRefused, chuteaction.OrderUnhealthy:
 		t.startRefused(w, r, e)
+	case chuteaction.OrderNotSent:
+		t.PutWorker(w.WithRun(r.WithStartNotSent()))
 	}
 }
 
+// RepeatUnsentStart orders the start of a run again whose latest order was not sent, or gives the start up if the run may
+// no longer start or has not been sent for too long.
+func (t *Transition) RepeatUnsentStart(w chutepool.Worker, r chutepool.Run) {
+	if t.Now.Sub(r.PhaseSince) < maxUnsentTime && t.startStillDue(w, r) {
+		t.OrderStart(w, r)
+		return
+	}
+	t.Count("start-dropped", "not-sent")
+	t.Log(component, "start is given up: its order was not sent", r.ID.Task.Job, "run", r.ID, "worker", w.ID, "waited", t.Now.Sub(r.PhaseSince))
+	if r.StartUnanswered {
+		t.abandonStart(w, r, "start-not-sent")
+		return
+	}
+	t.ReleaseRun(w.ID, r.ID, chutetask.RunEnd{Run: r.ID, Kind: chutetask.EndStopped})
+}
+
+// startStillDue reports whether a run that has been recorded may still start on its worker.
+func (t *Transition) startStillDue(w chutepool.Worker, r chutepool.Run) bool {
+	j, ok := t.Job(r.ID.Task.Job)
+	if !ok || j.Phase.Ended() || !t.MayOrderStart(w) || !t.expected(w.ID, r.ID) {
+		return false
+	}
+	task, _ := j.Task(r.ID.Task)
+	return task.Phase == chutetask.TaskActive
+}
+
 // startAccepted marks a run as started, and measures how long its job waited for the start.
 func (t *Transition) startAccepted(w chutepool.Worker, r chutepool.Run, clock time.Duration) {
 	if clock > 0 {
@@ -126,7 +159,7 @@
 		reason = "unhealthy"
 	case chuteaction.OrderMisdirected:
 		reason = "former-address"
-	case chuteaction.OrderAccepted, chuteaction.OrderRefused, chuteaction.OrderUnknown:
+	case chuteaction.OrderAccepted, chuteaction.OrderRefused, chuteaction.OrderUnknown, chuteaction.OrderNotSent:
 	}
 	t.Count("start-refused", reason)
 	t.Log(component, "start refused", r.ID.Task.Job, "run", r.ID, "worker", w.ID, "reason", reason)
@@ -195,6 +228,8 @@
 	case chuteaction.OrderUnknown, chuteaction.OrderUnhealthy, chuteaction.OrderRefused:
 		t.Fenced = e.Reason == chuteaction.RefusedFenced
 		t.repeatStop(w, r, e.Reason)
+	case chuteaction.OrderNotSent:
+		t.repeatStop(w, r, e.Reason)
 	}
 }
 
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -94,6 +94,10 @@
 		t.applyMissedRenewal(w, "unhealthy")
 	case chuteaction.OrderUnknown:
 		t.applyMissedRenewal(w, "no-answer")
+	case chuteaction.OrderNotSent:
+		w.ReportDue = true
+		w.RenewAfter = t.Now.Add(unsentRenewalDelay)
+		t.PutWorker(w)
 	}
 }
 
@@ -117,6 +121,9 @@
 	t.PutWorker(w)
 }
 
+// unsentRenewalDelay is the wait before the next renewal after one that was not sent.
+const unsentRenewalDelay = 100 * time.Millisecond
+
 // renewalRetryDelay returns the wait before the next renewal for a worker that did not answer.
 func renewalRetryDelay(w chutepool.Worker) time.Duration {
 	if w.NeedsLease() {
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -92,14 +92,23 @@
 	}
 	t.StopBeforeLeave(w)
 	w, _ = t.Pool.Get(w.ID)
-	for _, r := range w.Runs() {
-		if r.Phase == chutepool.RunStopping && !r.AnswerPending && r.StopAnsweredAt.IsZero() && t.Now.Sub(r.PhaseSince) >= stopRetryInterval {
-			w, _ = t.Pool.Get(w.ID)
+	t.repeatOrders(w)
+	w, _ = t.Pool.Get(w.ID)
+	t.renewIfDue(w)
+}
+
+// repeatOrders sends the worker's start orders that were not sent and its stop orders that are due again.
+func (t *transition) repeatOrders(listed chutepool.Worker) {
+	for _, run := range listed.Runs() {
+		w, r, ok := t.Pool.FindRun(listed.ID, run.ID)
+		switch {
+		case !ok:
+		case r.Phase == chutepool.RunOrdered && r.StartNotSent:
+			t.RepeatUnsentStart(w, r)
+		case r.Phase == chutepool.RunStopping && !r.AnswerPending && r.StopAnsweredAt.IsZero() && t.Now.Sub(r.PhaseSince) >= stopRetryInterval:
 			t.OrderStop(w, r)
 		}
 	}
-	w, _ = t.Pool.Get(w.ID)
-	t.renewIfDue(w)
 }
 
 // forgettable reports whether nothing is left to do for a worker that is no longer listed.
--- a/chutescheduler/wave.go
+++ b/chutescheduler/wave.go
@@ -208,7 +208,7 @@
 		t.Log(component, "machine maintenance begun", "", "wave", e.Wave, "machine", e.Machine)
 		w.Wave = w.WithDone(e.Machine)
 		w.recorded = w.recorded && !w.Completed()
-	case chuteaction.OrderRefused, chuteaction.OrderUnhealthy, chuteaction.OrderUnknown:
+	case chuteaction.OrderRefused, chuteaction.OrderUnhealthy, chuteaction.OrderUnknown, chuteaction.OrderNotSent:
 		t.Count("maintenance-repeated", e.Reason)
 		t.Log(component, "machine maintenance not begun", "", "wave", e.Wave, "machine", e.Machine, "reason", e.Reason)
 	}
