Withdraw a waiting start order when its run is stopped

Change: the daemon knows which runs have a start order in the ring. A stop order removes its run from them, and the duty that takes the start then returns that it was not sent.

Measured: TestAStopWithdrawsTheWaitingStartOfItsRun fails without the removal; chutedaemon passes with -race, 20 times.

--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -101,6 +101,7 @@
 	store    chutering.EntryEffects
 	orders   chutering.EntryEffects
 	forwards chutering.EntryEffects
+	starts   *waitingStarts
 	watchers *watchers
 	renewers *renewers
 	workers  Workers
@@ -240,8 +241,9 @@
 		d.renewers.remove(f.Worker)
 		d.workers.Disconnect(f.Worker)
 	case chuteaction.StartRun:
-		d.dispatchOrder(f)
+		d.dispatchStart(f)
 	case chuteaction.StopRun:
+		d.starts.remove(f.Run)
 		d.dispatchOrder(f)
 	case chuteaction.PaceRun:
 		d.dispatchOrder(f)
@@ -269,11 +271,14 @@
 	}
 }
 
-func (d *Daemon) dispatchOrder(order chuteaction.OrderEffect) {
-	if !d.orders.Offer(order) {
-		d.metrics.Count("order-refused", "ring-full")
-		d.failOrder(order)
+// dispatchOrder passes an order to the order duties and reports whether their ring had space for it.
+func (d *Daemon) dispatchOrder(order chuteaction.OrderEffect) bool {
+	if d.orders.Offer(order) {
+		return true
 	}
+	d.metrics.Count("order-refused", "ring-full")
+	d.failOrder(order)
+	return false
 }
 
 // dispatchRenewal passes a long-polling renewal to the worker's own duty, and any other renewal to the order duties.
--- a/chutedaemon/orders.go
+++ b/chutedaemon/orders.go
@@ -43,6 +43,7 @@
 // startOrderDuties starts the duties that send orders.
 func (d *Daemon) startOrderDuties() {
 	d.orders = chutering.NewEntryEffects("orders", orderRingSize)
+	d.starts = newWaitingStarts()
 	d.renewers = newRenewers(d.group, d.workers, d.events)
 	for range orderDuties {
 		d.group.Go("orders", d.runOrders)
@@ -81,11 +82,3 @@
 		}
 	}
 }
-
-// startRun sends a start order unless it is too late for it.
-func (d *Daemon) startRun(ctx context.Context, order chuteaction.StartRun) chuteaction.Event {
-	if passed(order.SendBefore) {
-		return notSent(order)
-	}
-	return d.workers.Start(ctx, order)
-}
--- a/chutedaemon/orders_test.go
+++ b/chutedaemon/orders_test.go
@@ -140,16 +140,14 @@
 }
 
 // takeStarted returns the outcomes of the worker's start orders among the events so far.
-func takeStarted(d *Daemon, worker chutetask.WorkerID) []chuteaction.OrderOutcome {
-	ctx, cancel := context.WithCancel(context.Background())
-	var outcomes []chuteaction.OrderOutcome
+func takeStarted(d *Daemon, worker chutetask.WorkerID) map[chutegraph.RunID]chuteaction.OrderOutcome {
+	outcomes := make(map[chutegraph.RunID]chuteaction.OrderOutcome)
 	for range d.events.Stats().Depth {
-		event, _ := d.events.Take(ctx)
+		event, _ := d.events.Take(context.Background())
 		if started, ok := event.(chuteaction.RunStarted); ok && started.Worker == worker {
-			outcomes = append(outcomes, started.Outcome)
+			outcomes[started.Run] = started.Outcome
 		}
 	}
-	cancel()
 	return outcomes
 }
 
@@ -160,7 +158,8 @@
 		d, cleanUp := newOrderDaemon(workers)
 		defer cleanUp()
 		dispatchSilentStarts(d, 8)
-		d.dispatch(startOf("prompt", 0))
+		prompt := startOf("prompt", 0)
+		d.dispatch(prompt)
 		time.Sleep(20 * time.Second)
 		for i := range silentWorkers {
 			for _, s := range workers.sentTo(silentName(i)) {
@@ -169,7 +168,7 @@
 		}
 		outcomes := takeStarted(d, "prompt")
 		is.Equal(len(outcomes), 1)
-		is.Equal(outcomes[0] == chuteaction.OrderNotSent, len(workers.sentTo("prompt")) == 0)
+		is.Equal(outcomes[prompt.Run] == chuteaction.OrderNotSent, len(workers.sentTo("prompt")) == 0)
 	})
 }
 
@@ -187,3 +186,26 @@
 		}
 	})
 }
+
+func TestAStopWithdrawsTheWaitingStartOfItsRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		workers := &someSilentWorkers{silent: silentNames()}
+		d, cleanUp := newOrderDaemon(workers)
+		defer cleanUp()
+		dispatchSilentStarts(d, 8)
+		withdrawn, kept := startOf("prompt", 0), startOf("prompt", 1)
+		withdrawn.SendBefore, kept.SendBefore = time.Now().Add(time.Hour), time.Now().Add(time.Hour)
+		d.dispatch(withdrawn)
+		d.dispatch(kept)
+		d.dispatch(chuteaction.StopRun{WorkerTarget: withdrawn.WorkerTarget, Run: withdrawn.Run})
+		time.Sleep(time.Minute)
+		for _, s := range workers.sentTo("prompt") {
+			started, ok := s.order.(chuteaction.StartRun)
+			is.True(!ok || started.Run != withdrawn.Run)
+		}
+		outcomes := takeStarted(d, "prompt")
+		is.Equal(outcomes[withdrawn.Run], chuteaction.OrderNotSent)
+		is.Equal(outcomes[kept.Run], chuteaction.OrderAccepted)
+	})
+}
