Send stops and renewals by duties of each worker's own

What callers saw: workers that lived were given up and their work started elsewhere.

Cause: start orders, stops and renewals without a poll shared one ring with 64 duties. Each call without an answer holds a duty for 0.3 to 0.7 s, so workers that do not answer held up the orders to all others.

Change: each worker has a duty of its own, made with its first order, for its stops, for renewals that it answers at once and for those that it holds. A worker that does not answer delays only its own. Start orders have a ring of their own with 512 duties (some 700 unanswered calls a second, over four for each of the 162 silent workers of 540); limits of speed, approvals and machines have 32. A full ring gives its order back as not sent. Orders that wait when a worker is disconnected come back as not sent as well: before, they got no outcome, and the core waited for it for ever. At most three connections a worker serve these duties, of the eight allowed; with the starts that is 512 + 3 x 540 = 2,132 calls at a time at most, of 3,900 descriptors.

Measured: TestWorkersThatDoNotAnswerDelayNoRenewalsAndStopsOfOthers (540 workers, 162 of them silent, 8 runs each) fails before the change and passes after it: each renewal and stop to the others is sent within 100 ms. chutedaemon and chutering pass with -race. Memory was not measured here.

--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -28,14 +28,18 @@
 	storeRingSize = 1024
 	// storeDuties is the number of duties that send store requests, one request at a time each.
 	storeDuties = 16
-	// orderRingSize is the capacity of the ring of orders to workers and other services.
-	orderRingSize = 8192
+	// startRingSize is the capacity of the ring of start orders.
+	startRingSize = 8192
+	// startDuties is the number of duties that send start orders, one order at a time each.
+	startDuties = 512
+	// orderRingSize is the capacity of the ring of orders that limit the speed of runs or go to other services.
+	orderRingSize = 1024
 	// forwardRingSize is the capacity of the ring of notices to the leader.
 	forwardRingSize = 256
 	// forwardDuties is the number of duties that send notices to the leader, one notice at a time each.
 	forwardDuties = 2
-	// orderDuties is the number of duties that send orders, one order at a time each.
-	orderDuties = 64
+	// orderDuties is the number of duties that send the orders of that ring, one order at a time each.
+	orderDuties = 32
 )
 
 // Store is the platform's store.
@@ -96,25 +100,26 @@
 
 // Daemon is a running entry host.
 type Daemon struct {
-	events   chutering.EntryEvents
-	calls    *pendingCalls
-	store    chutering.EntryEffects
-	orders   chutering.EntryEffects
-	forwards chutering.EntryEffects
-	starts   *waitingStarts
-	watchers *watchers
-	renewers *renewers
-	workers  Workers
-	machines Machines
-	peers    Peers
-	metrics  *chutemetric.Metrics
-	log      *slog.Logger
-	logs     *logWriter
-	group    *chuteduty.Group
-	failures []chuteaction.Event // failure events of effects whose ring was full; the core handles them before the next event
-	leading  bool                // whether this host was the leader after the latest event
-	serving  atomic.Bool
-	stopped  chan struct{}
+	events       chutering.EntryEvents
+	calls        *pendingCalls
+	store        chutering.EntryEffects
+	orders       chutering.EntryEffects
+	forwards     chutering.EntryEffects
+	starts       *waitingStarts
+	startRing    chutering.EntryEffects
+	watchers     *watchers
+	workerDuties *workerDuties
+	workers      Workers
+	machines     Machines
+	peers        Peers
+	metrics      *chutemetric.Metrics
+	log          *slog.Logger
+	logs         *logWriter
+	group        *chuteduty.Group
+	failures     []chuteaction.Event // failure events of effects whose ring was full; the core handles them before the next event
+	leading      bool                // whether this host was the leader after the latest event
+	serving      atomic.Bool
+	stopped      chan struct{}
 }
 
 // New starts the duties of an entry host. The clean-up function begins a planned stop, waits up to stopTimeout for its end,
@@ -238,13 +243,13 @@
 	case chuteaction.RenewLease:
 		d.dispatchRenewal(f)
 	case chuteaction.DisconnectWorker:
-		d.renewers.remove(f.Worker)
+		d.workerDuties.remove(f.Worker)
 		d.workers.Disconnect(f.Worker)
 	case chuteaction.StartRun:
 		d.dispatchStart(f)
 	case chuteaction.StopRun:
 		d.starts.remove(f.Run)
-		d.dispatchOrder(f)
+		d.dispatchToWorker(f.Worker, stopDuty, f)
 	case chuteaction.PaceRun:
 		d.dispatchOrder(f)
 	case chuteaction.RequestApproval:
@@ -271,30 +276,30 @@
 	}
 }
 
-// dispatchOrder passes an order to the order duties and reports whether their ring had space for it.
-func (d *Daemon) dispatchOrder(order chuteaction.OrderEffect) bool {
-	if d.orders.Offer(order) {
-		return true
+// dispatchRenewal passes a renewal to the worker's duty for renewals of its kind.
+func (d *Daemon) dispatchRenewal(f chuteaction.RenewLease) {
+	kind := reportDuty
+	if f.PollTimeout > 0 {
+		kind = pollDuty
 	}
-	d.metrics.Count("order-refused", "ring-full")
-	d.failOrder(order)
-	return false
+	d.dispatchToWorker(f.Worker, kind, f)
 }
 
-// dispatchRenewal passes a long-polling renewal to the worker's own duty, and any other renewal to the order duties.
-func (d *Daemon) dispatchRenewal(f chuteaction.RenewLease) {
-	if f.PollTimeout == 0 {
-		d.dispatchOrder(f)
-		return
+func (d *Daemon) dispatchToWorker(worker chutetask.WorkerID, kind workerDutyKind, order chuteaction.OrderEffect) {
+	if !d.workerDuties.offer(worker, kind, order) {
+		d.refuseOrder(order, workerDutyNames[kind]+"-ring-full")
 	}
-	if !d.renewers.renew(f) {
-		d.metrics.Count("order-refused", "renewal-ring-full")
-		d.failOrder(f)
+}
+
+func (d *Daemon) dispatchOrder(order chuteaction.OrderEffect) {
+	if !d.orders.Offer(order) {
+		d.refuseOrder(order, "ring-full")
 	}
 }
 
-// failOrder lets the core handle next that the order was not sent.
-func (d *Daemon) failOrder(order chuteaction.OrderEffect) {
+// refuseOrder lets the core handle next that an order was not sent, since its ring is full.
+func (d *Daemon) refuseOrder(order chuteaction.OrderEffect, reason string) {
+	d.metrics.Count("order-refused", reason)
 	if failure := notSent(order); failure != nil {
 		d.failures = append(d.failures, failure)
 	}
@@ -306,7 +311,7 @@
 	defer ticker.Stop()
 	for {
 		d.events.Offer(chuteaction.Tick{})
-		for _, s := range []chutering.RingStats{d.events.Stats(), d.store.Stats(), d.orders.Stats(), d.forwards.Stats()} {
+		for _, s := range []chutering.RingStats{d.events.Stats(), d.store.Stats(), d.startRing.Stats(), d.orders.Stats(), d.forwards.Stats()} {
 			d.metrics.SetRingStats(s)
 		}
 		select {
--- a/chutedaemon/orders.go
+++ b/chutedaemon/orders.go
@@ -42,43 +42,52 @@
 
 // startOrderDuties starts the duties that send orders.
 func (d *Daemon) startOrderDuties() {
-	d.orders = chutering.NewEntryEffects("orders", orderRingSize)
 	d.starts = newWaitingStarts()
-	d.renewers = newRenewers(d.group, d.workers, d.events)
+	d.startRing = chutering.NewEntryEffects("starts", startRingSize)
+	d.orders = chutering.NewEntryEffects("orders", orderRingSize)
+	d.workerDuties = newWorkerDuties(d.group, d.events, d.sendOrder)
+	for range startDuties {
+		d.group.Go("starts", func(ctx context.Context) { d.runOrders(ctx, d.startRing) })
+	}
 	for range orderDuties {
-		d.group.Go("orders", d.runOrders)
+		d.group.Go("orders", func(ctx context.Context) { d.runOrders(ctx, d.orders) })
 	}
 }
 
-func (d *Daemon) runOrders(ctx context.Context) {
+func (d *Daemon) runOrders(ctx context.Context, ring chutering.EntryEffects) {
 	for {
-		effect, ok := d.orders.Take(ctx)
+		effect, ok := ring.Take(ctx)
 		if !ok {
 			return
 		}
 		order, ok := effect.(chuteaction.OrderEffect)
 		if !ok {
-			d.log.Error("daemon: effect in the order ring is no order", "type", fmt.Sprintf("%T", effect))
+			d.log.Error("daemon: effect in a ring of orders is no order", "type", fmt.Sprintf("%T", effect))
 			continue
 		}
-		switch f := order.(type) {
-		case chuteaction.StartRun:
-			d.events.Put(ctx, d.startRun(ctx, f))
-		case chuteaction.StopRun:
-			d.events.Put(ctx, d.workers.Stop(ctx, f))
-		case chuteaction.RenewLease:
-			d.events.Put(ctx, d.workers.Renew(ctx, f))
-		case chuteaction.PaceRun:
-			if err := d.workers.Pace(ctx, f); err != nil {
-				d.metrics.Count("pace-missed", "no-answer")
-				d.log.Warn("worker: order to limit the speed of a run failed", "worker", f.Worker, "run", f.Run.String(), "error", err.Error())
-			}
-		case chuteaction.ListMachines:
-			d.events.Put(ctx, d.machines.List(ctx))
-		case chuteaction.MaintainMachine:
-			d.events.Put(ctx, d.machines.Maintain(ctx, f))
-		case chuteaction.RequestApproval:
-			d.events.Put(ctx, d.workers.Approve(ctx, f))
+		d.sendOrder(ctx, order)
+	}
+}
+
+// sendOrder sends an order, waits for its outcome and gives it to the core.
+func (d *Daemon) sendOrder(ctx context.Context, order chuteaction.OrderEffect) {
+	switch f := order.(type) {
+	case chuteaction.StartRun:
+		d.events.Put(ctx, d.startRun(ctx, f))
+	case chuteaction.StopRun:
+		d.events.Put(ctx, d.workers.Stop(ctx, f))
+	case chuteaction.RenewLease:
+		d.events.Put(ctx, d.workers.Renew(ctx, f))
+	case chuteaction.PaceRun:
+		if err := d.workers.Pace(ctx, f); err != nil {
+			d.metrics.Count("pace-missed", "no-answer")
+			d.log.Warn("worker: order to limit the speed of a run failed", "worker", f.Worker, "run", f.Run.String(), "error", err.Error())
 		}
+	case chuteaction.ListMachines:
+		d.events.Put(ctx, d.machines.List(ctx))
+	case chuteaction.MaintainMachine:
+		d.events.Put(ctx, d.machines.Maintain(ctx, f))
+	case chuteaction.RequestApproval:
+		d.events.Put(ctx, d.workers.Approve(ctx, f))
 	}
 }
--- a/chutedaemon/orders_test.go
+++ b/chutedaemon/orders_test.go
@@ -177,7 +177,7 @@
 		is := is.New(t)
 		d, cleanUp := newOrderDaemon(&someSilentWorkers{silent: silentNames()})
 		defer cleanUp()
-		for range 2 * orderRingSize {
+		for range 2 * startRingSize {
 			d.dispatch(startOf(silentName(0), 0))
 		}
 		is.True(len(d.failures) > 0)
@@ -209,3 +209,73 @@
 		is.Equal(outcomes[kept.Run], chuteaction.OrderAccepted)
 	})
 }
+
+// promptName returns the name of one of the workers that answer at once.
+func promptName(i int) chutetask.WorkerID {
+	return chutetask.WorkerID(fmt.Sprintf("prompt-%d", i))
+}
+
+func TestWorkersThatDoNotAnswerDelayNoRenewalsAndStopsOfOthers(t *testing.T) {
+	const (
+		promptWorkers = 540 - silentWorkers
+		runs          = 8 // of each worker
+		maxDelay      = 100 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		workers := &someSilentWorkers{silent: silentNames()}
+		d, cleanUp := newOrderDaemon(workers)
+		defer cleanUp()
+		dispatchSilentStarts(d, runs)
+		for i := range silentWorkers {
+			target := chuteaction.WorkerTarget{Worker: silentName(i)}
+			for k := range runs {
+				d.dispatch(chuteaction.StopRun{WorkerTarget: target, Run: startOf(silentName(i), runs+k).Run})
+			}
+			d.dispatch(chuteaction.RenewLease{WorkerTarget: target})
+			d.dispatch(chuteaction.RenewLease{WorkerTarget: target, PollTimeout: 2 * time.Second})
+		}
+		ordered := time.Now()
+		for i := range promptWorkers {
+			target := chuteaction.WorkerTarget{Worker: promptName(i)}
+			d.dispatch(chuteaction.StopRun{WorkerTarget: target, Run: startOf(promptName(i), 0).Run})
+			d.dispatch(chuteaction.RenewLease{WorkerTarget: target})
+			d.dispatch(chuteaction.RenewLease{WorkerTarget: target, PollTimeout: 2 * time.Second})
+		}
+		time.Sleep(time.Minute)
+		for i := range promptWorkers {
+			sent := workers.sentTo(promptName(i))
+			is.Equal(len(sent), 3)
+			for _, s := range sent {
+				is.True(s.at.Sub(ordered) <= maxDelay)
+			}
+		}
+		for i := range silentWorkers {
+			renewals := 0
+			for _, s := range workers.sentTo(silentName(i)) {
+				if o, ok := s.order.(chuteaction.RenewLease); ok {
+					renewals++
+					is.True(s.at.Sub(ordered) <= maxDelay || o.PollTimeout > 0)
+				}
+			}
+			is.Equal(renewals, 2)
+		}
+	})
+}
+
+func TestOrdersThatAWorkersDutyHasNotSentAreAnsweredWhenItIsDisconnected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, cleanUp := newOrderDaemon(&someSilentWorkers{silent: silentNames()})
+		defer cleanUp()
+		const stops = 5
+		target := chuteaction.WorkerTarget{Worker: silentName(0)}
+		for k := range stops {
+			d.dispatch(chuteaction.StopRun{WorkerTarget: target, Run: startOf(silentName(0), k).Run})
+		}
+		time.Sleep(time.Millisecond)
+		d.dispatch(chuteaction.DisconnectWorker{Worker: silentName(0)})
+		time.Sleep(time.Minute)
+		is.Equal(d.events.Stats().Depth, stops)
+	})
+}
--- a/chutedaemon/starts.go
+++ b/chutedaemon/starts.go
@@ -33,11 +33,12 @@
 	return waits
 }
 
-// dispatchStart passes a start order to the order duties.
+// dispatchStart passes a start order to the duties for start orders.
 func (d *Daemon) dispatchStart(order chuteaction.StartRun) {
 	d.starts.add(order.Run)
-	if !d.dispatchOrder(order) {
+	if !d.startRing.Offer(order) {
 		d.starts.remove(order.Run)
+		d.refuseOrder(order, "ring-full")
 	}
 }
 
--- a/chutering/ring.go
+++ b/chutering/ring.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// tryTake removes the oldest item and reports false if there is none; it never blocks.
+func (r *ring) tryTake() (any, bool) {
+	select {
+	case item := <-r.items:
+		return item, true
+	default:
+		return nil, false
+	}
+}
+
 // RingStats describes the use of a ring at one moment.
 type RingStats struct {
 	Name    string
@@ -121,13 +131,12 @@
 
 // TryTake removes the oldest effect and reports false if there is none; it never blocks.
 func (e Effects) TryTake() (chuteevent.Effect, bool) {
-	select {
-	case item := <-e.ring.items:
-		effect, ok := item.(chuteevent.Effect)
-		return effect, ok
-	default:
+	item, ok := e.ring.tryTake()
+	if !ok {
 		return nil, false
 	}
+	effect, ok := item.(chuteevent.Effect)
+	return effect, ok
 }
 
 // Stats returns the ring's depth, size and number of refused items.
@@ -191,6 +200,16 @@
 	return effect, ok
 }
 
+// TryTake removes the oldest effect and reports false if there is none; it never blocks.
+func (e EntryEffects) TryTake() (chuteaction.Effect, bool) {
+	item, ok := e.ring.tryTake()
+	if !ok {
+		return nil, false
+	}
+	effect, ok := item.(chuteaction.Effect)
+	return effect, ok
+}
+
 // Stats returns the ring's depth, size and number of refused items.
 func (e EntryEffects) Stats() RingStats {
 	return e.ring.stats()
