Count orders that were not sent and measure how long starts wait

order_not_sent counts each order that the host gave back instead of sending it, by its kind and the reason (late, withdrawn, ring-full, disconnected); order_wait is the time that a start order waits on its host. Waits of stops and renewals are not measured: they wait behind orders to the same worker only.

--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -300,7 +300,7 @@
 // refuseOrder lets the core handle next that an order was not sent, since its ring is full.
 func (d *Daemon) refuseOrder(order chuteaction.OrderEffect, reason string) {
 	d.metrics.Count("order-refused", reason)
-	if failure := notSent(order); failure != nil {
+	if failure := d.giveBack(order, "ring-full"); failure != nil {
 		d.failures = append(d.failures, failure)
 	}
 }
--- a/chutedaemon/orders.go
+++ b/chutedaemon/orders.go
@@ -45,7 +45,7 @@
 	d.starts = newWaitingStarts()
 	d.startRing = chutering.NewEntryEffects("starts", startRingSize)
 	d.orders = chutering.NewEntryEffects("orders", orderRingSize)
-	d.workerDuties = newWorkerDuties(d.group, d.events, d.sendOrder)
+	d.workerDuties = newWorkerDuties(d.group, d.sendOrder, d.dropOrder)
 	for range startDuties {
 		d.group.Go("starts", func(ctx context.Context) { d.runOrders(ctx, d.startRing) })
 	}
@@ -91,3 +91,10 @@
 		d.events.Put(ctx, d.workers.Approve(ctx, f))
 	}
 }
+
+// dropOrder tells the core that an order was not sent, since its worker was disconnected.
+func (d *Daemon) dropOrder(ctx context.Context, order chuteaction.OrderEffect) {
+	if event := d.giveBack(order, "disconnected"); event != nil {
+		d.events.Put(ctx, event)
+	}
+}
--- a/chutedaemon/orders_test.go
+++ b/chutedaemon/orders_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -276,6 +279,35 @@
 		time.Sleep(time.Millisecond)
 		d.dispatch(chuteaction.DisconnectWorker{Worker: silentName(0)})
 		time.Sleep(time.Minute)
-		is.Equal(d.events.Stats().Depth, stops)
+		is.Equal(d.events.Stats().Depth, stops) // each order has its outcome
+	})
+}
+
+func TestOrdersThatWereNotSentAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, cleanUp := newOrderDaemon(&someSilentWorkers{silent: silentNames()})
+		defer cleanUp()
+		late, withdrawn := startOf("prompt", 0), startOf("prompt", 1)
+		late.SendBefore = time.Now().Add(-time.Millisecond)
+		d.dispatch(late)
+		d.starts.add(withdrawn.Run)
+		d.starts.remove(withdrawn.Run)
+		d.startRing.Offer(withdrawn)
+		renewal := chuteaction.RenewLease{WorkerTarget: chuteaction.WorkerTarget{Worker: silentName(0)}}
+		d.dispatch(renewal)
+		synctest.Wait() // the duty waits for the answer
+		for range 2 * renewRingSize {
+			d.dispatch(renewal)
+		}
+		time.Sleep(3 * time.Second) // metrics are exported once a second
+		recorder := httptest.NewRecorder()
+		d.metrics.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		for _, line := range []string{
+			`monsoonchute_order_not_sent{reason="start_late"} 1`, `monsoonchute_order_not_sent{reason="start_withdrawn"} 1`,
+			`monsoonchute_order_not_sent{reason="renewal_ring_full"} 4`, `monsoonchute_order_wait_count{kind="start"} 1`,
+		} {
+			is.True(strings.Contains(recorder.Body.String(), line)) // the line is served
+		}
 	})
 }
--- a/chutedaemon/perworker.go
+++ b/chutedaemon/perworker.go
@@ -39,8 +39,8 @@
 // answer delays only its own orders. Only the core's duty calls offer and remove.
 type workerDuties struct {
 	group  *chuteduty.Group
-	events chutering.EntryEvents
 	send   func(context.Context, chuteaction.OrderEffect) // sends an order and gives the core its outcome
+	drop   func(context.Context, chuteaction.OrderEffect) // tells the core that an order was not sent
 	active map[workerDutyKey]workerDuty
 }
 
@@ -54,8 +54,8 @@
 	cancel context.CancelFunc
 }
 
-func newWorkerDuties(group *chuteduty.Group, events chutering.EntryEvents, send func(context.Context, chuteaction.OrderEffect)) *workerDuties {
-	return &workerDuties{group: group, events: events, send: send, active: make(map[workerDutyKey]workerDuty)}
+func newWorkerDuties(group *chuteduty.Group, send, drop func(context.Context, chuteaction.OrderEffect)) *workerDuties {
+	return &workerDuties{group: group, send: send, drop: drop, active: make(map[workerDutyKey]workerDuty)}
 }
 
 // offer passes an order to the worker's duty of the kind, and reports whether its ring had space for it.
@@ -87,7 +87,7 @@
 	for {
 		effect, ok := ring.Take(ctx)
 		if !ok {
-			w.failUnsent(groupContext, ring)
+			w.dropAll(groupContext, ring)
 			return
 		}
 		if order, ok := effect.(chuteaction.OrderEffect); ok {
@@ -96,15 +96,15 @@
 	}
 }
 
-// failUnsent tells the core that the orders in the ring were not sent.
-func (w *workerDuties) failUnsent(ctx context.Context, ring chutering.EntryEffects) {
+// dropAll tells the core that the orders in the ring were not sent.
+func (w *workerDuties) dropAll(ctx context.Context, ring chutering.EntryEffects) {
 	for {
 		effect, ok := ring.TryTake()
 		if !ok {
 			return
 		}
 		if order, ok := effect.(chuteaction.OrderEffect); ok {
-			w.events.Put(ctx, notSent(order))
+			w.drop(ctx, order)
 		}
 	}
 }
