Presume a worker's end only from a renewal sent after its entry vanished

Cause: a worker whose entry disappears while its heartbeat was recent is presumed to have removed it itself, and the next renewal without an answer makes it lost at once. That renewal may have been sent before the entry disappeared, so that its failure says nothing about the time since: the worker was only silent for a while, and its work was started elsewhere.

Change: the worker keeps when its entry disappeared. Only a renewal sent since then confirms its end; one that does not wait is sent at once.

--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -32,6 +32,7 @@
 	Listed           bool      // it has an entry in the list of workers
 	Contacted        bool      // its present incarnation has answered this scheduler, so that its runs are known
 	PresumedEnded    bool      // it removed its entry itself, so that a missed renewal means that it has ended
+	UnlistedAt       time.Time // when its entry last disappeared; zero before
 	ListingVersion   int64     // version of its entry in the list of workers; it increases with each heartbeat
 	HeartbeatAt      time.Time // the worker wrote that version after this time; zero if unknown
 	AnsweredAt       time.Time
--- a/chuterunner/listing.go
+++ b/chuterunner/listing.go
@@ -72,7 +72,9 @@
 		return
 	}
 	w = w.WithUnlisted()
+	w.UnlistedAt = t.Now
 	w.RenewAfter = t.Now
+	w.ReportDue = true
 	w.PresumedEnded = removal != RemovalMalformed && t.hasLeft(w)
 	t.Log(component, "worker is no longer listed", "", "worker", id, "reason", removal, "runs", w.RunCount(),
 		"heartbeat", t.Now.Sub(w.HeartbeatAt), "answered", t.Now.Sub(w.AnsweredAt), "presumed-ended", w.PresumedEnded)
--- a/chuterunner/lost_test.go
+++ b/chuterunner/lost_test.go
@@ -174,3 +174,21 @@
 		is.Equal(s.worker(0).Lost, address == moved.Address)
 	}
 }
+
+func TestARenewalSentBeforeAWorkersEntryDisappearedDoesNotShowThatItHasEnded(t *testing.T) {
+	is := is.New(t)
+	s := startedRun()
+	s.state.Bounds.HeartbeatInterval = 1500 * time.Millisecond
+	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(s.worker(0).Listing, 7, s.now) })
+	s.handle(5*time.Second, func(*chuterunner.Transition) {})
+	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(s.worker(0).Listing, 8, s.now) })
+	sentAt := s.now
+	s.handle(500*time.Millisecond, func(t *chuterunner.Transition) { t.MarkUnlisted(workerID(0), chuterunner.RemovalDeleted) })
+	is.True(s.worker(0).PresumedEnded)
+	s.handle(200*time.Millisecond, func(t *chuterunner.Transition) {
+		t.HandleLeaseRenewed(chuteaction.LeaseRenewed{Epoch: epoch, Worker: workerID(0), SentAt: sentAt, Outcome: chuteaction.OrderUnknown})
+	})
+	is.Equal(s.worker(0).Lost, false)
+	s.missRenewal(0)
+	is.Equal(s.worker(0).Lost, true) // it did not answer afterwards either
+}
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -81,7 +81,7 @@
 		t.applyRenewal(w, e)
 	case chuteaction.OrderMisdirected:
 		if e.Address != w.Address {
-			t.applyMissedRenewal(w, "former-address")
+			t.applyMissedRenewal(w, e, "former-address")
 			return
 		}
 		t.PutWorker(w)
@@ -89,11 +89,11 @@
 	case chuteaction.OrderRefused:
 		t.Fenced = e.Reason == chuteaction.RefusedFenced
 		w.PresumedEnded = false
-		t.applyMissedRenewal(w, e.Reason.String())
+		t.applyMissedRenewal(w, e, e.Reason.String())
 	case chuteaction.OrderUnhealthy:
-		t.applyMissedRenewal(w, "unhealthy")
+		t.applyMissedRenewal(w, e, "unhealthy")
 	case chuteaction.OrderUnknown:
-		t.applyMissedRenewal(w, "no-answer")
+		t.applyMissedRenewal(w, e, "no-answer")
 	case chuteaction.OrderNotSent:
 		w.ReportDue = true
 		w.RenewAfter = t.Now.Add(unsentRenewalDelay)
@@ -103,14 +103,14 @@
 
 // applyMissedRenewal schedules the next renewal after one that failed, or marks the worker lost if it is presumed to have
 // ended.
-func (t *Transition) applyMissedRenewal(w chutepool.Worker, reason string) {
+func (t *Transition) applyMissedRenewal(w chutepool.Worker, e chuteaction.LeaseRenewed, reason string) {
 	if w.MissedRenewals == 0 {
 		t.Log(component, "worker does not answer renewals", "", "worker", w.ID, "reason", reason, "runs", w.RunCount(),
 			"lease-left", w.LeaseExpiryBound.Sub(t.Now))
 	}
 	t.Count("renewal-missed", reason)
 	w.MissedRenewals++
-	if w.PresumedEnded {
+	if w.PresumedEnded && !e.SentAt.Before(w.UnlistedAt) {
 		t.PutWorker(w)
 		t.Count("worker-lost", "left")
 		t.Log(component, "worker is lost: it left the list and does not answer", "", "worker", w.ID, "runs", w.RunCount())
