Ask a worker again without a poll after a renewal without an answer

Cause: a renewal that the worker may hold takes up to 2.7 s without an answer, so that a lease of 6 s had time for two. With three tenths of the calls unanswered, one living worker in eleven loses a lease so.

Change: after an unanswered renewal the next ones ask for an answer at once (0.7 s), until the worker answers.

--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -136,7 +136,7 @@
 	case w.ReportDue:
 		t.renew(w, 0)
 	case unrecorded && t.Now.Sub(w.RenewedAt) < maxRenewalAge:
-	case working && unrecorded:
+	case working && (unrecorded || w.MissedRenewals > 0):
 		t.renew(w, 0)
 	case working && chuteplanner.SharedWithBestEffort(t.Transition, w):
 		t.renew(w, mixedRenewalPollTimeout)
