--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -26,36 +26,42 @@
 	storeRingSize = 1024
 	// storeDuties is the number of duties that send store requests, one request at a time each.
 	storeDuties = 16
-	// orderRingSize is the capacity of the ring of orders to workers and other services.
-	orderRingSize = 8192
+	// startRingSize is the capacity of the ring of start orders.
+	startRingSize = 8192
+	// startDuties is the number of duties that send start orders, one order at a time each.
+	startDuties = 512
+	// orderRingSize is the capacity of the ring of orders that limit the speed of runs or go to other services.
+	orderRingSize = 1024
 	// forwardRingSize is the capacity of the ring of notices to the leader.
 	forwardRingSize = 256
 	// forwardDuties is the number of duties that send notices to the leader, one notice at a time each.
 	forwardDuties = 2
-	// orderDuties is the number of duties that send orders, one order at a time each.
-	orderDuties = 64
+	// orderDuties is the number of duties that send the orders of that ring, one order at a time each.
+	orderDuties = 32
 )
 
 // Daemon is a running entry host.
 type Daemon struct {
-	events   chutering.EntryEvents
-	calls    *pendingCalls
-	store    chutering.EntryEffects
-	orders   chutering.EntryEffects
-	forwards chutering.EntryEffects
-	watchers *watchers
-	renewers *renewers
-	workers  Workers
-	machines Machines
-	peers    Peers
-	metrics  *chutemetric.Metrics
-	log      *slog.Logger
-	logs     *logWriter
-	group    *chuteduty.Group
-	failures []chuteaction.Event // failure events of effects whose ring was full; the core handles them before the next event
-	leading  bool                // whether this host was the leader after the latest event
-	serving  atomic.Bool
-	stopped  chan struct{}
+	events       chutering.EntryEvents
+	calls        *pendingCalls
+	store        chutering.EntryEffects
+	orders       chutering.EntryEffects
+	forwards     chutering.EntryEffects
+	starts       *waitingStarts
+	startRing    chutering.EntryEffects
+	watchers     *watchers
+	workerDuties *workerDuties
+	workers      Workers
+	machines     Machines
+	peers        Peers
+	metrics      *chutemetric.Metrics
+	log          *slog.Logger
+	logs         *logWriter
+	group        *chuteduty.Group
+	failures     []chuteaction.Event // failure events of effects whose ring was full; the core handles them before the next event
+	leading      bool                // whether this host was the leader after the latest event
+	serving      atomic.Bool
+	stopped      chan struct{}
 }
 
 // New starts the duties of an entry host. The clean-up function begins a planned stop, waits up to stopTimeout for its end,
@@ -65,21 +71,18 @@
 	context.AfterFunc(group.Context(), dependencies.Store.Interrupt)
 	d := &Daemon{
 		events: chutering.NewEntryEvents("core", eventRingSize), calls: newPendingCalls(),
-		store: chutering.NewEntryEffects("store", storeRingSize), orders: chutering.NewEntryEffects("orders", orderRingSize),
+		store:    chutering.NewEntryEffects("store", storeRingSize),
 		forwards: chutering.NewEntryEffects("news", forwardRingSize),
 		workers:  dependencies.Workers, machines: dependencies.Machines, peers: dependencies.Peers, metrics: metrics, log: log, group: group, stopped: make(chan struct{}),
 	}
 	d.watchers = newWatchers(group, dependencies.Store, d.events, log)
-	d.renewers = newRenewers(group, dependencies.Workers, d.events)
 	d.logs = newLogWriter(log, metrics)
 	group.Go("log-info", d.logs.runInfo)
 	group.Go("log-warn", d.logs.runWarn)
 	for range storeDuties {
 		group.Go("store", func(ctx context.Context) { d.runStore(ctx, dependencies.Store) })
 	}
-	for range orderDuties {
-		group.Go("orders", d.runOrders)
-	}
+	d.startOrderDuties()
 	for range forwardDuties {
 		group.Go("news", d.runForwards)
 	}
@@ -121,7 +124,7 @@
 	defer ticker.Stop()
 	for {
 		d.events.Offer(chuteaction.Tick{})
-		for _, s := range []chutering.RingStats{d.events.Stats(), d.store.Stats(), d.orders.Stats(), d.forwards.Stats()} {
+		for _, s := range []chutering.RingStats{d.events.Stats(), d.store.Stats(), d.startRing.Stats(), d.orders.Stats(), d.forwards.Stats()} {
 			d.metrics.SetRingStats(s)
 		}
 		select {
--- a/chutedaemon/dispatch.go
+++ b/chutedaemon/dispatch.go
@@ -7,6 +7,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chuteentry"
+	"monsoonchute.example/monsoonchute/chutetask"
 )
 
 // runCore passes each event to the core and dispatches its effects. If the ring of an effect is full, the core gets the
@@ -74,28 +75,23 @@
 			d.metrics.Count("news-dropped", "ring-full")
 		}
 	case chuteaction.StartRun:
-		d.dispatchOrder(f, chuteaction.RunStarted{
-			Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnhealthy,
-		})
+		d.dispatchStart(f)
 	case chuteaction.StopRun:
-		d.dispatchOrder(f, chuteaction.RunStopped{
-			Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnhealthy,
-		})
+		d.starts.remove(f.Run)
+		d.dispatchToWorker(f.Worker, stopDuty, f)
 	case chuteaction.RenewLease:
 		d.dispatchRenewal(f)
 	case chuteaction.DisconnectWorker:
-		d.renewers.remove(f.Worker)
+		d.workerDuties.remove(f.Worker)
 		d.workers.Disconnect(f.Worker)
 	case chuteaction.PaceRun:
-		d.dispatchOrder(f, nil)
+		d.dispatchOrder(f)
 	case chuteaction.RequestApproval:
-		d.dispatchOrder(f, chuteaction.StepApproved{Step: f.Step, Workers: f.Workers})
+		d.dispatchOrder(f)
 	case chuteaction.ListMachines:
-		d.dispatchOrder(f, chuteaction.MachinesListed{})
+		d.dispatchOrder(f)
 	case chuteaction.MaintainMachine:
-		d.dispatchOrder(f, chuteaction.MachineMaintained{
-			Epoch: f.Epoch, Machine: f.Machine, Wave: f.Wave, Outcome: chuteaction.OrderUnhealthy, Reason: "ring-full",
-		})
+		d.dispatchOrder(f)
 	case chuteaction.Count:
 		d.metrics.Count(f.Counter, f.Reason)
 	case chuteaction.Observe:
@@ -114,24 +110,31 @@
 	}
 }
 
-func (d *Daemon) dispatchOrder(effect chuteaction.Effect, failure chuteaction.Event) {
-	if !d.orders.Offer(effect) {
-		d.metrics.Count("order-refused", "ring-full")
-		if failure != nil {
-			d.failures = append(d.failures, failure)
-		}
+// dispatchRenewal passes a renewal to the worker's duty for renewals of its kind.
+func (d *Daemon) dispatchRenewal(f chuteaction.RenewLease) {
+	kind := reportDuty
+	if f.PollTimeout > 0 {
+		kind = pollDuty
 	}
+	d.dispatchToWorker(f.Worker, kind, f)
 }
 
-// dispatchRenewal passes a long-polling renewal to the worker's own duty, and any other renewal to the order duties.
-func (d *Daemon) dispatchRenewal(f chuteaction.RenewLease) {
-	failure := chuteaction.LeaseRenewed{Epoch: f.Epoch, Worker: f.Worker, SentAt: time.Now(), Outcome: chuteaction.OrderUnhealthy}
-	if f.PollTimeout == 0 {
-		d.dispatchOrder(f, failure)
-		return
+func (d *Daemon) dispatchToWorker(worker chutetask.WorkerID, kind workerDutyKind, order chuteaction.OrderEffect) {
+	if !d.workerDuties.offer(worker, kind, order) {
+		d.refuseOrder(order, workerDutyNames[kind]+"-ring-full")
 	}
-	if !d.renewers.renew(f) {
-		d.metrics.Count("order-refused", "renewal-ring-full")
+}
+
+func (d *Daemon) dispatchOrder(order chuteaction.OrderEffect) {
+	if !d.orders.Offer(order) {
+		d.refuseOrder(order, "ring-full")
+	}
+}
+
+// refuseOrder lets the core handle next that an order was not sent, since its ring is full.
+func (d *Daemon) refuseOrder(order chuteaction.OrderEffect, reason string) {
+	d.metrics.Count("order-refused", reason)
+	if failure := d.giveBack(order, "ring-full"); failure != nil {
 		d.failures = append(d.failures, failure)
 	}
 }
--- a/chuterunner/absent.go
+++ b/chuterunner/absent.go
@@ -53,10 +53,9 @@
 // If the gang has worked, the member has run before, and the gang is stopped.
 func (t *Transition) resumeRun(id chutetask.WorkerID, r chutepool.Run) {
 	w, _ := t.Pool.Get(id)
-	j, ok := t.Job(r.ID.Task.Job)
-	task, _ := j.Task(r.ID.Task)
+	j, _ := t.Job(r.ID.Task.Job)
 	switch {
-	case !ok || j.Phase.Ended() || !t.MayOrderStart(w) || !t.expected(id, r.ID) || task.Phase != chutetask.TaskActive:
+	case !t.startStillDue(w, r):
 		t.StopRun(id, r.ID, "not-resumed")
 	case !t.gangReported(j, r.ID.Task.StepID):
 		w.ReportDue = true
