Tell crashes from silence, and keep quarantines within their share

What callers would see: innocent jobs shown as failed, jobs that wait while quarantines hold all workers, deadly tasks not counted. Found by the independent review of the quarantine, each with a test that failed: - silence alone failed a job (TestSilenceAloneFailsNoJob): an expired lease counted like a crash, and its taking back was lost with the leader. The record now holds each crash with run, worker and incarnation, confirmed or not; it stands in the progress row. A task whose quarantined runs met two silences is on hold until the workers answer (same incarnation: no crash; later one: crash) or 90 s have passed; - a gang's crash was taken back for the wrong worker, and never counted again (TestAnAnswerClearsOnlyItsOwnWorkersCrash); - released runs came back with an outdated copy of their worker (TestRunsOfAFormerIncarnationAreAllReleased); - long-running tasks in quarantine blocked each other for ever (TestQuarantinedLongRunningTasksAllRestart): a quarantined run that outlives its probation (10 s, doubled each time) opens its worker; long-running tasks are not taken one at a time, and run beside others if none is empty; - quarantines took all workers over several passes (TestQuarantinesLeaveWorkersToOthers, TestGuaranteeIsReclaimedFromQuarantines): the share counts those that run, by service. Also: a run that had no answer to its start does not count towards giving up; an inherited run that is stopped after its worker restarted does. The deadly tests wait 100 s longer where workers come back under other ids: the rule allows giving up, and silence proves nothing before.

--- a/chuteentry/crash_test.go
+++ b/chuteentry/crash_test.go
@@ -8,6 +8,15 @@
 	"monsoonchute.example/monsoonchute/chutegraph"
 )
 
+// runUntilGivenUp runs for so long that deadly jobs are given up: where workers come back as others, that is only once their
+// silence has lasted.
+func (sm *simulation) runUntilGivenUp(d time.Duration) {
+	sm.run(d)
+	if sm.workerReturn == returnsAsNewWorker {
+		sm.run(100 * time.Second)
+	}
+}
+
 // submitDeadly submits a job whose first tasks, as many as deadly, crash each worker that starts them.
 func (sm *simulation) submitDeadly(deadly int, step chutegraph.Step) *fakeJob {
 	j := sm.clients.submit("normal", 4*time.Second, step)
@@ -60,7 +69,7 @@
 				for range c.jobs {
 					jobs = append(jobs, sm.submitDeadly(c.deadly, c.step))
 				}
-				sm.run(50 * time.Second)
+				sm.runUntilGivenUp(50 * time.Second)
 				sm.checkPhases(t, "failed", jobs...)
 				for _, j := range jobs {
 					j.checkStarts(t)
@@ -114,7 +123,7 @@
 	forEachSeed(t, 6, func(t *testing.T, sm *simulation) {
 		j := sm.clients.submit("normal", 4*time.Second, taskStep(1))
 		j.crashesWorker = func(k *fakeWorker, _ chutegraph.TaskID) bool { return k == nil || k.listing.Zone != "zone-2" }
-		sm.run(50 * time.Second)
+		sm.runUntilGivenUp(50 * time.Second)
 		want := "completed"
 		if len(j.doneAt) == 0 {
 			want = "failed"
@@ -156,7 +165,7 @@
 				}
 			}
 		}
-		sm.run(80 * time.Second)
+		sm.runUntilGivenUp(80 * time.Second)
 		sm.checkPhases(t, "failed", j)
 		j.checkStarts(t)
 	})
@@ -185,7 +194,7 @@
 						sm.after(c.delay+time.Duration(n)*2500*time.Millisecond, sm.crashLeader)
 					}
 				}
-				sm.run(120 * time.Second)
+				sm.runUntilGivenUp(120 * time.Second)
 				sm.checkPhases(t, "failed", deadly...)
 				sm.checkPhases(t, "completed", innocents...)
 			})
--- a/chuteentry/entry_test.go
+++ b/chuteentry/entry_test.go
@@ -322,7 +322,7 @@
 	}
 	sm.run(25 * time.Second)
 	sm.clearFaults()
-	sm.run(90 * time.Second)
+	sm.runUntilGivenUp(90 * time.Second)
 	for _, id := range sm.clients.jobIDs {
 		j := sm.clients.jobs[id]
 		if j.acceptedAt.IsZero() {
--- /dev/null
+++ b/chuteentry/quarantine_test.go
@@ -0,0 +1,109 @@
+package chuteentry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"monsoonchute.example/monsoonchute/chutegraph"
+)
+
+// TestSilenceAloneFailsNoJob guards against a job that is failed because its workers were cut off, none of which crashed.
+func TestSilenceAloneFailsNoJob(t *testing.T) {
+	forEachSeed(t, 8, func(t *testing.T, sm *simulation) {
+		j := sm.clients.submit("normal", 15*time.Second, taskStep(1))
+		for range 4 {
+			sm.run(1500 * time.Millisecond)
+			for _, k := range sm.sortedWorkers() {
+				if len(k.runs) > 0 {
+					k.silence(60 * time.Second)
+				}
+			}
+			sm.run(9 * time.Second)
+		}
+		sm.run(30 * time.Second)
+		sm.checkPhases(t, "completed", j)
+	})
+}
+
+// TestQuarantinedLongRunningTasksAllRestart guards against tasks that never restart since another of their step is quarantined.
+func TestQuarantinedLongRunningTasksAllRestart(t *testing.T) {
+	forEachSeed(t, 8, func(t *testing.T, sm *simulation) {
+		step := chutegraph.Step{Count: 3, Request: taskStep(1).Request, LongRunning: true}
+		j := sm.clients.submit("normal", time.Hour, step)
+		sm.run(3 * time.Second)
+		for range 2 {
+			for _, k := range sm.sortedWorkers() {
+				if len(k.runs) > 0 {
+					k.crash(3 * heartbeat)
+					sm.after(2*time.Second, k.restart)
+				}
+			}
+			sm.run(8 * time.Second)
+		}
+		sm.run(30 * time.Second)
+		running := 0
+		for _, k := range sm.sortedWorkers() {
+			running += len(k.runs)
+		}
+		if running != 3 {
+			t.Errorf("%d of 3 tasks run; job %s", running, fmt.Sprint(j.id))
+		}
+	})
+}
+
+// TestQuarantinesLeaveWorkersToOthers guards against quarantines that take more than their share of the workers over several passes.
+func TestQuarantinesLeaveWorkersToOthers(t *testing.T) {
+	forEachSeed(t, 8, func(t *testing.T, sm *simulation) {
+		for range 12 {
+			sm.clients.submit("normal", 60*time.Second, taskStep(1))
+		}
+		sm.run(3 * time.Second)
+		for range 2 {
+			for _, k := range sm.sortedWorkers() {
+				if len(k.runs) > 0 {
+					k.crash(3 * heartbeat)
+					sm.after(2*time.Second, k.restart)
+				}
+			}
+			sm.run(8 * time.Second)
+		}
+		sm.run(5 * time.Second)
+		alone := 0
+		for _, k := range sm.sortedWorkers() {
+			if len(k.runs) == 1 {
+				alone++
+			}
+		}
+		other := sm.clients.submit("normal", time.Second, taskStep(1))
+		sm.run(10 * time.Second)
+		if len(other.starts) == 0 {
+			t.Errorf("%d of 8 workers run one quarantined task each; a job of one small task has not started for 10 s", alone)
+		}
+	})
+}
+
+// TestGuaranteeIsReclaimedFromQuarantines guards against a guarantee that quarantined tasks of a lower priority withhold.
+func TestGuaranteeIsReclaimedFromQuarantines(t *testing.T) {
+	forEachSeed(t, 4, func(t *testing.T, sm *simulation) {
+		for range 6 {
+			sm.clients.submit("low", 60*time.Second, taskStep(1))
+		}
+		sm.run(3 * time.Second)
+		for range 2 {
+			for _, k := range sm.sortedWorkers() {
+				if len(k.runs) > 0 {
+					k.crash(3 * heartbeat)
+					sm.after(2*time.Second, k.restart)
+				}
+			}
+			sm.run(8 * time.Second)
+		}
+		sm.run(10 * time.Second)
+		urgent := sm.clients.submit("urgent", time.Second, chutegraph.Step{Count: 16, Request: taskStep(1).Request})
+		sm.run(15 * time.Second)
+		if len(urgent.starts) < 16 {
+			t.Errorf("%d of 16 guaranteed tasks have started after 15 s", len(urgent.starts))
+		}
+	})
+}
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -34,7 +34,8 @@
 	demands, quarantined := p.demands()
 	p.nominated = make(map[chutegraph.StepID]map[int]chutetask.WorkerID)
 	p.updateWaiting(demands)
-	taken := p.planQuarantine(quarantined)
+	taken, unplaced := p.planQuarantine(quarantined)
+	demands = append(demands, unplaced...)
 	if len(demands) == 0 {
 		return
 	}
@@ -47,7 +48,7 @@
 		switch d := decision.(type) {
 		case chuteplacement.Start:
 			started[d.Task.StepID] = append(started[d.Task.StepID], d.Worker)
-			p.assign(d)
+			p.assign(d, false)
 		case chuteplacement.Evict:
 			p.Log(component, "run yields", d.Run.Task.Job, "run", d.Run, "to", d.For, "wasted", d.Cost)
 			p.StopRun(d.Worker, d.Run, "yields")
@@ -102,8 +103,8 @@
 	return true
 }
 
-// assign plans the next run of a task on the worker. The run is recorded before its start order is sent.
-func (p *pass) assign(d chuteplacement.Start) {
+// assign plans the next run of a task on the worker, which a quarantined run has to itself. The run is recorded before its start order is sent.
+func (p *pass) assign(d chuteplacement.Start, quarantined bool) {
 	j, ok := p.Live.Get(d.Task.Job)
 	if !ok {
 		return
@@ -117,11 +118,7 @@
 	if j.Step(d.Task.StepID).Gang {
 		number = gangRunNumber(j, d.Task)
 	}
-	quarantined := j.Crashes(d.Task).NeedsQuarantine()
-	task = task.WithRun(number, d.Worker).WithIncarnation(w.Incarnation)
-	if quarantined {
-		task = task.WithQuarantine()
-	}
+	task = task.WithRun(number, d.Worker).WithIncarnation(w.Incarnation).WithQuarantine(quarantined)
 	p.PutJob(j.WithPhase(chutetask.PhaseRunning).WithTask(d.Task, task))
 	run := chutepool.Run{
 		ID: chutegraph.RunID{Task: d.Task, Number: number}, Reserved: j.Step(d.Task.StepID).Reserved(),
@@ -198,7 +195,8 @@
 func ordinaryIndexes(j chutetask.Job, id chutegraph.StepID) []int {
 	var indexes []int
 	for i, task := range j.Tasks(id) {
-		if task.Phase == chutetask.TaskWaiting && !needsQuarantine(j, id, i) {
+		record := j.Crashes(chutegraph.TaskID{StepID: id, Index: i})
+		if task.Phase == chutetask.TaskWaiting && !record.NeedsQuarantine() && !record.OnHold() {
 			indexes = append(indexes, i)
 		}
 	}
--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -18,40 +18,42 @@
 	loadPenalty = 10.0
 	// crashMemory is how long a crash of a worker counts against it.
 	crashMemory = time.Minute
-	// maxQuarantineShare is the reciprocal of the largest share of the workers that quarantines may take.
-	maxQuarantineShare = 4
+	// workersPerQuarantine is the number of workers of a service for each that quarantines may take.
+	workersPerQuarantine = 4
 )
 
-// needsQuarantine reports whether the waiting task must have its worker to itself. A gang is quarantined as a whole.
-func needsQuarantine(j chutetask.Job, id chutegraph.StepID, index int) bool {
-	return j.Crashes(chutegraph.TaskID{StepID: id, Index: index}).NeedsQuarantine()
-}
-
-// quarantinedIndexes returns the waiting tasks of a step that may start in quarantine now: all members of a gang, or one
-// task at a time, so that a job whose tasks all crash their workers crashes few.
+// quarantinedIndexes returns the waiting tasks of a step that may start in quarantine now: all members of a gang and all
+// tasks that should run without end, or else one at a time, so that a job whose tasks all crash their workers crashes few.
 func quarantinedIndexes(j chutetask.Job, id chutegraph.StepID) []int {
+	step := j.Step(id)
 	var indexes []int
 	for i, task := range j.Tasks(id) {
-		if task.Phase == chutetask.TaskActive && task.Quarantined {
+		record := j.Crashes(chutegraph.TaskID{StepID: id, Index: i})
+		if task.Phase == chutetask.TaskActive && task.Quarantined && !step.LongRunning {
 			return nil
 		}
-		if task.Phase == chutetask.TaskWaiting && needsQuarantine(j, id, i) {
+		if task.Phase == chutetask.TaskWaiting && record.NeedsQuarantine() && !record.OnHold() {
 			indexes = append(indexes, i)
 		}
 	}
-	if !j.Step(id).Gang && len(indexes) > 1 {
+	if !step.Gang && !step.LongRunning && len(indexes) > 1 {
 		return indexes[:1]
 	}
 	return indexes
 }
 
 // planQuarantine starts tasks that need quarantine on workers without runs. Where there are none, it keeps new runs off
-// the workers that empty soonest. It returns the workers that other tasks must not use.
-func (p *pass) planQuarantine(demands []chuteplacement.Demand) map[chutetask.WorkerID]bool {
+// the workers that empty soonest. It returns the workers that other tasks must not use, and the demands of tasks that
+// should run without end for which no worker is empty: they rather run beside others.
+func (p *pass) planQuarantine(demands []chuteplacement.Demand) (map[chutetask.WorkerID]bool, []chuteplacement.Demand) {
 	taken := make(map[chutetask.WorkerID]bool)
+	var rest []chuteplacement.Demand
 	for _, d := range demands {
-		if len(taken) > p.Pool.Len()/maxQuarantineShare {
-			break
+		if p.quarantineFull(d.Service, taken) {
+			if d.Step.LongRunning {
+				rest = append(rest, d)
+			}
+			continue
 		}
 		starts := placeAlone(d, p.quarantineWorkers(taken, true))
 		if len(starts) > 0 {
@@ -59,15 +61,34 @@
 		}
 		for _, s := range starts {
 			taken[s.Worker] = true
-			p.assign(s)
+			p.assign(s, true)
 		}
-		if len(starts) == 0 {
+		switch {
+		case len(starts) > 0:
+		case d.Step.LongRunning:
+			rest = append(rest, d)
+		default:
 			for _, s := range placeAlone(d, p.quarantineWorkers(taken, false)) {
 				taken[s.Worker] = true
 			}
 		}
 	}
-	return taken
+	return taken, rest
+}
+
+// quarantineFull reports whether quarantines have taken their share of the service's workers.
+func (p *pass) quarantineFull(service string, taken map[chutetask.WorkerID]bool) bool {
+	workers, quarantines := 0, 0
+	for _, w := range p.Pool.All() {
+		if w.Service != service || !w.Listed {
+			continue
+		}
+		workers++
+		if taken[w.ID] || w.InQuarantine() {
+			quarantines++
+		}
+	}
+	return quarantines >= max(1, workers/workersPerQuarantine)
 }
 
 // placeAlone returns where the tasks of the demand start if only the given workers exist.
@@ -88,7 +109,10 @@
 func (p *pass) quarantineWorkers(taken map[chutetask.WorkerID]bool, empty bool) []chuteplacement.Worker {
 	var workers []chuteplacement.Worker
 	for _, w := range p.Pool.All() {
-		if !w.Usable(p.Now) || !p.MayStartOn(w) || w.InQuarantine() || taken[w.ID] || empty && w.RunCount() > 0 {
+		if !w.Usable(p.Now) || !p.MayStartOn(w) || w.InQuarantine() || taken[w.ID] {
+			continue
+		}
+		if empty && w.RunCount() > 0 || p.hasLongRunning(w) {
 			continue
 		}
 		worker := p.placementWorker(w)
@@ -102,6 +126,16 @@
 	return workers
 }
 
+// hasLongRunning reports whether the worker has a run that should last without end, so that it does not empty.
+func (p *pass) hasLongRunning(w chutepool.Worker) bool {
+	for _, r := range w.Runs() {
+		if p.LongRunning(r) {
+			return true
+		}
+	}
+	return false
+}
+
 // load returns the share of the worker's accelerators, or else of its processor, that its runs reserve.
 func load(w chutepool.Worker) float64 {
 	reserved := w.Capacity.Minus(w.Free())
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -56,18 +56,11 @@
 	CooldownUntil    time.Time        // nothing is started there before this time
 	ColdUntil        time.Time        // it is slow after its start until this time
 	CrashedAt        time.Time        // when it was last found to have crashed; zero if never
-	blamed           []Blame          // runs to which its silence was put down as a crash; never modified
 	runs             *immutable.SortedMap[chutegraph.RunID, Run]
 	reserved         chutecapacity.Resources
 	stopping         chutecapacity.Resources // the part of reserved that belongs to runs that are being stopped
 }
 
-// Blame is a run that a worker may have crashed under.
-type Blame struct {
-	Run         chutegraph.RunID
-	Quarantined bool
-}
-
 // Clock relates the clock of a worker to that of this process.
 type Clock struct {
 	Reading time.Duration // of the worker's clock
@@ -152,23 +145,6 @@
 	return w
 }
 
-// Blamed returns the runs to which the worker's silence was put down as a crash.
-func (w Worker) Blamed() []Blame {
-	return w.blamed
-}
-
-// WithBlamed returns the worker with one more run that its silence was put down to.
-func (w Worker) WithBlamed(b Blame) Worker {
-	w.blamed = append(slices.Clone(w.blamed), b)
-	return w
-}
-
-// WithoutBlamed returns the worker without any such run.
-func (w Worker) WithoutBlamed() Worker {
-	w.blamed = nil
-	return w
-}
-
 // InQuarantine reports whether one of the worker's runs has the worker to itself.
 func (w Worker) InQuarantine() bool {
 	for i := w.runs.Iterator(); !i.Done(); {
--- a/chutequarantine/record_test.go
+++ b/chutequarantine/record_test.go
@@ -2,49 +2,89 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"monsoonchute.example/monsoonchute/chutequarantine"
 )
 
-// crash is a crash during a run; a negative run takes the crash back.
-type crash struct {
-	run         int
-	quarantined bool
+var startTime = time.Unix(1_800_000_000, 0)
+
+// step changes a record.
+type step func(chutequarantine.Record) chutequarantine.Record
+
+// crash returns a confirmed crash of a worker during a run.
+func crash(run int, quarantined bool) step {
+	return crashOf(run, "w", quarantined, true)
+}
+
+// silence returns a crash that may be a cut.
+func silence(run int, quarantined bool) step {
+	return crashOf(run, "w", quarantined, false)
+}
+
+func crashOf(run int, worker string, quarantined, confirmed bool) step {
+	return func(r chutequarantine.Record) chutequarantine.Record {
+		return r.WithCrash(chutequarantine.Crash{
+			Run: run, Worker: worker, Incarnation: 1, Quarantined: quarantined, Confirmed: confirmed, At: startTime,
+		})
+	}
 }
 
-func TestATaskIsGivenUpOnlyAfterCrashesInQuarantine(t *testing.T) {
+func answer(worker string, incarnation int64) step {
+	return func(r chutequarantine.Record) chutequarantine.Record { return r.WithAnswer(worker, incarnation) }
+}
+
+func survival(run int) step {
+	return func(r chutequarantine.Record) chutequarantine.Record { return r.WithSurvival(run) }
+}
+
+func later(d time.Duration) step {
+	return func(r chutequarantine.Record) chutequarantine.Record { return r.WithTime(startTime.Add(d)) }
+}
+
+func TestATaskIsGivenUpOnlyAfterConfirmedCrashesInQuarantine(t *testing.T) {
 	cases := []struct {
-		name        string
-		crashes     []crash
-		quarantined bool
-		givenUp     bool
+		name                         string
+		steps                        []step
+		quarantined, onHold, givenUp bool
 	}{
-		{"no crash", nil, false, false},
-		{"one crash", []crash{{1, false}}, false, false},
-		{"two crashes beside others", []crash{{1, false}, {2, false}}, true, false},
-		{"many crashes beside others", []crash{{1, false}, {2, false}, {3, false}, {4, false}}, true, false},
-		{"one crash in quarantine", []crash{{1, false}, {2, false}, {3, true}}, true, false},
-		{"two crashes in quarantine", []crash{{1, false}, {2, false}, {3, true}, {4, true}}, true, true},
-		{"one run of a gang on two workers that crash", []crash{{1, false}, {1, false}}, false, false},
-		{"a late report of an earlier crash", []crash{{2, false}, {1, false}}, false, false},
-		{"a crash that was a cut", []crash{{1, false}, {2, false}, {-2, false}}, false, false},
-		{"a crash in quarantine that was a cut", []crash{{1, false}, {2, false}, {3, true}, {-3, true}, {4, true}}, true, false},
+		{"no crash", nil, false, false, false},
+		{"one crash", []step{crash(1, false)}, false, false, false},
+		{"two crashes beside others", []step{crash(1, false), crash(2, false)}, true, false, false},
+		{"many crashes beside others", []step{crash(1, false), crash(2, false), crash(3, false), crash(4, false)}, true, false, false},
+		{"one crash in quarantine", []step{crash(1, false), crash(2, false), crash(3, true)}, true, false, false},
+		{"two crashes in quarantine", []step{crash(1, false), crash(2, false), crash(3, true), crash(4, true)}, true, true, true},
+		{"two silences in quarantine", []step{silence(1, false), silence(2, false), silence(3, true), silence(4, true)}, true, true, false},
+		{"their workers stay silent", []step{silence(1, false), silence(2, false), silence(3, true), silence(4, true), later(2 * time.Minute)}, true, true, true},
+		{"their workers restarted", []step{silence(1, false), silence(2, false), silence(3, true), silence(4, true), answer("w", 2)}, true, true, true},
+		{"their workers were cut off", []step{silence(1, false), silence(2, false), silence(3, true), silence(4, true), answer("w", 1)}, false, false, false},
+		{"one run of a gang on two workers", []step{crashOf(1, "v", false, true), crashOf(1, "w", false, true)}, false, false, false},
+		{"one of them was cut off", []step{crash(1, false), crashOf(2, "v", false, false), crashOf(2, "w", false, false), answer("v", 1)}, true, false, false},
+		{"a run that outlived its probation", []step{crash(1, false), crash(2, false), survival(3)}, false, false, false},
+		{"a crash after the probation", []step{crash(1, false), crash(2, false), survival(3), crash(3, false)}, true, false, false},
+		{"a task that crashes its workers late", []step{crash(1, false), crash(2, false), survival(3), crash(3, false), crash(4, true), crash(5, true)}, true, true, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			r := chutequarantine.Record{}
-			for _, crash := range c.crashes {
-				if crash.run < 0 {
-					r = r.WithoutCrash(crash.quarantined)
-					continue
-				}
-				r = r.WithCrash(crash.run, crash.quarantined)
+			for _, change := range c.steps {
+				r = change(r)
 			}
 			is.Equal(r.NeedsQuarantine(), c.quarantined)
+			is.Equal(r.OnHold(), c.onHold)
 			is.Equal(r.GivenUp(), c.givenUp)
 		})
 	}
 }
+
+func TestTheProbationDoublesWithEachRunThatOutlivesIt(t *testing.T) {
+	is := is.New(t)
+	r := chutequarantine.Record{}
+	first := r.Probation()
+	is.Equal(r.WithSurvival(3).Probation(), 2*first)
+	is.Equal(r.WithSurvival(3).WithSurvival(3).Probation(), 2*first) // each member of a gang outlives it
+	is.Equal(r.WithSurvival(3).WithSurvival(5).Probation(), 4*first)
+}
--- a/chuterow/placement.go
+++ b/chuterow/placement.go
@@ -1,6 +1,8 @@
 package chuterow
 
 import (
+	"time"
+
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutequarantine"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -9,15 +11,25 @@
 // encodedPlacement is the part of a task that tells on which incarnation of its worker it runs, and which workers crashed
 // under it. It is apart from encodedTask, so that rows without it can be decoded, and older hosts can decode rows with it.
 type encodedPlacement struct {
-	_                  struct{} `cbor:",toarray"`
-	Occurrence         int
-	Step               int
-	Index              int
-	Incarnation        int64
-	Quarantined        bool
-	Crashes            int
-	QuarantinedCrashes int
-	LastCrashedRun     int
+	_           struct{} `cbor:",toarray"`
+	Occurrence  int
+	Step        int
+	Index       int
+	Incarnation int64
+	Quarantined bool
+	SurvivedRun int
+	Survivals   int
+	Crashes     []encodedCrash
+}
+
+type encodedCrash struct {
+	_           struct{} `cbor:",toarray"`
+	Run         int
+	Worker      string
+	Incarnation int64
+	Quarantined bool
+	Confirmed   bool
+	AtMilli     int64 // Unix time in milliseconds
 }
 
 // encodePlacements returns the placements of the tasks that have one to be recorded.
@@ -29,10 +41,10 @@
 				if !hasPlacement(t) {
 					continue
 				}
-				placements = append(placements, encodedPlacement{
-					Occurrence: k, Step: s, Index: i, Incarnation: t.Incarnation, Quarantined: t.Quarantined,
-					Crashes: t.Crashes.Crashes, QuarantinedCrashes: t.Crashes.Quarantined, LastCrashedRun: t.Crashes.LastRun,
-				})
+				p := encodedPlacement{Occurrence: k, Step: s, Index: i, Incarnation: t.Incarnation, Quarantined: t.Quarantined}
+				p.SurvivedRun, p.Survivals = t.Crashes.Survivals()
+				p.Crashes = encodeCrashes(t.Crashes)
+				placements = append(placements, p)
 			}
 		}
 	}
@@ -41,7 +53,17 @@
 
 // hasPlacement reports whether the task may be running, or workers crashed under it.
 func hasPlacement(t chutetask.Task) bool {
-	return t.Phase == chutetask.TaskActive && t.Incarnation != 0 || t.Crashes.LastRun != 0
+	return t.Phase == chutetask.TaskActive && t.Incarnation != 0 || !t.Crashes.Empty()
+}
+
+func encodeCrashes(record chutequarantine.Record) []encodedCrash {
+	var crashes []encodedCrash
+	for _, c := range record.Crashes() {
+		crashes = append(crashes, encodedCrash{
+			Run: c.Run, Worker: c.Worker, Incarnation: c.Incarnation, Quarantined: c.Quarantined, Confirmed: c.Confirmed, AtMilli: c.At.UnixMilli(),
+		})
+	}
+	return crashes
 }
 
 // apply adds the placement to the task of the progress, if that has such a task.
@@ -53,7 +75,13 @@
 	if p.Step < 0 || p.Step >= len(steps) || p.Index < 0 || p.Index >= len(steps[p.Step]) {
 		return
 	}
+	var crashes []chutequarantine.Crash
+	for _, c := range p.Crashes {
+		crashes = append(crashes, chutequarantine.Crash{
+			Run: c.Run, Worker: c.Worker, Incarnation: c.Incarnation, Quarantined: c.Quarantined, Confirmed: c.Confirmed, At: time.UnixMilli(c.AtMilli),
+		})
+	}
 	task := &steps[p.Step][p.Index]
 	task.Incarnation, task.Quarantined = p.Incarnation, p.Quarantined
-	task.Crashes = chutequarantine.Record{Crashes: p.Crashes, Quarantined: p.QuarantinedCrashes, LastRun: p.LastCrashedRun}
+	task.Crashes = chutequarantine.NewRecord(crashes, p.SurvivedRun, p.Survivals)
 }
--- a/chuterow/row_test.go
+++ b/chuterow/row_test.go
@@ -21,7 +21,9 @@
 	job := chutetask.New(chutetask.Submission{ID: "0123456789abcdef", Spec: spec}, 1, time.Time{}).WithOccurrenceBegun(0)
 	id := chutegraph.TaskID{StepID: chutegraph.StepID{Job: job.ID}, Index: 1}
 	job = job.WithTask(id, chutetask.Task{}.WithRun(3, "w").WithCheckpoint("c").WithFailure().
-		WithIncarnation(1_800_000_000_000).WithQuarantine().WithCrashes(chutequarantine.Record{Crashes: 2, Quarantined: 1, LastRun: 2}))
+		WithIncarnation(1_800_000_000_000).WithQuarantine(true).WithCrashes(chutequarantine.NewRecord([]chutequarantine.Crash{
+		{Run: 2, Worker: "w", Incarnation: 7, Quarantined: true, Confirmed: true, At: time.UnixMilli(1_800_000_000_001)},
+	}, 1, 1)))
 	cases := []chuteaction.RowValue{
 		chuteaction.SubmissionRow{Submission: job.Submission},
 		chuteaction.CancelRow{Job: job.ID},
@@ -52,7 +54,9 @@
 			j.ForEachTask(func(id chutegraph.TaskID, _ chutetask.Task) {
 				task := chutetask.Task{Failures: run}.WithRun(run, chutetask.WorkerID(text)).WithCheckpoint(text)
 				task.Incarnation = int64(run) << 30
-				task.Crashes = chutequarantine.Record{Crashes: run, Quarantined: run, LastRun: run}
+				for i := range 3 {
+					task.Crashes = task.Crashes.WithCrash(chutequarantine.Crash{Run: run + i, Worker: text, Incarnation: int64(run) << 30, At: time.UnixMilli(1 << 45)})
+				}
 				j.Occurrences[id.Occurrence][id.Step][id.Index] = task
 			})
 			body, err := chuterow.Encode(chuteaction.ProgressRow{Job: j.ID, Progress: j.Progress})
--- a/chuterunner/absent.go
+++ b/chuterunner/absent.go
@@ -33,10 +33,11 @@
 			}
 		case chutepool.RunStopping:
 			if !r.StopAnsweredAt.IsZero() && !e.SentAt.Before(r.StopAnsweredAt) {
+				t.recordInheritedCrash(id, r)
 				t.ReleaseRun(id, r.ID, chutetask.RunEnd{Run: r.ID, Kind: chutetask.EndStopped})
 			}
 		case chutepool.RunOrdered:
-			if r.Inherited && r.OrdersSent == 0 && !t.endCrashedRun(w, r) {
+			if r.Inherited && r.OrdersSent == 0 && !t.endCrashedRun(id, r) {
 				t.resumeRun(id, r)
 			}
 		case chutepool.RunPlanned, chutepool.RunRecording:
--- /dev/null
+++ b/chuterunner/crash_test.go
@@ -0,0 +1,63 @@
+package chuterunner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chuterunner"
+	"monsoonchute.example/monsoonchute/chutetask"
+)
+
+// TestRunsOfAFormerIncarnationAreAllReleased guards against runs that come back to life as the next one is released.
+func TestRunsOfAFormerIncarnationAreAllReleased(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(3, false)
+	s.handle(0, func(t *chuterunner.Transition) {
+		j, _ := t.Job(testID)
+		for i := range 3 { // a former scheduler recorded all three for the first incarnation of worker 0
+			j = j.WithTask(taskRun(i, 1).Task, s.task(i).WithRun(1, workerID(0)).WithIncarnation(1))
+			w := s.worker(i).WithoutRun(taskRun(i, 1))
+			t.PutWorker(w)
+		}
+		t.PutJob(j)
+		w, _ := t.Pool.Get(workerID(0))
+		for i := range 3 {
+			w = w.WithRun(chutepool.Run{ID: taskRun(i, 1), Inherited: true, StartUnanswered: true}.WithPhase(chutepool.RunOrdered, s.now))
+		}
+		w.Incarnation, w.Contacted = 2, false
+		t.PutWorker(w)
+	})
+	s.handle(100*time.Millisecond, func(t *chuterunner.Transition) {
+		t.HandleLeaseRenewed(chuteaction.LeaseRenewed{
+			Epoch: epoch, Worker: workerID(0), SentAt: s.now, Outcome: chuteaction.OrderAccepted, Clock: time.Hour, Incarnation: 2,
+		})
+	})
+	for i := range 3 {
+		is.Equal(s.task(i).Phase, chutetask.TaskWaiting)
+	}
+	is.Equal(s.worker(0).RunCount(), 0)
+}
+
+// TestAnAnswerClearsOnlyItsOwnWorkersCrash guards against a gang whose crash is forgotten since another of its workers was only cut off.
+func TestAnAnswerClearsOnlyItsOwnWorkersCrash(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(2, true)
+	for i := range 2 {
+		s.start(i)
+		s.startEnds(i, chuteaction.OrderAccepted, 0)
+	}
+	s.handle(10*time.Second, func(t *chuterunner.Transition) { t.MarkLost(s.worker(0)) }) // cut off
+	s.handle(0, func(t *chuterunner.Transition) { t.MarkLost(s.worker(1)) })              // crashed
+	s.report(0, nil, nil)
+	s.handle(time.Second, func(t *chuterunner.Transition) {
+		t.HandleLeaseRenewed(chuteaction.LeaseRenewed{
+			Epoch: epoch, Worker: workerID(1), SentAt: s.now, Outcome: chuteaction.OrderAccepted, Clock: time.Second, Incarnation: 2,
+		})
+	})
+	j, _ := s.state.Job(testID)
+	is.Equal(j.Crashes(taskRun(0, 1).Task).Runs(), 1)
+}
--- a/chuterunner/state.go
+++ b/chuterunner/state.go
@@ -23,8 +23,9 @@
 	Live        *immutable.SortedMap[chutegraph.JobID, chutetask.Job]
 	Ended       *immutable.SortedMap[chutegraph.JobID, chutetask.Job]
 	Pool        chutepool.Pool
-	Dirty       *immutable.SortedMap[chutegraph.JobID, bool]   // jobs whose progress is to be recorded
-	Unrecorded  *immutable.SortedMap[chutetask.WorkerID, bool] // workers with ended runs that are not known to be recorded
+	Dirty       *immutable.SortedMap[chutegraph.JobID, bool]                  // jobs whose progress is to be recorded
+	Unrecorded  *immutable.SortedMap[chutetask.WorkerID, bool]                // workers with ended runs that are not known to be recorded
+	Suspects    *immutable.SortedMap[chutetask.WorkerID, []chutegraph.TaskID] // tasks under which a silent worker may have crashed
 	Speeds      chutespeed.Speeds
 	Cordoned    map[chutetask.WorkerID]bool // workers whose machines go down soon, which get no new runs; never modified
 	PlanDue     bool                        // something has changed since the latest planning pass
@@ -38,6 +39,7 @@
 		Live:       immutable.NewSortedMap[chutegraph.JobID, chutetask.Job](chutegraph.JobOrder{}),
 		Ended:      immutable.NewSortedMap[chutegraph.JobID, chutetask.Job](chutegraph.JobOrder{}),
 		Dirty:      immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
+		Suspects:   immutable.NewSortedMap[chutetask.WorkerID, []chutegraph.TaskID](chutetask.WorkerOrder{}),
 		Unrecorded: immutable.NewSortedMap[chutetask.WorkerID, bool](chutetask.WorkerOrder{}),
 	}
 }
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -16,7 +16,7 @@
 	t.Log(component, "worker was restarted", "", "worker", w.ID, "runs", w.RunCount(), "incarnation", incarnation,
 		"former", w.Incarnation, "ends-handled", w.HandledEnd, "ends-recorded", w.RecordedEnd, "ends-acknowledged", w.AcknowledgedEnd)
 	previous := w
-	w = w.WithIncarnation(incarnation).WithoutBlamed() // what it was blamed for before has turned out true
+	w = w.WithIncarnation(incarnation)
 	if !previous.Draining {
 		w = w.WithCrash(t.Now)
 	}
@@ -25,7 +25,8 @@
 	for _, r := range previous.Runs() {
 		t.applyRestart(w.ID, r)
 	}
-	t.blameRuns(previous, previous.Runs())
+	t.recordCrashes(previous, previous.Runs(), true)
+	t.resolveSuspects(w.ID, incarnation)
 }
 
 // applyRestart applies a worker's restart to one of its runs. A run that the worker has never reported may have been
@@ -63,11 +64,16 @@
 	}
 	t.Count("worker-lost", "replaced")
 	t.Log(component, "another worker answers at the address of the worker", "", "worker", id, "address", w.Address, "runs", w.RunCount())
-	t.MarkLost(w.WithUnlisted())
+	t.endWorker(w.WithUnlisted(), true)
 }
 
 // MarkLost ends all runs of a worker that can certainly run nothing under its lease any more.
 func (t *Transition) MarkLost(w chutepool.Worker) {
+	t.endWorker(w, false)
+}
+
+// endWorker ends all runs of a worker that can run nothing any more. It has crashed, or may only be unreachable.
+func (t *Transition) endWorker(w chutepool.Worker, crashed bool) {
 	w.Contacted = false
 	w.Lost = true
 	w.LostAt = t.Now
@@ -79,8 +85,7 @@
 		}
 		t.ReleaseRun(w.ID, r.ID, chutetask.RunEnd{Run: r.ID, Kind: chutetask.EndLost})
 	}
-	w, _ = t.Pool.Get(w.ID)
-	t.PutWorker(t.blameRuns(w, runs))
+	t.recordCrashes(w, runs, crashed)
 }
 
 // HandleLeaseRenewed handles the outcome of a lease renewal.
@@ -179,8 +184,10 @@
 	if w.LeaseExpiryBound.IsZero() { // orders of an earlier scheduler, or from before it was forgotten, may have set a lease
 		w.LeaseExpiryBound = t.Now.Add(t.LongestLease())
 	}
-	w = t.clearBlame(w)
 	t.PutWorker(w)
+	if !e.SentAt.Before(w.LostAt) {
+		t.resolveSuspects(w.ID, w.Incarnation)
+	}
 	t.applyEnds(w.ID, e.Ended)
 	if stale {
 		return
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -150,9 +150,22 @@
 	if cancelled && row.Phase != j.Phase {
 		t.PutJob(j)
 	}
+	t.inheritSuspects(j)
 	return t.inheritRuns(j)
 }
 
+// inheritSuspects notes the silent workers that may have crashed under the tasks of a job, as an earlier scheduler
+// recorded.
+func (t *transition) inheritSuspects(j chutetask.Job) {
+	j.ForEachTask(func(id chutegraph.TaskID, task chutetask.Task) {
+		for _, crash := range task.Crashes.Crashes() {
+			if !crash.Confirmed {
+				t.AddSuspect(id, crash.Worker)
+			}
+		}
+	})
+}
+
 // inheritRuns reserves capacity for a job's recorded runs, running or with start orders in flight, and counts them.
 func (t *transition) inheritRuns(j chutetask.Job) int {
 	count := 0
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -20,8 +20,6 @@
 	ticksPerCheck = 3
 	// maxRenewalAge is the age of the latest renewal that makes the next due despite unrecorded effects of ended runs.
 	maxRenewalAge = 1500 * time.Millisecond
-	// maxCutDuration is how long a lost worker may come back as one that did not crash.
-	maxCutDuration = 30 * time.Second
 	// stopRetryInterval is the delay before a failed stop order, or one without an answer, is repeated.
 	stopRetryInterval = 300 * time.Millisecond
 	// maxBatchBytes is the largest sum of the sizes of the rows in one write. They grow by a third as text in a request.
@@ -35,6 +33,7 @@
 		return u.state()
 	}
 	u.startDueOccurrences()
+	u.ConfirmCrashes()
 	u.ticks++
 	for i, w := range u.Pool.All() {
 		if (i+u.ticks)%ticksPerCheck == 0 {
@@ -96,6 +95,8 @@
 	}
 	t.StopBeforeLeave(w)
 	w, _ = t.Pool.Get(w.ID)
+	t.EndProbations(w)
+	w, _ = t.Pool.Get(w.ID)
 	t.repeatOrders(w)
 	w, _ = t.Pool.Get(w.ID)
 	t.renewIfDue(w)
@@ -117,9 +118,6 @@
 
 // forgettable reports whether nothing is left to do for a worker that is no longer listed.
 func (t *transition) forgettable(w chutepool.Worker) bool {
-	if len(w.Blamed()) > 0 && t.Now.Sub(w.LostAt) < maxCutDuration {
-		return false
-	}
 	acknowledged := w.AcknowledgedEnd >= w.RecordedEnd || w.MissedRenewals > 0
 	return !w.Listed && !w.Renewing && w.RunCount() == 0 && acknowledged && w.HandledEnd == w.RecordedEnd
 }
--- a/chutetask/size.go
+++ b/chutetask/size.go
@@ -9,6 +9,7 @@
 	stepBytes       = 9
 	taskBytes       = 24
 	placementBytes  = 40
+	crashBytes      = 40
 )
 
 // SizeBound returns an upper bound of the number of bytes of the encoded progress.
@@ -19,9 +20,12 @@
 		for _, tasks := range steps {
 			for _, t := range tasks {
 				size += taskBytes + len(t.Worker) + len(t.Checkpoint)
-				if t.Incarnation != 0 || t.Crashes.LastRun != 0 {
+				if t.Incarnation != 0 || !t.Crashes.Empty() {
 					size += placementBytes
 				}
+				for _, c := range t.Crashes.Crashes() {
+					size += crashBytes + len(c.Worker)
+				}
 			}
 		}
 	}
--- a/chutetask/task.go
+++ b/chutetask/task.go
@@ -56,9 +56,9 @@
 	return t
 }
 
-// WithQuarantine returns the task with its latest run in quarantine.
-func (t Task) WithQuarantine() Task {
-	t.Quarantined = true
+// WithQuarantine returns the task with its latest run in quarantine, or not.
+func (t Task) WithQuarantine(quarantined bool) Task {
+	t.Quarantined = quarantined
 	return t
 }
 
