Count a failed run as an attempt though it was taken as lost

Callers saw: a task could start again after `attempts` of its runs had ended as failed, where one of these ends was listed only after its run had been taken as lost (a cut longer than the lease, a run absent from one list).

Cause: applyUnexpectedEnd used such an end only if it was `done`, and dropped a `failed` one, which was acknowledged all the same.

Change: it counts as an attempt of its task, and fails the job at the limit as any other. An end is listed again until it is acknowledged, also to the next leader and after its worker was forgotten, so a run must count once. The numbers of the failed runs are therefore recorded with the task. The highest one would not do: the end of run 1 may be listed after run 2 has failed and been counted. The list is bounded by the number of attempts; long-running tasks, which have no limit, record none. Where an older host has counted failures without numbers, a late end counts for nothing, as before.

The numbers have a field of their own in the row (8), which older hosts skip; the arrays of encodedTask and encodedPlacement keep their lengths. The size tests now have failed runs in every task; their limits are the same.

--- a/chuterow/placement.go
+++ b/chuterow/placement.go
@@ -46,14 +46,22 @@
 
 // apply adds the placement to the task of the progress, if that has such a task.
 func (p encodedPlacement) apply(progress chutetask.Progress) {
-	if p.Occurrence < 0 || p.Occurrence >= len(progress.Occurrences) {
+	task, ok := findTask(progress, p.Occurrence, p.Step, p.Index)
+	if !ok {
 		return
 	}
-	steps := progress.Occurrences[p.Occurrence]
-	if p.Step < 0 || p.Step >= len(steps) || p.Index < 0 || p.Index >= len(steps[p.Step]) {
-		return
-	}
-	task := &steps[p.Step][p.Index]
 	task.Incarnation, task.Quarantined = p.Incarnation, p.Quarantined
 	task.Crashes = chutequarantine.Record{Crashes: p.Crashes, Quarantined: p.QuarantinedCrashes, LastRun: p.LastCrashedRun}
 }
+
+// findTask returns the task of the progress in place, and false if it does not exist.
+func findTask(progress chutetask.Progress, occurrence, step, index int) (*chutetask.Task, bool) {
+	if occurrence < 0 || occurrence >= len(progress.Occurrences) {
+		return nil, false
+	}
+	steps := progress.Occurrences[occurrence]
+	if step < 0 || step >= len(steps) || index < 0 || index >= len(steps[step]) {
+		return nil, false
+	}
+	return &steps[step][index], true
+}
--- a/chuterow/row.go
+++ b/chuterow/row.go
@@ -9,12 +9,13 @@
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
-// encodedRow is the CBOR form of a row: exactly one field is set, and Placements only beside Progress.
+// encodedRow is the CBOR form of a row: exactly one field is set, and Placements and Failures only beside Progress.
 type encodedRow struct {
 	Submission *chutetask.Submission `cbor:"1,keyasint,omitempty"`
 	Cancel     *chutegraph.JobID     `cbor:"2,keyasint,omitempty"`
 	Progress   *encodedProgress      `cbor:"3,keyasint,omitempty"`
 	Placements []encodedPlacement    `cbor:"7,keyasint,omitempty"`
+	Failures   []encodedFailures     `cbor:"8,keyasint,omitempty"`
 	Leader     *encodedLeader        `cbor:"4,keyasint,omitempty"`
 	Host       *chuteaction.HostRow  `cbor:"6,keyasint,omitempty"`
 }
@@ -57,6 +58,7 @@
 	case chuteaction.ProgressRow:
 		e.Progress = encodeProgress(v)
 		e.Placements = encodePlacements(v)
+		e.Failures = encodeFailures(v)
 	case chuteaction.LeaderRow:
 		e.Leader = &encodedLeader{
 			Epoch: v.Epoch, Host: v.Host, Process: v.Process, Sequence: v.Sequence, Released: v.Released, Pending: v.Pending,
@@ -86,6 +88,9 @@
 		for _, p := range e.Placements {
 			p.apply(row.Progress)
 		}
+		for _, f := range e.Failures {
+			f.apply(row.Progress)
+		}
 		return row, nil
 	case e.Leader != nil:
 		l := e.Leader
--- a/chuterow/row_test.go
+++ b/chuterow/row_test.go
@@ -20,7 +20,7 @@
 	}}
 	job := chutetask.New(chutetask.Submission{ID: "0123456789abcdef", Spec: spec}, 1, time.Time{}).WithOccurrenceBegun(0)
 	id := chutegraph.TaskID{StepID: chutegraph.StepID{Job: job.ID}, Index: 1}
-	job = job.WithTask(id, chutetask.Task{}.WithRun(3, "w").WithCheckpoint("c").WithFailure().
+	job = job.WithTask(id, chutetask.Task{}.WithRun(3, "w").WithCheckpoint("c").WithFailure(1).WithFailure(2).
 		WithIncarnation(1_800_000_000_000).WithQuarantine().WithCrashes(chutequarantine.Record{Crashes: 2, Quarantined: 1, LastRun: 2}))
 	cases := []chuteaction.RowValue{
 		chuteaction.SubmissionRow{Submission: job.Submission},
@@ -50,7 +50,7 @@
 				j = j.WithOccurrenceBegun(k)
 			}
 			j.ForEachTask(func(id chutegraph.TaskID, _ chutetask.Task) {
-				task := chutetask.Task{Failures: run}.WithRun(run, chutetask.WorkerID(text)).WithCheckpoint(text)
+				task := chutetask.Task{Failures: run, FailedRuns: []int{run, run}}.WithRun(run, chutetask.WorkerID(text)).WithCheckpoint(text)
 				task.Incarnation = int64(run) << 30
 				task.Crashes = chutequarantine.Record{Crashes: run, Quarantined: run, LastRun: run}
 				j.Occurrences[id.Occurrence][id.Step][id.Index] = task
--- a/chuterow/size_test.go
+++ b/chuterow/size_test.go
@@ -69,7 +69,7 @@
 	}
 	j.ForEachTask(func(id chutegraph.TaskID, _ chutetask.Task) {
 		task := chutetask.Task{}.WithRun(3, "i-0db3486068")
-		task.Incarnation = 1_800_000_000_000
+		task = task.WithIncarnation(1_800_000_000_000).WithFailure(1).WithFailure(2)
 		if spec.Steps[id.Step].Checkpointing {
 			task = task.WithCheckpoint("00000bb87a21d94b")
 		}
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -289,13 +289,38 @@
 	t.retryOrFail(j, end.Run.Task, task, end)
 }
 
-// applyUnexpectedEnd applies the end of a run that was taken as lost. A done one completes its task all the same, since
-// the work must not run twice; the runs that have replaced it are stopped.
+// applyUnexpectedEnd applies the end of a run that was taken as lost.
 func (t *Transition) applyUnexpectedEnd(j chutetask.Job, worker chutetask.WorkerID, task chutetask.Task, end chutetask.RunEnd) {
-	step := j.Step(end.Run.Task.StepID)
-	if end.Kind != chutetask.EndDone || task.Phase == chutetask.TaskDone || j.Phase.Ended() || step.LongRunning {
+	if task.Phase == chutetask.TaskDone || j.Phase.Ended() || j.Step(end.Run.Task.StepID).LongRunning {
+		return
+	}
+	switch end.Kind {
+	case chutetask.EndDone:
+		t.applyUnexpectedSuccess(j, worker, task, end)
+	case chutetask.EndFailed:
+		t.applyUnexpectedFailure(j, worker, task, end)
+	case chutetask.EndStopped, chutetask.EndLeaseExpired, chutetask.EndGangBroken, chutetask.EndGangIncomplete, chutetask.EndLost:
+	}
+}
+
+// applyUnexpectedFailure counts the failure of a run that was taken as lost, unless the failure was listed before.
+func (t *Transition) applyUnexpectedFailure(j chutetask.Job, worker chutetask.WorkerID, task chutetask.Task, end chutetask.RunEnd) {
+	if task.FailureCounted(end.Run.Number) {
 		return
 	}
+	t.Count("end-unexpected", "failed")
+	t.Log(component, "run that was taken as lost ended as failed", j.ID, "run", end.Run, "worker", worker, "end", end.Number,
+		"task-run", task.Run, "task-worker", task.Worker)
+	j = j.WithTask(end.Run.Task, task.WithFailure(end.Run.Number))
+	if !t.failAtLimit(j, end.Run.Task) {
+		t.PutJob(j)
+	}
+}
+
+// applyUnexpectedSuccess completes the task of a run that was taken as lost, since the work must not run twice, and stops
+// the runs that have replaced it.
+func (t *Transition) applyUnexpectedSuccess(j chutetask.Job, worker chutetask.WorkerID, task chutetask.Task, end chutetask.RunEnd) {
+	step := j.Step(end.Run.Task.StepID)
 	t.Count("end-unexpected", "done")
 	t.Warn(component, "run that was taken as lost ended as done", j.ID, "run", end.Run, "worker", worker,
 		"end", end.Number, "task-active", task.Phase == chutetask.TaskActive, "task-run", task.Run, "task-worker", task.Worker)
--- a/chuterunner/task.go
+++ b/chuterunner/task.go
@@ -41,19 +41,15 @@
 func (t *Transition) retryOrFail(j chutetask.Job, id chutegraph.TaskID, task chutetask.Task, end chutetask.RunEnd) {
 	step := j.Step(id.StepID)
 	task = task.WithPhase(chutetask.TaskWaiting).WithCheckpoint(end.Checkpoint)
-	if end.Kind == chutetask.EndFailed {
-		task = task.WithFailure()
+	failed := end.Kind == chutetask.EndFailed && !step.LongRunning
+	if failed {
+		task = task.WithFailure(end.Run.Number)
 	}
 	j = j.WithTask(id, task)
 	if step.Gang {
 		j = j.WithStepCheckpoint(id.StepID, end.Checkpoint)
 	}
-	maxFailures := t.maxFailures(j)
-	if end.Kind == chutetask.EndFailed && !step.LongRunning && j.Failures(id) >= maxFailures {
-		j = j.WithPhase(chutetask.PhaseFailed)
-		t.Log(component, "job failed", j.ID, "queue", j.Queue, "task", id, "attempts", maxFailures, "took", t.Now.Sub(j.SeenAt))
-		t.PutJob(j)
-		t.StopJob(j, "job-failed")
+	if failed && t.failAtLimit(j, id) {
 		return
 	}
 	t.PutJob(j)
@@ -62,6 +58,19 @@
 	}
 }
 
+// failAtLimit fails the job if too many runs of the task have failed, and reports whether it has.
+func (t *Transition) failAtLimit(j chutetask.Job, id chutegraph.TaskID) bool {
+	maxFailures := t.maxFailures(j)
+	if j.Failures(id) < maxFailures {
+		return false
+	}
+	j = j.WithPhase(chutetask.PhaseFailed)
+	t.Log(component, "job failed", j.ID, "queue", j.Queue, "task", id, "attempts", maxFailures, "took", t.Now.Sub(j.SeenAt))
+	t.PutJob(j)
+	t.StopJob(j, "job-failed")
+	return true
+}
+
 // maxFailures returns the number of failed runs of a task at which its job fails, as the job's queue in the catalog
 // or else the job itself sets it.
 func (t *Transition) maxFailures(j chutetask.Job) int {
--- a/chutetask/size.go
+++ b/chutetask/size.go
@@ -9,6 +9,8 @@
 	stepBytes       = 9
 	taskBytes       = 24
 	placementBytes  = 40
+	failuresBytes   = 16
+	failedRunBytes  = 5
 )
 
 // SizeBound returns an upper bound of the number of bytes of the encoded progress.
@@ -22,6 +24,9 @@
 				if t.Incarnation != 0 || t.Crashes.LastRun != 0 {
 					size += placementBytes
 				}
+				if len(t.FailedRuns) > 0 {
+					size += failuresBytes + len(t.FailedRuns)*failedRunBytes
+				}
 			}
 		}
 	}
--- a/chutetask/task.go
+++ b/chutetask/task.go
@@ -1,6 +1,7 @@
 package chutetask
 
 import (
+	"slices"
 	"strings"
 
 	"monsoonchute.example/monsoonchute/chutegraph"
@@ -31,10 +32,11 @@
 // Task is the immutable state of one task.
 type Task struct {
 	Phase      TaskPhase `json:"phase"`
-	Run        int       `json:"run"`        // number of its latest run, 0 before the first
-	Worker     WorkerID  `json:"worker"`     // worker of its latest run
-	Checkpoint string    `json:"checkpoint"` // from which the next run resumes; empty to start from the beginning
-	Failures   int       `json:"failures"`   // number of failed runs
+	Run        int       `json:"run"`         // number of its latest run, 0 before the first
+	Worker     WorkerID  `json:"worker"`      // worker of its latest run
+	Checkpoint string    `json:"checkpoint"`  // from which the next run resumes; empty to start from the beginning
+	Failures   int       `json:"failures"`    // number of failed runs
+	FailedRuns []int     `json:"failed-runs"` // their numbers; never modified
 
 	Incarnation int64                  `json:"incarnation"` // of the worker when the latest run was placed there; 0 if unknown
 	Quarantined bool                   `json:"quarantined"` // the latest run has its worker to itself
@@ -82,12 +84,22 @@
 	return t
 }
 
-// WithFailure returns the task after one more failed run.
-func (t Task) WithFailure() Task {
+// WithFailure returns the task after the run with the number has failed. A run counts once.
+func (t Task) WithFailure(run int) Task {
+	if slices.Contains(t.FailedRuns, run) {
+		return t
+	}
 	t.Failures++
+	t.FailedRuns = append(slices.Clone(t.FailedRuns), run)
 	return t
 }
 
+// FailureCounted reports whether the failure of the run with the number is counted, or may be: older hosts count failed
+// runs without their numbers.
+func (t Task) FailureCounted(run int) bool {
+	return slices.Contains(t.FailedRuns, run) || t.Failures > len(t.FailedRuns)
+}
+
 // EndKind is the way in which a run ended.
 type EndKind int
 
