Stop an abandoned run in the next incarnation too

Callers could see a task run twice: a stop order that the former incarnation of a worker had answered released the run, although a start order of it without an answer could still be carried out by the next incarnation, which had been told nothing and refuses nothing.

Cause: applyRestart left a run that was being stopped as it was, with StopAnsweredAt set, so that the first list of the new incarnation released it. An answer of the former incarnation that arrived after the restart was learned had the same effect.

Change: at a restart the run's stop order is sent again and only its answer counts. A phase of a run begins without an answer to a stop order. RunStopped carries when its order was sent, as LeaseRenewed does; the outcome of an order from before the latest begin of the stop is ignored, since another order is in flight or due then.

The test TestARestartedWorkerIsToldToRefuseALateStartOrder and the simulation now say when the stop orders that they answer were sent; what they check is unchanged.

Measured: both cases of TestAStopThatAFormerIncarnationAnsweredReleasesNoRunOfTheNext fail without the change (the stop is not sent again). With it chuterunner, chutescheduler, chuteentry, chuterow, chutedaemon, platform/fleet and platform/host pass.

--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -155,6 +155,7 @@
 	Epoch   int64
 	Worker  chutetask.WorkerID
 	Address string // to which the order was sent
+	SentAt  time.Time
 	Run     chutegraph.RunID
 	Outcome OrderOutcome
 	Reason  RefusalReason
--- a/chutedaemon/unsent.go
+++ b/chutedaemon/unsent.go
@@ -12,7 +12,7 @@
 	case chuteaction.StartRun:
 		return chuteaction.RunStarted{Epoch: o.Epoch, Worker: o.Worker, Run: o.Run, Outcome: chuteaction.OrderNotSent}
 	case chuteaction.StopRun:
-		return chuteaction.RunStopped{Epoch: o.Epoch, Worker: o.Worker, Run: o.Run, Outcome: chuteaction.OrderNotSent}
+		return chuteaction.RunStopped{Epoch: o.Epoch, Worker: o.Worker, SentAt: time.Now(), Run: o.Run, Outcome: chuteaction.OrderNotSent}
 	case chuteaction.RenewLease:
 		return chuteaction.LeaseRenewed{Epoch: o.Epoch, Worker: o.Worker, SentAt: time.Now(), Outcome: chuteaction.OrderNotSent}
 	case chuteaction.RequestApproval:
--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -432,8 +432,8 @@
 	})
 }
 
-func (k *fakeWorker) handleStop(o chuteaction.StopRun) chuteaction.Event {
-	stopped := chuteaction.RunStopped{Epoch: o.Epoch, Worker: o.Worker, Run: o.Run, Outcome: chuteaction.OrderAccepted}
+func (k *fakeWorker) handleStop(o chuteaction.StopRun, sent time.Time) chuteaction.Event {
+	stopped := chuteaction.RunStopped{Epoch: o.Epoch, Worker: o.Worker, SentAt: sent, Run: o.Run, Outcome: chuteaction.OrderAccepted}
 	if k.rejectsEpoch(o.Epoch) {
 		stopped.Outcome, stopped.Reason = chuteaction.OrderRefused, chuteaction.RefusedFenced
 		return stopped
--- a/chuteentry/simulation_test.go
+++ b/chuteentry/simulation_test.go
@@ -276,8 +276,9 @@
 	case chuteaction.StartRun:
 		h.queueStart(f)
 	case chuteaction.StopRun:
-		sm.sendOrder(h, f.WorkerTarget, func(k *fakeWorker) chuteaction.Event { return k.handleStop(f) },
-			chuteaction.RunStopped{Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderUnknown})
+		sent := sm.now
+		sm.sendOrder(h, f.WorkerTarget, func(k *fakeWorker) chuteaction.Event { return k.handleStop(f, sent) },
+			chuteaction.RunStopped{Epoch: f.Epoch, Worker: f.Worker, SentAt: sent, Run: f.Run, Outcome: chuteaction.OrderUnknown})
 	case chuteaction.RenewLease:
 		sm.sendRenewal(h, f)
 	case chuteaction.ForwardRows:
--- a/chutepool/run.go
+++ b/chutepool/run.go
@@ -52,6 +52,7 @@
 	r.Phase = phase
 	r.PhaseSince = now
 	r.OrdersSent = 0
+	r.StopAnsweredAt = time.Time{}
 	if phase == RunStarted && r.StartedAt.IsZero() {
 		r.StartedAt, r.CheckpointedAt, r.ProgressedAt, r.ProgressReadAt = now, now, now, now
 	}
--- a/chuterunner/lostend_test.go
+++ b/chuterunner/lostend_test.go
@@ -254,7 +254,7 @@
 			s.reportOfIncarnation(0, 2, nil, nil)
 			is.Equal(s.task(0).Phase, chutetask.TaskActive) // until the new incarnation has answered the stop order
 			s.handle(0, func(t *chuterunner.Transition) {
-				t.HandleRunStopped(chuteaction.RunStopped{Epoch: epoch, Worker: workerID(0), Run: taskRun(0, 1), Outcome: chuteaction.OrderAccepted})
+				t.HandleRunStopped(chuteaction.RunStopped{Epoch: epoch, Worker: workerID(0), SentAt: s.now, Run: taskRun(0, 1), Outcome: chuteaction.OrderAccepted})
 			})
 			s.reportOfIncarnation(0, 2, nil, nil)
 			is.Equal(s.task(0).Phase, chutetask.TaskWaiting)
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -214,6 +214,9 @@
 	if e.Epoch != t.Epoch || !ok || r.Phase != chutepool.RunStopping {
 		return
 	}
+	if e.SentAt.Before(r.PhaseSince) {
+		return // the order was to a former incarnation of the worker, and another is in flight or due
+	}
 	r = r.WithAnswerPending(false)
 	switch e.Outcome {
 	case chuteaction.OrderAccepted:
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -30,7 +30,8 @@
 
 // applyRestart applies a worker's restart to one of its runs. A run that the worker has never reported may have been
 // started in the new incarnation, although the answer to its order arrived before the report of the restart. A start
-// order without an answer may still reach the new incarnation, which refuses it only once it was told to stop the run.
+// order without an answer may still reach the new incarnation, which refuses it only once it was told to stop the run,
+// whatever the former one was told.
 func (t *Transition) applyRestart(id chutetask.WorkerID, r chutepool.Run) {
 	switch r.Phase {
 	case chutepool.RunStarted:
@@ -48,7 +49,10 @@
 	case chutepool.RunStopping:
 		if r.Incarnation != 0 && !r.StartUnanswered {
 			t.ReleaseRun(id, r.ID, chutetask.RunEnd{Run: r.ID, Kind: chutetask.EndLost})
+			return
 		}
+		w, _ := t.Pool.Get(id)
+		t.OrderStop(w, r.WithPhase(chutepool.RunStopping, t.Now))
 	case chutepool.RunOrdered, chutepool.RunPlanned, chutepool.RunRecording:
 		t.StopRun(id, r.ID, "worker-restarted")
 	}
