Repeat an unanswered start only where runs may start

Cause: startUnanswered asked only whether the worker was overcommitted.

Change: it asks MayOrderStart, as the first order does. Otherwise the start is abandoned: the run is stopped, and its capacity stays taken until its end is certain.

TestAStartIsNotRepeatedOnAWorkerThatHasShrunk is now a case of TestAnUnansweredStartIsRepeatedOnlyWhereRunsMayStart with the same checks; the first case shows that the others fail for their cause. The tests' scheduler begins with a list of workers that has just been read, since nothing is repeated by an old one.

Measured: five of its seven cases fail without the change (drains, not listed, evacuated, cordoned, old list). With it chuterunner, chutescheduler, chuteentry, chuterow, chutedaemon, platform/fleet and platform/host pass.

--- a/chuterunner/order_test.go
+++ b/chuterunner/order_test.go
@@ -27,6 +27,8 @@
 	state  chuterunner.State
 	now    time.Time
 	orders []chuteaction.Effect
+
+	environment chuterunner.Environment
 }
 
 // newScheduler returns a scheduler with a job of one step of count tasks, each with a recorded run on a worker of its
@@ -49,6 +51,7 @@
 		s.state.Pool = s.state.Pool.With(w.WithRun(chutepool.Run{ID: run, Reserved: request}.WithPhase(chutepool.RunOrdered, startTime)))
 	}
 	s.state.Live = s.state.Live.Set(testID, j)
+	s.state.ListedAt = startTime
 	return s
 }
 
@@ -63,7 +66,8 @@
 // handle lets the scheduler handle one event after the given time, and returns the orders that it sends.
 func (s *scheduler) handle(after time.Duration, act func(*chuterunner.Transition)) []chuteaction.Effect {
 	s.now = s.now.Add(after)
-	t := chuterunner.NewTransition(chuteaction.NewTransition(s.now, 0), s.state, chuterunner.Environment{ConfirmedAt: s.now})
+	s.environment.ConfirmedAt = s.now
+	t := chuterunner.NewTransition(chuteaction.NewTransition(s.now, 0), s.state, s.environment)
 	act(t)
 	s.state = t.State
 	var orders []chuteaction.Effect
--- a/chuterunner/room_test.go
+++ b/chuterunner/room_test.go
@@ -20,16 +20,43 @@
 	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(listing, 7, s.now) })
 }
 
-func TestAStartIsNotRepeatedOnAWorkerThatHasShrunk(t *testing.T) {
-	is := is.New(t)
-	s := newScheduler(1, false)
-	s.start(0)
-	s.shrink(0)
-	before := len(s.orders)
-	s.startEnds(0, chuteaction.OrderUnknown, 0)
-	is.Equal(len(s.orders), before+1)
-	_, stopped := s.orders[before].(chuteaction.StopRun) // the start may still be carried out
-	is.True(stopped)
+// drain lists the worker as one that drains.
+func (s *scheduler) drain(index int) {
+	listing := s.worker(index).Listing
+	listing.Draining = true
+	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(listing, 7, s.now) })
+}
+
+// TestAnUnansweredStartIsRepeatedOnlyWhereRunsMayStart guards against a start on a worker that may get none since the first order.
+func TestAnUnansweredStartIsRepeatedOnlyWhereRunsMayStart(t *testing.T) {
+	cases := []struct {
+		name     string
+		change   func(*scheduler)
+		repeated bool
+	}{
+		{"nothing has changed", func(*scheduler) {}, true},
+		{"worker has shrunk", func(s *scheduler) { s.shrink(0) }, false},
+		{"worker drains", func(s *scheduler) { s.drain(0) }, false},
+		{"worker is no longer listed", func(s *scheduler) {
+			s.handle(0, func(t *chuterunner.Transition) { t.MarkUnlisted(workerID(0), chuterunner.RemovalDeleted) })
+		}, false},
+		{"zone is evacuated", func(s *scheduler) { s.environment.EvacuatedZones = map[string]bool{s.worker(0).Zone: true} }, false},
+		{"worker is cordoned", func(s *scheduler) { s.state.Cordoned = map[chutetask.WorkerID]bool{workerID(0): true} }, false},
+		{"list of workers is old", func(s *scheduler) { s.state.ListedAt = s.now.Add(-time.Hour) }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScheduler(1, false)
+			s.start(0)
+			c.change(s)
+			before := len(s.orders)
+			s.startEnds(0, chuteaction.OrderUnknown, 0)
+			is.Equal(len(s.orders), before+1)
+			_, stopped := s.orders[before].(chuteaction.StopRun) // the start may still be carried out
+			is.Equal(stopped, !c.repeated)
+		})
+	}
 }
 
 func TestNothingStartsByAnOldListOfWorkers(t *testing.T) {
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -127,14 +127,14 @@
 	}
 }
 
-// startUnanswered repeats a start order, or stops the run after the last one. It also requests a report of the worker,
-// which may have started the run.
+// startUnanswered repeats a start order, or stops the run after the last one or where nothing may start any more. It also
+// requests a report of the worker, which may have started the run.
 func (t *Transition) startUnanswered(w chutepool.Worker, r chutepool.Run) {
 	t.Count("start-unanswered", "no-answer")
 	r = r.WithStartUnanswered()
 	w.ReportDue = true
 	t.PutWorker(w.WithRun(r))
-	if r.OrdersSent < maxStartOrders && !w.Overcommitted() {
+	if r.OrdersSent < maxStartOrders && t.MayOrderStart(w) {
 		t.OrderStart(w, r)
 		return
 	}
