--- a/chuterow/placement.go
+++ b/chuterow/placement.go
@@ -68,11 +68,8 @@
 
 // apply adds the placement to the task of the progress, if that has such a task.
 func (p encodedPlacement) apply(progress chutetask.Progress) {
-	if p.Occurrence < 0 || p.Occurrence >= len(progress.Occurrences) {
-		return
-	}
-	steps := progress.Occurrences[p.Occurrence]
-	if p.Step < 0 || p.Step >= len(steps) || p.Index < 0 || p.Index >= len(steps[p.Step]) {
+	task, ok := findTask(progress, p.Occurrence, p.Step, p.Index)
+	if !ok {
 		return
 	}
 	var crashes []chutequarantine.Crash
@@ -81,7 +78,18 @@
 			Run: c.Run, Worker: c.Worker, Incarnation: c.Incarnation, Quarantined: c.Quarantined, Confirmed: c.Confirmed, At: time.UnixMilli(c.AtMilli),
 		})
 	}
-	task := &steps[p.Step][p.Index]
 	task.Incarnation, task.Quarantined = p.Incarnation, p.Quarantined
 	task.Crashes = chutequarantine.NewRecord(crashes, p.SurvivedRun, p.Survivals)
 }
+
+// findTask returns the task of the progress in place, and false if it does not exist.
+func findTask(progress chutetask.Progress, occurrence, step, index int) (*chutetask.Task, bool) {
+	if occurrence < 0 || occurrence >= len(progress.Occurrences) {
+		return nil, false
+	}
+	steps := progress.Occurrences[occurrence]
+	if step < 0 || step >= len(steps) || index < 0 || index >= len(steps[step]) {
+		return nil, false
+	}
+	return &steps[step][index], true
+}
--- a/chuterow/row_test.go
+++ b/chuterow/row_test.go
@@ -20,7 +20,7 @@
 	}}
 	job := chutetask.New(chutetask.Submission{ID: "0123456789abcdef", Spec: spec}, 1, time.Time{}).WithOccurrenceBegun(0)
 	id := chutegraph.TaskID{StepID: chutegraph.StepID{Job: job.ID}, Index: 1}
-	job = job.WithTask(id, chutetask.Task{}.WithRun(3, "w").WithCheckpoint("c").WithFailure().
+	job = job.WithTask(id, chutetask.Task{}.WithRun(3, "w").WithCheckpoint("c").WithFailure(1).WithFailure(2).
 		WithIncarnation(1_800_000_000_000).WithQuarantine(true).WithCrashes(chutequarantine.NewRecord([]chutequarantine.Crash{
 		{Run: 2, Worker: "w", Incarnation: 7, Quarantined: true, Confirmed: true, At: time.UnixMilli(1_800_000_000_001)},
 	}, 1, 1)))
@@ -52,7 +52,7 @@
 				j = j.WithOccurrenceBegun(k)
 			}
 			j.ForEachTask(func(id chutegraph.TaskID, _ chutetask.Task) {
-				task := chutetask.Task{Failures: run}.WithRun(run, chutetask.WorkerID(text)).WithCheckpoint(text)
+				task := chutetask.Task{Failures: run, FailedRuns: []int{run, run}}.WithRun(run, chutetask.WorkerID(text)).WithCheckpoint(text)
 				task.Incarnation = int64(run) << 30
 				for i := range 3 {
 					task.Crashes = task.Crashes.WithCrash(chutequarantine.Crash{Run: run + i, Worker: text, Incarnation: int64(run) << 30, At: time.UnixMilli(1 << 45)})
--- a/chutetask/size.go
+++ b/chutetask/size.go
@@ -10,6 +10,8 @@
 	taskBytes       = 24
 	placementBytes  = 40
 	crashBytes      = 40
+	failuresBytes   = 16
+	failedRunBytes  = 5
 )
 
 // SizeBound returns an upper bound of the number of bytes of the encoded progress.
@@ -19,19 +21,28 @@
 		size += occurrenceBytes + len(steps)*stepBytes
 		for _, tasks := range steps {
 			for _, t := range tasks {
-				size += taskBytes + len(t.Worker) + len(t.Checkpoint)
-				if t.Incarnation != 0 || !t.Crashes.Empty() {
-					size += placementBytes
-				}
-				for _, c := range t.Crashes.Crashes() {
-					size += crashBytes + len(c.Worker)
-				}
+				size += t.sizeBound()
 			}
 		}
 	}
 	return size
 }
 
+// sizeBound returns an upper bound of the number of bytes of the encoded task.
+func (t Task) sizeBound() int {
+	size := taskBytes + len(t.Worker) + len(t.Checkpoint)
+	if t.Incarnation != 0 || !t.Crashes.Empty() {
+		size += placementBytes
+	}
+	for _, c := range t.Crashes.Crashes() {
+		size += crashBytes + len(c.Worker)
+	}
+	if len(t.FailedRuns) > 0 {
+		size += failuresBytes + len(t.FailedRuns)*failedRunBytes
+	}
+	return size
+}
+
 // WithoutFinishedDetails returns the progress without workers and checkpoints of the tasks of finished occurrences.
 func (p Progress) WithoutFinishedDetails() Progress {
 	if !slices.Contains(p.Finished, true) {
