--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -29,7 +29,7 @@
 	// startRingSize is the capacity of the ring of start orders.
 	startRingSize = 8192
 	// startDuties is the number of duties that send start orders, one order at a time each.
-	startDuties = 512
+	startDuties = 192
 	// orderRingSize is the capacity of the ring of orders that limit the speed of runs or go to other services.
 	orderRingSize = 1024
 	// forwardRingSize is the capacity of the ring of notices to the leader.
