--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -9,6 +9,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chuteduty"
 	"monsoonchute.example/monsoonchute/chuteentry"
+	"monsoonchute.example/monsoonchute/chutelog"
 	"monsoonchute.example/monsoonchute/chutemetric"
 	"monsoonchute.example/monsoonchute/chutering"
 )
@@ -56,7 +57,7 @@
 	peers        Peers
 	metrics      *chutemetric.Metrics
 	log          *slog.Logger
-	logs         *logWriter
+	logs         *chutelog.Writer
 	group        *chuteduty.Group
 	failures     []chuteaction.Event // failure events of effects whose ring was full; the core handles them before the next event
 	leading      bool                // whether this host was the leader after the latest event
@@ -76,9 +77,9 @@
 		workers:  dependencies.Workers, machines: dependencies.Machines, peers: dependencies.Peers, metrics: metrics, log: log, group: group, stopped: make(chan struct{}),
 	}
 	d.watchers = newWatchers(group, dependencies.Store, d.events, log)
-	d.logs = newLogWriter(log, metrics)
-	group.Go("log-info", d.logs.runInfo)
-	group.Go("log-warn", d.logs.runWarn)
+	d.logs = chutelog.New(log, metrics)
+	group.Go("log-info", d.logs.RunInfo)
+	group.Go("log-warn", d.logs.RunWarn)
 	for range storeDuties {
 		group.Go("store", func(ctx context.Context) { d.runStore(ctx, dependencies.Store) })
 	}
--- a/chutedaemon/dispatch.go
+++ b/chutedaemon/dispatch.go
@@ -97,7 +97,7 @@
 	case chuteaction.Observe:
 		d.metrics.ObserveKind(f.Histogram, f.Kind, f.Duration)
 	case chuteaction.LogLine:
-		d.logs.offer(f)
+		d.logs.Offer(f)
 	case chuteaction.Stopped:
 		close(d.stopped)
 	}
--- a/chutedaemon/log.go
+++ b/chutelog/writer.go
@@ -1,4 +1,4 @@
-package chutedaemon
+package chutelog
 
 import (
 	"context"
@@ -19,9 +19,9 @@
 	maxWarnLines = 300
 )
 
-// logWriter writes the log lines of the core on duties of its own, so that a slow output never blocks the core. Warnings,
+// Writer writes the log lines of the core on duties of its own, so that a slow output never blocks the core. Warnings,
 // which report refused and failed work, have a separate ring, so that a flood of other lines cannot displace them.
-type logWriter struct {
+type Writer struct {
 	info    *levelWriter
 	warn    *levelWriter
 	metrics counter
@@ -32,15 +32,17 @@
 	Count(counter, reason string)
 }
 
-func newLogWriter(log *slog.Logger, metrics counter) *logWriter {
-	return &logWriter{
+// New returns a writer to the log that counts the lines it drops.
+func New(log *slog.Logger, metrics counter) *Writer {
+	return &Writer{
 		info:    newLevelWriter("log-info", log, slog.LevelInfo, maxInfoLines),
 		warn:    newLevelWriter("log-warn", log, slog.LevelWarn, maxWarnLines),
 		metrics: metrics,
 	}
 }
 
-func (w *logWriter) offer(line chuteaction.LogLine) {
+// Offer passes a line to its level, or drops it if that has too many; it never blocks.
+func (w *Writer) Offer(line chuteaction.LogLine) {
 	target := w.info
 	if line.Warning {
 		target = w.warn
@@ -50,9 +52,11 @@
 	}
 }
 
-func (w *logWriter) runInfo(ctx context.Context) { w.info.run(ctx) }
+// RunInfo writes ordinary lines until the context ends.
+func (w *Writer) RunInfo(ctx context.Context) { w.info.run(ctx) }
 
-func (w *logWriter) runWarn(ctx context.Context) { w.warn.run(ctx) }
+// RunWarn writes warnings until the context ends.
+func (w *Writer) RunWarn(ctx context.Context) { w.warn.run(ctx) }
 
 // levelWriter writes the log lines of one level and limits the lines of one kind. A kind is a component and a text.
 type levelWriter struct {
--- a/chutedaemon/log_test.go
+++ b/chutelog/writer_test.go
@@ -1,4 +1,4 @@
-package chutedaemon
+package chutelog
 
 import (
 	"bytes"
@@ -39,18 +39,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var text bytes.Buffer
-		w := newLogWriter(slog.New(slog.NewTextHandler(&text, nil)), fakeCounter{})
+		w := New(slog.New(slog.NewTextHandler(&text, nil)), fakeCounter{})
 		ctx, cancel := context.WithCancel(t.Context())
 		group := conc.NewWaitGroup()
-		group.Go(func() { w.runInfo(ctx) })
-		group.Go(func() { w.runWarn(ctx) })
+		group.Go(func() { w.RunInfo(ctx) })
+		group.Go(func() { w.RunWarn(ctx) })
 		for range 1000 {
-			w.offer(chuteaction.LogLine{Component: "a", Text: "served"})
+			w.Offer(chuteaction.LogLine{Component: "a", Text: "served"})
 		}
 		synctest.Wait()
-		w.offer(chuteaction.LogLine{Component: "a", Text: "refused", Warning: true})
+		w.Offer(chuteaction.LogLine{Component: "a", Text: "refused", Warning: true})
 		time.Sleep(2 * time.Second)
-		w.offer(chuteaction.LogLine{Component: "a", Text: "served"})
+		w.Offer(chuteaction.LogLine{Component: "a", Text: "served"})
 		synctest.Wait()
 		cancel()
 		group.Wait()
@@ -65,16 +65,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		output := &blockedOutput{released: make(chan struct{})}
-		w := newLogWriter(slog.New(slog.NewTextHandler(output, nil)), fakeCounter{})
+		w := New(slog.New(slog.NewTextHandler(output, nil)), fakeCounter{})
 		ctx, cancel := context.WithCancel(t.Context())
 		group := conc.NewWaitGroup()
-		group.Go(func() { w.runInfo(ctx) })
-		group.Go(func() { w.runWarn(ctx) })
+		group.Go(func() { w.RunInfo(ctx) })
+		group.Go(func() { w.RunWarn(ctx) })
 		began := time.Now()
 		for range 3 * logRingSize {
-			w.offer(chuteaction.LogLine{Component: "a", Text: "served"})
+			w.Offer(chuteaction.LogLine{Component: "a", Text: "served"})
 		}
-		w.offer(chuteaction.LogLine{Component: "a", Text: "refused", Warning: true})
+		w.Offer(chuteaction.LogLine{Component: "a", Text: "refused", Warning: true})
 		is.Equal(time.Since(began), time.Duration(0)) // virtual time has not advanced, so no call blocked
 		close(output.released)
 		synctest.Wait()
