Measure by the store's clock how long a worker had been silent when its entry vanished

Cause: a worker whose entry vanishes less than two heartbeats after its latest is presumed to have removed it itself; one missed renewal then ends its runs without the wait for the lease. The time of the heartbeat was bounded by the time at which the former answer about the table was handled. With a slow store, a frozen process or a full ring that is too late: answer given at 0, handled at 3.0; entry written at 0.2, read at 3.3, expired at 4.7: the silence counted as 1.7 s, not 4.7 s. Class: a time of handling taken for the time at which something was true. Change: answers about a table carry the store's steady clock (now_ms), a list that of its first page. The heartbeat's bound and the removal are both read on that clock, so that no delay on the way counts. Without a clock, or if it goes back, nothing is presumed. Tried first (trials on this tree): the send time of the former answer's request as the bound. A poll is held until a worker writes, so that the bound is loose by as much: TestTasksOfAVanishedWorkerRestartBeforeLeaseEnd failed. The fakes' and stand-in's answers carry the clock; the tests of chuterunner give a heartbeat's time on it, with the same spans.

--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -90,10 +90,11 @@
 
 // TableChanged is an answer of the store about a watched table; it holds no rows if none has changed.
 type TableChanged struct {
-	Watch    Token // of the WatchTable effect
-	Table    Table
-	Complete bool // Rows holds all rows of the table, not only changes
-	Rows     []Row
+	Watch      Token // of the WatchTable effect
+	Table      Table
+	StoreClock time.Duration // the store's steady clock when it answered; 0 if unknown
+	Complete   bool          // Rows holds all rows of the table, not only changes
+	Rows       []Row
 }
 
 // RowsForwarded holds recorded rows about jobs that another host has sent.
--- a/chutedaemon/dependencies.go
+++ b/chutedaemon/dependencies.go
@@ -16,16 +16,23 @@
 	Peers    Peers
 }
 
+// TableAnswer is an answer of the store about a table.
+type TableAnswer struct {
+	Rows    []chuteaction.Row
+	Version chuteaction.RowVersion // Changes continues after it
+	Clock   time.Duration          // the store's steady clock when it answered; 0 if unknown
+}
+
 // Store is the platform's store.
 type Store interface {
 	// Write commits a transaction if all its conditions hold.
 	Write(ctx context.Context, write chuteaction.WriteRows) chuteaction.RowsWritten
 	// Read reads a range of rows.
 	Read(ctx context.Context, read chuteaction.ReadRows) chuteaction.RowsRead
-	// List reads all rows of a table, and returns the version after which Changes continues.
-	List(ctx context.Context, table chuteaction.Table) ([]chuteaction.Row, chuteaction.RowVersion, error)
+	// List reads all rows of a table.
+	List(ctx context.Context, table chuteaction.Table) (TableAnswer, error)
 	// Changes waits up to the poll timeout for changes after the version. After ErrHistoryGone the table must be listed again.
-	Changes(ctx context.Context, table chuteaction.Table, after chuteaction.RowVersion, pollTimeout time.Duration) ([]chuteaction.Row, chuteaction.RowVersion, error)
+	Changes(ctx context.Context, table chuteaction.Table, after chuteaction.RowVersion, pollTimeout time.Duration) (TableAnswer, error)
 	// Interrupt aborts all requests in flight.
 	Interrupt()
 }
--- a/chutedaemon/watch.go
+++ b/chutedaemon/watch.go
@@ -50,7 +50,7 @@
 func (w *watchers) run(ctx context.Context, request chuteaction.WatchTable) {
 	unavailable := false
 	for ctx.Err() == nil {
-		rows, version, err := w.store.List(ctx, request.Table)
+		list, err := w.store.List(ctx, request.Table)
 		if err != nil {
 			w.reportUnavailable(ctx, request.Table, &unavailable, err)
 			continue
@@ -59,8 +59,8 @@
 			return // the watch ended during the request
 		}
 		w.reportAvailable(request.Table, &unavailable)
-		w.events.Put(ctx, chuteaction.TableChanged{Watch: request.Watch, Table: request.Table, Complete: true, Rows: rows})
-		w.runChanges(ctx, request, version, &unavailable)
+		w.events.Put(ctx, chuteaction.TableChanged{Watch: request.Watch, Table: request.Table, StoreClock: list.Clock, Complete: true, Rows: list.Rows})
+		w.runChanges(ctx, request, list.Version, &unavailable)
 	}
 }
 
@@ -70,7 +70,7 @@
 		if request.MinInterval > 0 && !sleep(ctx, request.MinInterval) {
 			return
 		}
-		rows, next, err := w.store.Changes(ctx, request.Table, version, request.PollTimeout)
+		changes, err := w.store.Changes(ctx, request.Table, version, request.PollTimeout)
 		if errors.Is(err, ErrHistoryGone) {
 			w.log.Info("store: changes are no longer available, listing the table again", "table", request.Table, "after", version)
 			return
@@ -80,8 +80,8 @@
 			continue
 		}
 		w.reportAvailable(request.Table, unavailable)
-		version = next
-		w.events.Put(ctx, chuteaction.TableChanged{Watch: request.Watch, Table: request.Table, Rows: rows})
+		version = changes.Version
+		w.events.Put(ctx, chuteaction.TableChanged{Watch: request.Watch, Table: request.Table, StoreClock: changes.Clock, Rows: changes.Rows})
 	}
 }
 
--- a/chutedaemon/watch_test.go
+++ b/chutedaemon/watch_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chuteduty"
 	"monsoonchute.example/monsoonchute/chutering"
@@ -23,15 +25,22 @@
 	return chuteaction.RowsRead{}
 }
 
-func (s slowStore) List(context.Context, chuteaction.Table) ([]chuteaction.Row, chuteaction.RowVersion, error) {
+func (s slowStore) List(context.Context, chuteaction.Table) (TableAnswer, error) {
 	time.Sleep(s.latency)
-	return nil, 1, nil
+	return TableAnswer{Version: 1, Clock: listClock}, nil
 }
 
-func (s slowStore) Changes(context.Context, chuteaction.Table, chuteaction.RowVersion, time.Duration) ([]chuteaction.Row, chuteaction.RowVersion, error) {
-	return nil, 1, nil
+func (s slowStore) Changes(context.Context, chuteaction.Table, chuteaction.RowVersion, time.Duration) (TableAnswer, error) {
+	time.Sleep(s.latency)
+	return TableAnswer{Version: 1, Clock: changesClock}, nil
 }
 
+// The readings of the store's clock in its answers.
+const (
+	listClock    = 70 * time.Second
+	changesClock = 73 * time.Second
+)
+
 func (s slowStore) Interrupt() {}
 
 // TestAnEndedWatchDeliversNoList guards against a list from before a takeover that reaches the next scheduler of the same host.
@@ -54,3 +63,21 @@
 		}
 	})
 }
+
+// TestAnAnswerAboutATableKeepsTheClockOfTheStore guards against delays on the host that make a worker's heartbeat look recent.
+func TestAnAnswerAboutATableKeepsTheClockOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := slog.New(slog.DiscardHandler)
+		group, end := chuteduty.New(log)
+		defer end()
+		events := chutering.NewEntryEvents("core", 64)
+		newWatchers(group, slowStore{latency: time.Second}, events, log).watch(chuteaction.WatchTable{Table: chuteaction.TableWorkers})
+		for _, clock := range []time.Duration{listClock, changesClock} {
+			event, _ := events.Take(t.Context())
+			changed, ok := event.(chuteaction.TableChanged)
+			is.True(ok)
+			is.Equal(changed.StoreClock, clock)
+		}
+	})
+}
--- a/chuteentry/fakestore_test.go
+++ b/chuteentry/fakestore_test.go
@@ -25,6 +25,10 @@
 	return &fakeStore{sim: sm, rows: make(map[chuteaction.RowKey]chuteaction.Row)}
 }
 
+func (s *fakeStore) clock() time.Duration {
+	return time.Duration(s.sim.now.UnixNano())
+}
+
 const storeDelay = 8 * time.Millisecond
 
 func (s *fakeStore) put(key chuteaction.RowKey, value chuteaction.RowValue) {
@@ -141,7 +145,7 @@
 		}
 		slices.SortFunc(rows, func(a, b chuteaction.Row) int { return cmp.Compare(a.Version, b.Version) })
 		version := s.version
-		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, Complete: true, Rows: rows})
+		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, StoreClock: s.clock(), Complete: true, Rows: rows})
 		sm.after(max(f.MinInterval, time.Millisecond), func() { s.poll(h, f, generation, version, sm.now) })
 	})
 }
@@ -168,7 +172,7 @@
 		sm.after(10*time.Millisecond, func() { s.poll(h, f, generation, after, startedAt) })
 		return
 	}
-	version := s.version
+	version, clock := s.version, s.clock()
 	if s.hidesChanges {
 		version = after
 	}
@@ -176,7 +180,7 @@
 		if h.watches[f.Table] != generation {
 			return
 		}
-		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, Rows: rows})
+		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, StoreClock: clock, Rows: rows})
 		sm.after(max(f.MinInterval, time.Millisecond), func() { s.poll(h, f, generation, version, sm.now) })
 	})
 }
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -29,12 +29,12 @@
 // Worker is the immutable state of one worker.
 type Worker struct {
 	Listing
-	Listed           bool      // it has an entry in the list of workers
-	Contacted        bool      // its present incarnation has answered this scheduler, so that its runs are known
-	PresumedEnded    bool      // it removed its entry itself, so that a missed renewal means that it has ended
-	UnlistedAt       time.Time // when its entry last disappeared; zero before
-	ListingVersion   int64     // version of its entry in the list of workers; it increases with each heartbeat
-	HeartbeatAt      time.Time // the worker wrote that version after this time; zero if unknown
+	Listed           bool          // it has an entry in the list of workers
+	Contacted        bool          // its present incarnation has answered this scheduler, so that its runs are known
+	PresumedEnded    bool          // it removed its entry itself, so that a missed renewal means that it has ended
+	UnlistedAt       time.Time     // when its entry last disappeared; zero before
+	ListingVersion   int64         // version of its entry in the list of workers; it increases with each heartbeat
+	HeartbeatAfter   time.Duration // the worker wrote that version after this time on the store's clock; 0 if unknown
 	AnsweredAt       time.Time
 	ReportClock      time.Duration // the worker's clock in its latest report of its runs
 	Lost             bool          // it did not answer before its lease expired, or has ended
@@ -114,10 +114,11 @@
 	return w
 }
 
-// WithHeartbeat returns the worker after a heartbeat, which wrote the version of its entry after the given time.
-func (w Worker) WithHeartbeat(version int64, writtenAfter time.Time) Worker {
+// WithHeartbeat returns the worker after a heartbeat, which wrote the version of its entry after the given time on the
+// store's clock.
+func (w Worker) WithHeartbeat(version int64, writtenAfter time.Duration) Worker {
 	w.ListingVersion = version
-	w.HeartbeatAt = writtenAfter
+	w.HeartbeatAfter = writtenAfter
 	return w
 }
 
--- a/chuterunner/listing.go
+++ b/chuterunner/listing.go
@@ -9,8 +9,8 @@
 )
 
 // ApplyListing applies the entry of a worker in the list of workers. The worker wrote the entry's version after the given
-// time, which is zero if nothing is known of it.
-func (t *Transition) ApplyListing(listing chutepool.Listing, version chuteaction.RowVersion, writtenAfter time.Time) {
+// time on the store's clock, which is 0 if nothing is known of it.
+func (t *Transition) ApplyListing(listing chutepool.Listing, version chuteaction.RowVersion, writtenAfter time.Duration) {
 	w, known := t.Pool.Get(listing.ID)
 	if !known {
 		w = chutepool.NewWorker(listing, t.Now).WithHeartbeat(int64(version), writtenAfter)
@@ -77,14 +77,17 @@
 	w.ReportDue = true
 	w.PresumedEnded = removal != RemovalMalformed && t.hasLeft(w)
 	t.Log(component, "worker is no longer listed", "", "worker", id, "reason", removal, "runs", w.RunCount(),
-		"heartbeat", t.Now.Sub(w.HeartbeatAt), "answered", t.Now.Sub(w.AnsweredAt), "presumed-ended", w.PresumedEnded)
+		"heartbeat", t.StoreClock-w.HeartbeatAfter, "answered", t.Now.Sub(w.AnsweredAt), "presumed-ended", w.PresumedEnded)
 	t.PutWorker(w)
 }
 
 // hasLeft reports whether a worker whose entry has disappeared has removed the entry itself at its end. An entry also
 // expires after several heartbeats that do not reach the store, while the worker goes on running and may answer orders.
 func (t *Transition) hasLeft(w chutepool.Worker) bool {
-	silence := t.Now.Sub(w.HeartbeatAt)
+	if w.HeartbeatAfter == 0 || t.StoreClock < w.HeartbeatAfter {
+		return false
+	}
+	silence := t.StoreClock - w.HeartbeatAfter // by the clock of the store, since answers may be late
 	return w.Contacted && silence < maxHeartbeatsBeforeLeave*t.Bounds.HeartbeatInterval &&
 		t.Now.Sub(t.Environment.ContactSince) > reregistrationTime
 }
--- a/chuterunner/lostend_test.go
+++ b/chuterunner/lostend_test.go
@@ -40,7 +40,7 @@
 // removeEntry lets the worker's entry disappear so soon after a heartbeat that the worker itself must have removed it.
 func (s *scheduler) removeEntry(index int) {
 	s.state.Bounds.HeartbeatInterval = 1500 * time.Millisecond
-	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(s.worker(index).Listing, 7, s.now) })
+	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(s.worker(index).Listing, 7, t.StoreClock) })
 	s.handle(time.Second, func(t *chuterunner.Transition) { t.MarkUnlisted(workerID(index), chuterunner.RemovalDeleted) })
 }
 
--- a/chuterunner/order_test.go
+++ b/chuterunner/order_test.go
@@ -63,6 +63,7 @@
 // handle lets the scheduler handle one event after the given time, and returns the orders that it sends.
 func (s *scheduler) handle(after time.Duration, act func(*chuterunner.Transition)) []chuteaction.Effect {
 	s.now = s.now.Add(after)
+	s.state.StoreClock = time.Duration(s.now.UnixNano())
 	t := chuterunner.NewTransition(chuteaction.NewTransition(s.now, 0), s.state, chuterunner.Environment{ConfirmedAt: s.now})
 	act(t)
 	s.state = t.State
--- a/chuterunner/room_test.go
+++ b/chuterunner/room_test.go
@@ -17,7 +17,7 @@
 func (s *scheduler) shrink(index int) {
 	listing := s.worker(index).Listing
 	listing.Capacity = chutecapacity.Resources{Processor: 500, Memory: 8000, Accelerators: 8}
-	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(listing, 7, s.now) })
+	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(listing, 7, t.StoreClock) })
 }
 
 func TestAStartIsNotRepeatedOnAWorkerThatHasShrunk(t *testing.T) {
--- a/chuterunner/state.go
+++ b/chuterunner/state.go
@@ -29,6 +29,7 @@
 	Cordoned    map[chutetask.WorkerID]bool // workers whose machines go down soon, which get no new runs; never modified
 	PlanDue     bool                        // something has changed since the latest planning pass
 	ListedAt    time.Time                   // time of the store's latest answer about the list of workers
+	StoreClock  time.Duration               // the store's clock in that answer; 0 if unknown
 }
 
 // New returns the state of a scheduler that becomes leader now, without jobs and workers.
--- a/chutescheduler/lostprogress_test.go
+++ b/chutescheduler/lostprogress_test.go
@@ -34,7 +34,7 @@
 func newSuccessor(predecessor chuteleader.Predecessor) *successor {
 	s := &successor{now: time.Unix(1_800_000_000, 0)}
 	predecessor.ObservedAt = s.now
-	bounds := chuterunner.Bounds{MaxLease: 6 * time.Second, UnconfirmedLimit: chuteleader.UnconfirmedLimit}
+	bounds := chuterunner.Bounds{MaxLease: 6 * time.Second, UnconfirmedLimit: chuteleader.UnconfirmedLimit, HeartbeatInterval: 1500 * time.Millisecond}
 	s.handle(0, func(t *chuteaction.Transition, _ chuterunner.Environment) {
 		s.state = chutescheduler.New(t, epoch, predecessor, bounds)
 	})
@@ -82,15 +82,26 @@
 }
 
 func (s *successor) listWorker() {
+	s.answerPoll(0, true, entry(1))
+}
+
+// answerPoll delivers an answer about the table of workers that the store gave some time ago.
+func (s *successor) answerPoll(age time.Duration, complete bool, rows ...chuteaction.Row) {
+	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+		s.state = s.state.HandleWorkers(t, environment, chuteaction.TableChanged{
+			Watch: s.watch(chuteaction.TableWorkers), Table: chuteaction.TableWorkers, StoreClock: time.Duration(s.now.UnixNano()) - age, Complete: complete, Rows: rows,
+		})
+	})
+}
+
+// entry returns a version of the worker's entry in the list of workers.
+func entry(version chuteaction.RowVersion) chuteaction.Row {
 	listing := chutepool.Listing{
 		ID: workerID, Service: "main", Address: "10.0.0.1:1", Incarnation: 1,
 		Capacity: chutecapacity.Resources{Processor: 8000, Memory: 8000, Accelerators: 8},
 	}
-	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
-		s.state = s.state.HandleWorkers(t, environment, chuteaction.TableChanged{Watch: s.watch(chuteaction.TableWorkers), Table: chuteaction.TableWorkers, Complete: true, Rows: []chuteaction.Row{
-			{RowKey: chuteaction.RowKey{Table: chuteaction.TableWorkers, Key: string(workerID)}, Value: chuteaction.WorkerRow{Listing: listing}},
-		}})
-	})
+	key := chuteaction.RowKey{Table: chuteaction.TableWorkers, Key: string(workerID)}
+	return chuteaction.Row{RowKey: key, Version: version, Value: chuteaction.WorkerRow{Listing: listing}}
 }
 
 // tick advances the time in ticks of 50 ms.
--- a/chutescheduler/worker.go
+++ b/chutescheduler/worker.go
@@ -1,8 +1,6 @@
 package chutescheduler
 
 import (
-	"time"
-
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -15,11 +13,12 @@
 		return s
 	}
 	u := s.transition(t, environment)
-	writtenAfter := u.ListedAt // changes have been written since the former answer
+	writtenAfter := u.StoreClock // changes have been written since the former answer
 	if e.Complete {
-		writtenAfter = time.Time{}
+		writtenAfter = 0
 	}
 	u.ListedAt = t.Now
+	u.StoreClock = e.StoreClock
 	present := make(map[chutetask.WorkerID]bool)
 	for _, r := range e.Rows {
 		id := chutetask.WorkerID(r.Key)
