Take the age of the list of workers from its request, not from the handling of its answer

What callers may see: a start on a worker that had shrunk or begun to drain long before (LIMIT, DRAIN). Cause: nothing starts by a list of workers older than 3 s, but the age counted from the handling of the latest answer. An answer that arrives late, or is handled late by a frozen process, looked fresh. Class: a time of handling taken for the time at which something was true. Change: answers about a table carry the time at which their request was sent; the list's age counts from there. A poll that the store holds would look old when it ends: in a table without changes the age would reach 4.3 s, and starts would stop for more than a second in each poll. Evidence: TestNothingStartsByAnOldListThatArrivesLate and TestAnAnswerAboutATableTellsWhenItsRequestWasSent failed on the code before.

--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -92,6 +92,7 @@
 type TableChanged struct {
 	Watch      Token // of the WatchTable effect
 	Table      Table
+	SentAt     time.Time     // when the request was sent
 	StoreClock time.Duration // the store's steady clock when it answered; 0 if unknown
 	Complete   bool          // Rows holds all rows of the table, not only changes
 	Rows       []Row
--- a/chutedaemon/watch.go
+++ b/chutedaemon/watch.go
@@ -50,6 +50,7 @@
 func (w *watchers) run(ctx context.Context, request chuteaction.WatchTable) {
 	unavailable := false
 	for ctx.Err() == nil {
+		sentAt := time.Now()
 		list, err := w.store.List(ctx, request.Table)
 		if err != nil {
 			w.reportUnavailable(ctx, request.Table, &unavailable, err)
@@ -59,7 +60,9 @@
 			return // the watch ended during the request
 		}
 		w.reportAvailable(request.Table, &unavailable)
-		w.events.Put(ctx, chuteaction.TableChanged{Watch: request.Watch, Table: request.Table, StoreClock: list.Clock, Complete: true, Rows: list.Rows})
+		w.events.Put(ctx, chuteaction.TableChanged{
+			Watch: request.Watch, Table: request.Table, SentAt: sentAt, StoreClock: list.Clock, Complete: true, Rows: list.Rows,
+		})
 		w.runChanges(ctx, request, list.Version, &unavailable)
 	}
 }
@@ -70,6 +73,7 @@
 		if request.MinInterval > 0 && !sleep(ctx, request.MinInterval) {
 			return
 		}
+		sentAt := time.Now()
 		changes, err := w.store.Changes(ctx, request.Table, version, request.PollTimeout)
 		if errors.Is(err, ErrHistoryGone) {
 			w.log.Info("store: changes are no longer available, listing the table again", "table", request.Table, "after", version)
@@ -81,7 +85,9 @@
 		}
 		w.reportAvailable(request.Table, unavailable)
 		version = changes.Version
-		w.events.Put(ctx, chuteaction.TableChanged{Watch: request.Watch, Table: request.Table, StoreClock: changes.Clock, Rows: changes.Rows})
+		w.events.Put(ctx, chuteaction.TableChanged{
+			Watch: request.Watch, Table: request.Table, SentAt: sentAt, StoreClock: changes.Clock, Rows: changes.Rows,
+		})
 	}
 }
 
--- a/chutedaemon/watch_test.go
+++ b/chutedaemon/watch_test.go
@@ -81,3 +81,25 @@
 		}
 	})
 }
+
+// TestAnAnswerAboutATableTellsWhenItsRequestWasSent guards against an old list of workers that counts as new.
+func TestAnAnswerAboutATableTellsWhenItsRequestWasSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const latency, interval = 700 * time.Millisecond, 300 * time.Millisecond
+		log := slog.New(slog.DiscardHandler)
+		group, end := chuteduty.New(log)
+		defer end()
+		events := chutering.NewEntryEvents("core", 64)
+		sentAt := time.Now()
+		newWatchers(group, slowStore{latency: latency}, events, log).watch(chuteaction.WatchTable{Table: chuteaction.TableWorkers, MinInterval: interval})
+		time.Sleep(10 * time.Second) // the events wait in the ring meanwhile
+		for range 3 {
+			event, _ := events.Take(t.Context())
+			changed, ok := event.(chuteaction.TableChanged)
+			is.True(ok)
+			is.Equal(changed.SentAt, sentAt)
+			sentAt = sentAt.Add(latency + interval)
+		}
+	})
+}
--- a/chuteentry/fakestore_test.go
+++ b/chuteentry/fakestore_test.go
@@ -128,6 +128,7 @@
 // list sends all rows of a table to a watching host, and then polls for changes.
 func (s *fakeStore) list(h *fakeHost, f chuteaction.WatchTable, generation int) {
 	sm := s.sim
+	sentAt := sm.now
 	sm.after(sm.jittered(storeDelay), func() {
 		if h.dead || h.watches[f.Table] != generation {
 			return
@@ -145,7 +146,7 @@
 		}
 		slices.SortFunc(rows, func(a, b chuteaction.Row) int { return cmp.Compare(a.Version, b.Version) })
 		version := s.version
-		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, StoreClock: s.clock(), Complete: true, Rows: rows})
+		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, SentAt: sentAt, StoreClock: s.clock(), Complete: true, Rows: rows})
 		sm.after(max(f.MinInterval, time.Millisecond), func() { s.poll(h, f, generation, version, sm.now) })
 	})
 }
@@ -180,7 +181,7 @@
 		if h.watches[f.Table] != generation {
 			return
 		}
-		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, StoreClock: clock, Rows: rows})
+		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, SentAt: startedAt, StoreClock: clock, Rows: rows})
 		sm.after(max(f.MinInterval, time.Millisecond), func() { s.poll(h, f, generation, version, sm.now) })
 	})
 }
--- a/chuteentry/release_test.go
+++ b/chuteentry/release_test.go
@@ -60,7 +60,7 @@
 	case chuteaction.ReadRows:
 		h.answers = append(h.answers, chuteaction.RowsRead{Token: f.Token, Outcome: chuteaction.StoreDone})
 	case chuteaction.WatchTable:
-		h.answers = append(h.answers, chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, Complete: true, Rows: soloRows[f.Table]})
+		h.answers = append(h.answers, chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, SentAt: h.now, Complete: true, Rows: soloRows[f.Table]})
 	case chuteaction.StartRun:
 		h.running = append(h.running, chutetask.RunReport{Run: f.Run})
 		h.answers = append(h.answers, chuteaction.RunStarted{Epoch: f.Epoch, Worker: f.Worker, Run: f.Run, Outcome: chuteaction.OrderAccepted})
--- a/chuterunner/state.go
+++ b/chuterunner/state.go
@@ -28,7 +28,7 @@
 	Speeds      chutespeed.Speeds
 	Cordoned    map[chutetask.WorkerID]bool // workers whose machines go down soon, which get no new runs; never modified
 	PlanDue     bool                        // something has changed since the latest planning pass
-	ListedAt    time.Time                   // time of the store's latest answer about the list of workers
+	ListedAt    time.Time                   // up to this time all changes of the list of workers are known
 	StoreClock  time.Duration               // the store's clock in that answer; 0 if unknown
 }
 
--- a/chutescheduler/listing_test.go
+++ b/chutescheduler/listing_test.go
@@ -53,3 +53,81 @@
 		})
 	}
 }
+
+// starts returns how many start orders have been sent.
+func (s *successor) starts() int {
+	count := 0
+	for _, effect := range s.effects {
+		if _, ok := effect.(chuteaction.StartRun); ok {
+			count++
+		}
+	}
+	return count
+}
+
+// startJob submits a job, and records the runs that are planned for it now.
+func (s *successor) startJob() {
+	s.submissions(false, submissionRow(1))
+	s.tick(100 * time.Millisecond)
+	s.flush()
+	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+		s.state = s.state.HandleCommit(t, environment)
+	})
+}
+
+// contactWorkerOnly lets the scheduler of no jobs reach its worker.
+func (s *successor) contactWorkerOnly() {
+	s.submissions(true)
+	s.answerReads(chuteaction.TableHosts)
+	s.answerReads(chuteaction.TableProgress)
+	s.listWorker()
+	s.tick(200 * time.Millisecond)
+	s.report(1, nil, nil)
+	s.tick(500 * time.Millisecond)
+}
+
+// TestNothingStartsByAnOldListThatArrivesLate guards against starts on a worker that has shrunk or begun to drain meanwhile.
+func TestNothingStartsByAnOldListThatArrivesLate(t *testing.T) {
+	for _, age := range []time.Duration{100 * time.Millisecond, 4 * time.Second} {
+		for _, complete := range []bool{false, true} {
+			is := is.New(t)
+			s := newSuccessor(released())
+			s.contactWorkerOnly()
+			s.tick(4 * time.Second)
+			s.report(1, nil, nil)
+			s.answerPoll(age, complete, entry(2))
+			s.startJob()
+			is.Equal(s.starts() > 0, age < 3*time.Second)
+		}
+	}
+}
+
+// TestStartsGoOnWhileTheListOfWorkersDoesNotChange guards against polls that the store holds and that count as old when they end.
+func TestStartsGoOnWhileTheListOfWorkersDoesNotChange(t *testing.T) {
+	const hold, interval, latency = 2 * time.Second, 300 * time.Millisecond, 50 * time.Millisecond
+	cases := []struct {
+		name string
+		hold time.Duration // of the latest answer
+		rows []chuteaction.Row
+	}{
+		{"quiet", hold, nil},
+		{"one change after a long hold", hold - 100*time.Millisecond, []chuteaction.Row{entry(2)}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSuccessor(released())
+			s.contactWorkerOnly()
+			for range 100 {
+				s.tick(interval + hold + latency)
+				s.answerHeldPoll(hold, latency, false)
+			}
+			s.tick(interval + c.hold + latency)
+			s.answerHeldPoll(c.hold, latency, false, c.rows...)
+			s.tick(interval + hold + latency - 100*time.Millisecond)
+			s.report(1, nil, nil)
+			s.startJob() // just before the next answer
+			is.Equal(s.starts(), 1)
+		})
+	}
+}
--- a/chutescheduler/lostprogress_test.go
+++ b/chutescheduler/lostprogress_test.go
@@ -85,11 +85,17 @@
 	s.answerPoll(0, true, entry(1))
 }
 
-// answerPoll delivers an answer about the table of workers that the store gave some time ago.
+// answerPoll delivers an answer about the table of workers that the store gave some time ago, as soon as it was asked.
 func (s *successor) answerPoll(age time.Duration, complete bool, rows ...chuteaction.Row) {
+	s.answerHeldPoll(0, age, complete, rows...)
+}
+
+// answerHeldPoll does the same after the store has held the request.
+func (s *successor) answerHeldPoll(hold, age time.Duration, complete bool, rows ...chuteaction.Row) {
 	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
 		s.state = s.state.HandleWorkers(t, environment, chuteaction.TableChanged{
-			Watch: s.watch(chuteaction.TableWorkers), Table: chuteaction.TableWorkers, StoreClock: time.Duration(s.now.UnixNano()) - age, Complete: complete, Rows: rows,
+			Watch: s.watch(chuteaction.TableWorkers), Table: chuteaction.TableWorkers, SentAt: s.now.Add(-age - hold),
+			StoreClock: time.Duration(s.now.UnixNano()) - age, Complete: complete, Rows: rows,
 		})
 	})
 }
