Test what a client is told about a job whose recorded progress cannot be read

The scheduler leaves such a job out, and drops its cancellation: the row may say that the job has completed, so that nothing of it may start and nothing may be written over the row. Found: not 410 and not completed. The job is shown as queued from its submission, its cancellation is recorded and shown as cancelled, and a worker that reports a run of it is ordered to stop the run. No change of the code; both tests passed at once.

--- /dev/null
+++ b/chuteintake/malformed_test.go
@@ -0,0 +1,67 @@
+package chuteintake_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutecatalog"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteintake"
+	"monsoonchute.example/monsoonchute/chuteresult"
+	"monsoonchute.example/monsoonchute/chutetask"
+)
+
+const jobID = chutegraph.JobID("00000000000000aa")
+
+// serve lets the call be answered from the rows of the store, and returns the answer and the rows written.
+func serve(t *testing.T, request chuteaction.Call, rows []chuteaction.Row) (chuteaction.AnswerCall, []chuteaction.Row) {
+	t.Helper()
+	transition := chuteaction.NewTransition(time.Unix(1_800_000_000, 0), 0)
+	view := chuteintake.View{StoreReachable: true, Catalog: chutecatalog.Catalog{
+		Version: 1, Queues: []chutecatalog.Queue{{Name: "normal", Host: "q.example", PathPrefix: "/normal/", Public: true}},
+	}}
+	s := chuteintake.New().HandleCallArrived(transition, view, chuteaction.CallArrived{
+		ID: 1, Deadline: transition.Now.Add(3 * time.Second), Host: "q.example", Path: "/normal/" + string(jobID), Call: request,
+	})
+	var written []chuteaction.Row
+	for i := 0; i < len(transition.Effects); i++ {
+		switch f := transition.Effects[i].(type) {
+		case chuteaction.ReadRows:
+			read := chuteaction.RowsRead{Token: f.Token, Outcome: chuteaction.StoreDone}
+			for _, r := range rows {
+				if r.Table == f.Table && r.Key >= f.From && r.Key < f.To {
+					read.Rows = append(read.Rows, r)
+				}
+			}
+			s = s.HandleRowsRead(transition, read)
+		case chuteaction.WriteRows:
+			written = append(written, f.Put...)
+			s, _ = s.HandleRowsWritten(transition, chuteaction.RowsWritten{Token: f.Token, Outcome: chuteaction.StoreDone})
+		case chuteaction.AnswerCall:
+			return f, written
+		}
+	}
+	t.Fatal("no answer")
+	return chuteaction.AnswerCall{}, nil
+}
+
+// TestAJobWhoseProgressCannotBeReadIsStillKnown guards against a client that is told that an accepted job does not exist or is completed.
+func TestAJobWhoseProgressCannotBeReadIsStillKnown(t *testing.T) {
+	is := is.New(t)
+	rows := []chuteaction.Row{
+		{RowKey: chuteaction.SubmissionKey(jobID), Version: 5, Value: chuteaction.SubmissionRow{Submission: chutetask.Submission{ID: jobID}}},
+		{RowKey: chuteaction.ProgressKey(jobID), Version: 9}, // malformed
+	}
+	shown, _ := serve(t, chuteaction.ShowJob{}, rows)
+	is.Equal(shown.Result.Code, chuteresult.Done)
+	is.Equal(shown.Body, chuteaction.JobState{Phase: chutetask.PhaseQueued})
+
+	cancelled, written := serve(t, chuteaction.CancelJob{}, rows)
+	is.Equal(cancelled.Result.Code, chuteresult.Done)
+	is.Equal(len(written), 1)
+	shown, _ = serve(t, chuteaction.ShowJob{}, append(rows, written...))
+	is.Equal(shown.Body, chuteaction.JobState{Phase: chutetask.PhaseCancelled})
+}
--- a/chutescheduler/lostprogress_test.go
+++ b/chutescheduler/lostprogress_test.go
@@ -370,3 +370,26 @@
 	is.True(ok)
 	is.Equal(row.Occurrences[0][0][0], chutetask.Task{Phase: chutetask.TaskDone, Run: 1})
 }
+
+// TestRunsOfACancelledJobWhoseProgressCannotBeReadAreStopped guards against work that goes on after its cancellation was dropped.
+func TestRunsOfACancelledJobWhoseProgressCannotBeReadAreStopped(t *testing.T) {
+	is := is.New(t)
+	s := newSuccessor(released())
+	s.submissions(true, submissionRow(1))
+	s.answerReads(chuteaction.TableHosts)
+	malformed := recordedRow(1, chutetask.TaskActive)
+	malformed.Value = nil
+	s.answerReads(chuteaction.TableProgress, malformed)
+	s.submissions(false, chuteaction.Row{RowKey: chuteaction.CancelKey(jobID), Version: 10, Value: chuteaction.CancelRow{Job: jobID}})
+	s.listWorker()
+	s.tick(200 * time.Millisecond)
+	s.report(1, []chutetask.RunReport{{Run: runID(0)}}, nil)
+	stopped := false
+	for _, effect := range s.effects {
+		stop, ok := effect.(chuteaction.StopRun)
+		stopped = stopped || ok && stop.Run == runID(0)
+	}
+	is.True(stopped)
+	_, recorded := s.flush()
+	is.Equal(recorded, false) // the row may say that the job has completed
+}
