Move the waves of maintenance from chutescheduler to a package of their own

Change: chutewave holds the state of the waves and the machines; its methods take the runner's transition, as those of chuteplanner do. The scheduler calls it in Tick and passes it the two events about machines.

--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -8,10 +8,10 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteleader"
-	"monsoonchute.example/monsoonchute/chutemaintenance"
 	"monsoonchute.example/monsoonchute/chuteplanner"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
+	"monsoonchute.example/monsoonchute/chutewave"
 )
 
 const component = "scheduler"
@@ -42,10 +42,7 @@
 	jobsWatch        chuteaction.Token // subscription to the table of jobs
 	workersWatch     chuteaction.Token // subscription to the table of workers; 0 before it begins
 	hostsToken       chuteaction.Token
-	waves            *immutable.SortedMap[int, waveState]
-	machines         []chutemaintenance.Machine // the platform's latest list
-	// machinesRequestedAt is when the latest request for the list of machines was sent.
-	machinesRequestedAt time.Time
+	waves            chutewave.State
 }
 
 // batch is the write of progress rows that is in flight, if any.
@@ -71,7 +68,7 @@
 			planner:  chuteplanner.New(),
 			timed:    immutable.NewSortedMap[chutegraph.JobID, bool](nil),
 			unmerged: immutable.NewSortedMap[chutegraph.JobID, chuteaction.Row](chutegraph.JobOrder{}),
-			waves:    immutable.NewSortedMap[int, waveState](nil),
+			waves:    chutewave.New(),
 		},
 	}
 	s.jobsWatch = t.NewToken()
@@ -195,3 +192,17 @@
 	u.planner = u.planner.HandleStepApproved(u.Transition, e)
 	return u.state()
 }
+
+// HandleMachinesListed handles the platform's answer to a request for its list of machines.
+func (s State) HandleMachinesListed(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.MachinesListed) State {
+	u := s.transition(t, environment)
+	u.waves = u.waves.HandleMachinesListed(u.Transition, e)
+	return u.state()
+}
+
+// HandleMachineMaintained handles the outcome of an order to maintain a machine.
+func (s State) HandleMachineMaintained(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.MachineMaintained) State {
+	u := s.transition(t, environment)
+	u.waves = u.waves.HandleMachineMaintained(u.Transition, e)
+	return u.state()
+}
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -42,7 +42,7 @@
 		}
 	}
 	u.countPending()
-	u.processWaves()
+	u.waves = u.waves.Tick(u.Transition)
 	u.planner = u.planner.Plan(u.Transition)
 	return u.state()
 }
