--- a/chuteentry/fakestore_test.go
+++ b/chuteentry/fakestore_test.go
@@ -25,6 +25,10 @@
 	return &fakeStore{sim: sm, rows: make(map[chuteaction.RowKey]chuteaction.Row)}
 }
 
+func (s *fakeStore) clock() time.Duration {
+	return time.Duration(s.sim.now.UnixNano())
+}
+
 const storeDelay = 8 * time.Millisecond
 
 func (s *fakeStore) put(key chuteaction.RowKey, value chuteaction.RowValue) {
@@ -124,6 +128,7 @@
 // list sends all rows of a table to a watching host, and then polls for changes.
 func (s *fakeStore) list(h *fakeHost, f chuteaction.WatchTable, generation int) {
 	sm := s.sim
+	sentAt := sm.now
 	sm.after(sm.jittered(storeDelay), func() {
 		if h.dead || h.watches[f.Table] != generation {
 			return
@@ -141,7 +146,7 @@
 		}
 		slices.SortFunc(rows, func(a, b chuteaction.Row) int { return cmp.Compare(a.Version, b.Version) })
 		version := s.version
-		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, Complete: true, Rows: rows})
+		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, SentAt: sentAt, StoreClock: s.clock(), Complete: true, Rows: rows})
 		sm.after(max(f.MinInterval, time.Millisecond), func() { s.poll(h, f, generation, version, sm.now) })
 	})
 }
@@ -168,7 +173,7 @@
 		sm.after(10*time.Millisecond, func() { s.poll(h, f, generation, after, startedAt) })
 		return
 	}
-	version := s.version
+	version, clock := s.version, s.clock()
 	if s.hidesChanges {
 		version = after
 	}
@@ -176,7 +181,7 @@
 		if h.watches[f.Table] != generation {
 			return
 		}
-		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, Rows: rows})
+		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, SentAt: startedAt, StoreClock: clock, Rows: rows})
 		sm.after(max(f.MinInterval, time.Millisecond), func() { s.poll(h, f, generation, version, sm.now) })
 	})
 }
--- a/chuterunner/order_test.go
+++ b/chuterunner/order_test.go
@@ -66,6 +66,7 @@
 // handle lets the scheduler handle one event after the given time, and returns the orders that it sends.
 func (s *scheduler) handle(after time.Duration, act func(*chuterunner.Transition)) []chuteaction.Effect {
 	s.now = s.now.Add(after)
+	s.state.StoreClock = time.Duration(s.now.UnixNano())
 	s.environment.ConfirmedAt = s.now
 	t := chuterunner.NewTransition(chuteaction.NewTransition(s.now, 0), s.state, s.environment)
 	act(t)
--- a/chuterunner/room_test.go
+++ b/chuterunner/room_test.go
@@ -17,14 +17,14 @@
 func (s *scheduler) shrink(index int) {
 	listing := s.worker(index).Listing
 	listing.Capacity = chutecapacity.Resources{Processor: 500, Memory: 8000, Accelerators: 8}
-	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(listing, 7, s.now) })
+	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(listing, 7, t.StoreClock) })
 }
 
 // drain lists the worker as one that drains.
 func (s *scheduler) drain(index int) {
 	listing := s.worker(index).Listing
 	listing.Draining = true
-	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(listing, 7, s.now) })
+	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(listing, 7, t.StoreClock) })
 }
 
 // TestAnUnansweredStartIsRepeatedOnlyWhereRunsMayStart guards against a start on a worker that may get none since the first order.
--- a/chutescheduler/lostprogress_test.go
+++ b/chutescheduler/lostprogress_test.go
@@ -34,7 +34,7 @@
 func newSuccessor(predecessor chuteleader.Predecessor) *successor {
 	s := &successor{now: time.Unix(1_800_000_000, 0)}
 	predecessor.ObservedAt = s.now
-	bounds := chuterunner.Bounds{MaxLease: 6 * time.Second, UnconfirmedLimit: chuteleader.UnconfirmedLimit}
+	bounds := chuterunner.Bounds{MaxLease: 6 * time.Second, UnconfirmedLimit: chuteleader.UnconfirmedLimit, HeartbeatInterval: 1500 * time.Millisecond}
 	s.handle(0, func(t *chuteaction.Transition, _ chuterunner.Environment) {
 		s.state = chutescheduler.New(t, epoch, predecessor, bounds)
 	})
@@ -82,15 +82,32 @@
 }
 
 func (s *successor) listWorker() {
+	s.answerPoll(0, true, entry(1))
+}
+
+// answerPoll delivers an answer about the table of workers that the store gave some time ago, as soon as it was asked.
+func (s *successor) answerPoll(age time.Duration, complete bool, rows ...chuteaction.Row) {
+	s.answerHeldPoll(0, age, complete, rows...)
+}
+
+// answerHeldPoll does the same after the store has held the request.
+func (s *successor) answerHeldPoll(hold, age time.Duration, complete bool, rows ...chuteaction.Row) {
+	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+		s.state = s.state.HandleWorkers(t, environment, chuteaction.TableChanged{
+			Watch: s.watch(chuteaction.TableWorkers), Table: chuteaction.TableWorkers, SentAt: s.now.Add(-age - hold),
+			StoreClock: time.Duration(s.now.UnixNano()) - age, Complete: complete, Rows: rows,
+		})
+	})
+}
+
+// entry returns a version of the worker's entry in the list of workers.
+func entry(version chuteaction.RowVersion) chuteaction.Row {
 	listing := chutepool.Listing{
 		ID: workerID, Service: "main", Address: "10.0.0.1:1", Incarnation: 1,
 		Capacity: chutecapacity.Resources{Processor: 8000, Memory: 8000, Accelerators: 8},
 	}
-	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
-		s.state = s.state.HandleWorkers(t, environment, chuteaction.TableChanged{Watch: s.watch(chuteaction.TableWorkers), Table: chuteaction.TableWorkers, Complete: true, Rows: []chuteaction.Row{
-			{RowKey: chuteaction.RowKey{Table: chuteaction.TableWorkers, Key: string(workerID)}, Value: chuteaction.WorkerRow{Listing: listing}},
-		}})
-	})
+	key := chuteaction.RowKey{Table: chuteaction.TableWorkers, Key: string(workerID)}
+	return chuteaction.Row{RowKey: key, Version: version, Value: chuteaction.WorkerRow{Listing: listing}}
 }
 
 // tick advances the time in ticks of 50 ms.
@@ -353,3 +370,26 @@
 	is.True(ok)
 	is.Equal(row.Occurrences[0][0][0], chutetask.Task{Phase: chutetask.TaskDone, Run: 1})
 }
+
+// TestRunsOfACancelledJobWhoseProgressCannotBeReadAreStopped guards against work that goes on after its cancellation was dropped.
+func TestRunsOfACancelledJobWhoseProgressCannotBeReadAreStopped(t *testing.T) {
+	is := is.New(t)
+	s := newSuccessor(released())
+	s.submissions(true, submissionRow(1))
+	s.answerReads(chuteaction.TableHosts)
+	malformed := recordedRow(1, chutetask.TaskActive)
+	malformed.Value = nil
+	s.answerReads(chuteaction.TableProgress, malformed)
+	s.submissions(false, chuteaction.Row{RowKey: chuteaction.CancelKey(jobID), Version: 10, Value: chuteaction.CancelRow{Job: jobID}})
+	s.listWorker()
+	s.tick(200 * time.Millisecond)
+	s.report(1, []chutetask.RunReport{{Run: runID(0)}}, nil)
+	stopped := false
+	for _, effect := range s.effects {
+		stop, ok := effect.(chuteaction.StopRun)
+		stopped = stopped || ok && stop.Run == runID(0)
+	}
+	is.True(stopped)
+	_, recorded := s.flush()
+	is.Equal(recorded, false) // the row may say that the job has completed
+}
