Blame no run for a restart of its worker that came before its start

What callers would see: an innocent job shown as failed after crashes of whole zones. Cause: a worker that had restarted accepted a start before the scheduler knew of the restart; the restart then counted as a crash under that run. Class: an event of a former life applied to the present one. Change: the clock in the answer to a start shows the restart, since a worker's clock starts anew.

--- a/chutepool/run.go
+++ b/chutepool/run.go
@@ -43,6 +43,7 @@
 	paceReduction   int       // percentage points by which the pace is below fullPace
 	PacedAt         time.Time // when the pace last changed
 	ProgressedAt    time.Time // when its progress last changed
+	AfterRestart    bool      // its worker had restarted before it started, which its incarnation does not show yet
 	Quarantined     bool      // it has its worker to itself, since workers crashed under its task
 	Ticket          string    // approval ticket for the worker; empty if the queue needs none
 }
--- a/chuterunner/crash.go
+++ b/chuterunner/crash.go
@@ -28,7 +28,7 @@
 		return
 	}
 	for _, r := range runs {
-		if !mayHaveRun(r) {
+		if !mayHaveRun(r) || r.AfterRestart {
 			continue
 		}
 		started := !r.StartedAt.IsZero() || r.Inherited // otherwise the worker may have crashed before the order
--- a/chuterunner/crash_test.go
+++ b/chuterunner/crash_test.go
@@ -61,3 +61,18 @@
 	j, _ := s.state.Job(testID)
 	is.Equal(j.Crashes(taskRun(0, 1).Task).Runs(), 1)
 }
+
+func TestARestartBeforeARunStartedIsNotACrashUnderIt(t *testing.T) {
+	for _, clock := range []time.Duration{time.Hour, 80 * time.Millisecond} {
+		is := is.New(t)
+		s := newScheduler(1, false)
+		s.start(0)
+		s.handle(100*time.Millisecond, func(t *chuterunner.Transition) {
+			t.HandleRunStarted(chuteaction.RunStarted{Epoch: epoch, Worker: workerID(0), Run: taskRun(0, 1), Outcome: chuteaction.OrderAccepted, Clock: clock})
+		})
+		s.handle(100*time.Millisecond, func(t *chuterunner.Transition) { t.ApplyIncarnation(s.worker(0), 2) })
+		j, _ := s.state.Job(testID)
+		crashes := map[bool]int{true: 1}[clock == time.Hour]
+		is.Equal(j.Crashes(taskRun(0, 1).Task).Runs(), crashes)
+	}
+}
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -20,6 +20,8 @@
 	maxStartDelay = 400 * time.Millisecond
 	// maxUnsentTime is how long the start of a run is tried while none of its orders is sent.
 	maxUnsentTime = 2 * time.Second
+	// maxAnswerOvertake is the longest time by which an answer of a worker may arrive later than one that was given after it.
+	maxAnswerOvertake = 2 * time.Second
 	// maxClockDrift is the share by which a worker's clock may be slow, with a margin.
 	maxClockDrift = 0.03
 	// leaseMargin is added to every lease before it counts as expired.
@@ -117,6 +119,10 @@
 
 // startAccepted marks a run as started, and measures how long its job waited for the start.
 func (t *Transition) startAccepted(w chutepool.Worker, r chutepool.Run, clock time.Duration) {
+	if clock > 0 && restartedSince(w.Clock, clock, t.Now) {
+		r.AfterRestart = true
+		w.ReportDue = true
+	}
 	if clock > 0 {
 		w.Clock = chutepool.Clock{Reading: clock, ReadAt: t.Now}
 	}
@@ -127,6 +133,16 @@
 	}
 }
 
+// restartedSince reports whether a reading of a worker's clock, which starts anew with its process, shows that the worker
+// has restarted since an earlier reading.
+func restartedSince(earlier chutepool.Clock, reading time.Duration, now time.Time) bool {
+	if earlier.ReadAt.IsZero() {
+		return false
+	}
+	drift := time.Duration(maxClockDrift * float64(now.Sub(earlier.ReadAt)))
+	return reading < earlier.Now(now)-drift-maxAnswerOvertake
+}
+
 // startUnanswered repeats a start order, or stops the run after the last one or where nothing may start any more. It also
 // requests a report of the worker, which may have started the run.
 func (t *Transition) startUnanswered(w chutepool.Worker, r chutepool.Run) {
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -45,6 +45,7 @@
 			t.ReleaseRun(id, r.ID, chutetask.RunEnd{Run: r.ID, Kind: chutetask.EndLost})
 			return
 		}
+		r.AfterRestart = false
 		w, _ := t.Pool.Get(id)
 		t.PutWorker(w.WithRun(r.WithPhase(chutepool.RunStarted, t.Now)))
 	case chutepool.RunStopping:
