Split the scheduler's ledger and the membership of workers from chuterunner

Change: chuteledger has the state, the bounds, the environment, leases and where runs may start; chutemembership applies the list of workers and stops runs before a worker leaves. Declarations are moved, methods on the transition became functions.

--- a/chuteentry/release_test.go
+++ b/chuteentry/release_test.go
@@ -8,8 +8,8 @@
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chuteentry"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutepool"
-	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
@@ -27,7 +27,7 @@
 
 func newSoloHost() *soloHost {
 	return &soloHost{now: time.Unix(1_800_000_000, 0), state: chuteentry.New(chuteentry.Settings{
-		Host: "solo", Process: "solo-1", Bounds: chuterunner.Bounds{MaxLease: maxLease},
+		Host: "solo", Process: "solo-1", Bounds: chuteledger.Bounds{MaxLease: maxLease},
 	})}
 }
 
--- a/chuteentry/simulation_test.go
+++ b/chuteentry/simulation_test.go
@@ -11,7 +11,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecatalog"
 	"monsoonchute.example/monsoonchute/chuteentry"
-	"monsoonchute.example/monsoonchute/chuterunner"
+	"monsoonchute.example/monsoonchute/chuteledger"
 )
 
 // simulation runs entry hosts with a fake store, workers and clients in virtual time, without a network.
@@ -173,7 +173,7 @@
 	}
 	h.state = chuteentry.New(chuteentry.Settings{
 		Host: name, Process: h.process, RelayAddress: name, CPUShare: share, Jitter: time.Duration(sm.random.Int64N(int64(200 * time.Millisecond))),
-		Bounds: chuterunner.Bounds{MaxLease: maxLease, GangTimeout: gangTimeout, StopTimeout: stopTimeout, HeartbeatInterval: heartbeat},
+		Bounds: chuteledger.Bounds{MaxLease: maxLease, GangTimeout: gangTimeout, StopTimeout: stopTimeout, HeartbeatInterval: heartbeat},
 	})
 	sm.hosts[name] = h
 	h.tick()
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -9,7 +9,7 @@
 	"monsoonchute.example/monsoonchute/chutecatalog"
 	"monsoonchute.example/monsoonchute/chuteintake"
 	"monsoonchute.example/monsoonchute/chuteleader"
-	"monsoonchute.example/monsoonchute/chuterunner"
+	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutescheduler"
 )
 
@@ -48,7 +48,7 @@
 	RelayAddress string        // where this host accepts store requests of other hosts; empty if it accepts none
 	CPUShare     float64       // number of CPU cores that this host may use
 	Jitter       time.Duration // delay that keeps hosts from taking over at the same time
-	Bounds       chuterunner.Bounds
+	Bounds       chuteledger.Bounds
 }
 
 // State is the immutable state of an entry host.
@@ -100,8 +100,8 @@
 	return !s.contactAt.IsZero() && now.Sub(s.contactAt) <= maxContactAge
 }
 
-func (s State) environment() chuterunner.Environment {
-	return chuterunner.Environment{
+func (s State) environment() chuteledger.Environment {
+	return chuteledger.Environment{
 		Catalog: s.catalog, EvacuatedZones: s.evacuatedZones, Waves: s.waves,
 		ConfirmedAt: s.leader.ConfirmedAt(), ContactSince: s.contactSince,
 	}
--- a/chuterunner/state.go
+++ b/chuteledger/state.go
@@ -1,4 +1,4 @@
-package chuterunner
+package chuteledger
 
 import (
 	"time"
@@ -6,15 +6,12 @@
 	"github.com/benbjohnson/immutable"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
-	"monsoonchute.example/monsoonchute/chutecatalog"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chutespeed"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
-const component = "scheduler"
-
 // State is the immutable state of the scheduler's jobs, runs and workers.
 type State struct {
 	Epoch       int64 // epoch under which orders are sent
@@ -90,26 +87,6 @@
 	return r.UnsavedWork(t.Now, step.Estimate, step.Checkpointing)
 }
 
-// Bounds are the time limits that the workers and the operators set.
-type Bounds struct {
-	MaxLease    time.Duration // longest lease that a worker grants
-	GangTimeout time.Duration // how long members of a gang wait for the others
-	StopTimeout time.Duration // longest time that a run takes to stop
-	// HeartbeatInterval is the time between two heartbeats of a worker; 0 if unknown.
-	HeartbeatInterval time.Duration
-	// UnconfirmedLimit is how long a scheduler renews leases without a successful write to the store.
-	UnconfirmedLimit time.Duration
-}
-
-// Environment is the state of other parts of the host that the scheduler reads with each event.
-type Environment struct {
-	Catalog        chutecatalog.Catalog
-	EvacuatedZones map[string]bool // zones in which no run may start
-	Waves          []chuteaction.WaveRow
-	ConfirmedAt    time.Time // send time of the latest successful write as leader
-	ContactSince   time.Time // start of the time in which the store has answered without a gap
-}
-
 // Job returns the job, ended or not, and false if it does not exist.
 func (s State) Job(id chutegraph.JobID) (chutetask.Job, bool) {
 	if j, ok := s.Live.Get(id); ok {
--- a/chuterunner/leaving.go
+++ b/chutemembership/leaving.go
@@ -1,15 +1,14 @@
-package chuterunner
+package chutemembership
 
 import (
 	"time"
 
+	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutepool"
-	"monsoonchute.example/monsoonchute/chutetask"
+	"monsoonchute.example/monsoonchute/chuterunner"
 )
 
 const (
-	// UnknownRemaining is the remaining time of a run whose end cannot be estimated.
-	UnknownRemaining = 24 * time.Hour
 	// leaveMargin is the time before a worker's earliest departure at which the scheduler stops its runs, so that the worker
 	// can save their progress and report their ends.
 	leaveMargin = 700 * time.Millisecond
@@ -18,24 +17,10 @@
 	maxShortNotice = 5 * time.Second
 )
 
-// Remaining returns the expected time until a run ends by itself, negative if that has passed, and UnknownRemaining if
-// it cannot be estimated.
-func (t *Transition) Remaining(worker chutetask.WorkerID, r chutepool.Run, longRunning bool) time.Duration {
-	if r.Phase != chutepool.RunStarted || r.ProgressReadAt.IsZero() || longRunning {
-		return UnknownRemaining
-	}
-	rate, known := t.Speeds.Rate(r.ID.Task.StepID, worker, t.Now)
-	if !known {
-		return UnknownRemaining
-	}
-	left := float64(100-r.Percent)/rate - t.Now.Sub(r.ProgressReadAt).Seconds()
-	return time.Duration(min(left, UnknownRemaining.Seconds()) * float64(time.Second))
-}
-
 // StopBeforeLeave stops the runs on a worker that leaves at short notice before they end, so that their tasks go on
 // elsewhere. Runs without checkpoints that are known to end too late are stopped at once, all others at the last
 // moment. A worker that vanishes with its runs delays their tasks until its lease expires.
-func (t *Transition) StopBeforeLeave(w chutepool.Worker) {
+func StopBeforeLeave(t *chuterunner.Transition, w chutepool.Worker) {
 	if !w.Draining || w.LeavesAt.IsZero() || w.TimeToLeave > maxShortNotice {
 		return
 	}
@@ -47,7 +32,7 @@
 		}
 		step := j.Step(r.ID.Task.StepID)
 		remaining := t.Remaining(w.ID, r, step.LongRunning)
-		stopAtOnce := !step.Checkpointing && !step.LongRunning && remaining < UnknownRemaining
+		stopAtOnce := !step.Checkpointing && !step.LongRunning && remaining < chuteledger.UnknownRemaining
 		if remaining > left && (left <= leaveMargin || stopAtOnce) {
 			t.StopRun(w.ID, r.ID, "worker-leaves")
 		}
--- a/chuterunner/listing.go
+++ b/chutemembership/listing.go
@@ -1,16 +1,17 @@
-package chuterunner
+package chutemembership
 
 import (
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
 // ApplyListing applies the entry of a worker in the list of workers. The worker wrote the entry's version after the given
 // time on the store's clock, which is 0 if nothing is known of it.
-func (t *Transition) ApplyListing(listing chutepool.Listing, version chuteaction.RowVersion, writtenAfter time.Duration) {
+func ApplyListing(t *chuterunner.Transition, listing chutepool.Listing, version chuteaction.RowVersion, writtenAfter time.Duration) {
 	w, known := t.Pool.Get(listing.ID)
 	if !known {
 		w = chutepool.NewWorker(listing, t.Now).WithHeartbeat(int64(version), writtenAfter)
@@ -45,6 +46,8 @@
 	}
 }
 
+const component = "scheduler"
+
 // Removal is the way in which a worker's entry disappeared from the list of workers.
 type Removal int
 
@@ -66,7 +69,7 @@
 }
 
 // MarkUnlisted records that the list of workers no longer names the worker.
-func (t *Transition) MarkUnlisted(id chutetask.WorkerID, removal Removal) {
+func MarkUnlisted(t *chuterunner.Transition, id chutetask.WorkerID, removal Removal) {
 	w, ok := t.Pool.Get(id)
 	if !ok || !w.Listed {
 		return
@@ -75,7 +78,7 @@
 	w.UnlistedAt = t.Now
 	w.RenewAfter = t.Now
 	w.ReportDue = true
-	w.PresumedEnded = removal != RemovalMalformed && t.hasLeft(w)
+	w.PresumedEnded = removal != RemovalMalformed && hasLeft(t, w)
 	t.Log(component, "worker is no longer listed", "", "worker", id, "reason", removal, "runs", w.RunCount(),
 		"heartbeat", t.StoreClock-w.HeartbeatAfter, "answered", t.Now.Sub(w.AnsweredAt), "presumed-ended", w.PresumedEnded)
 	t.PutWorker(w)
@@ -83,7 +86,7 @@
 
 // hasLeft reports whether a worker whose entry has disappeared has removed the entry itself at its end. An entry also
 // expires after several heartbeats that do not reach the store, while the worker goes on running and may answer orders.
-func (t *Transition) hasLeft(w chutepool.Worker) bool {
+func hasLeft(t *chuterunner.Transition, w chutepool.Worker) bool {
 	if w.HeartbeatAfter == 0 || t.StoreClock < w.HeartbeatAfter {
 		return false
 	}
--- a/chuterunner/lost_test.go
+++ b/chuterunner/lost_test.go
@@ -8,6 +8,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutemembership"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -38,25 +39,25 @@
 	cases := []struct {
 		name    string
 		silence time.Duration // between the worker's latest heartbeat and the end of its entry
-		removal chuterunner.Removal
+		removal chutemembership.Removal
 		answers bool // the worker answers a renewal afterwards, before it misses one
 		lost    bool
 	}{
-		{"entry removed at the worker's end", time.Second, chuterunner.RemovalDeleted, false, true},
-		{"entry expired while the worker reaches the hosts", 4500 * time.Millisecond, chuterunner.RemovalDeleted, false, false},
-		{"entry missing from a complete list", 4500 * time.Millisecond, chuterunner.RemovalMissing, false, false},
-		{"entry overwritten by another writer", time.Second, chuterunner.RemovalMalformed, false, false},
-		{"entry removed by a worker that goes on answering", time.Second, chuterunner.RemovalDeleted, true, false},
+		{"entry removed at the worker's end", time.Second, chutemembership.RemovalDeleted, false, true},
+		{"entry expired while the worker reaches the hosts", 4500 * time.Millisecond, chutemembership.RemovalDeleted, false, false},
+		{"entry missing from a complete list", 4500 * time.Millisecond, chutemembership.RemovalMissing, false, false},
+		{"entry overwritten by another writer", time.Second, chutemembership.RemovalMalformed, false, false},
+		{"entry removed by a worker that goes on answering", time.Second, chutemembership.RemovalDeleted, true, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			s := startedRun()
 			s.state.Bounds.HeartbeatInterval = 1500 * time.Millisecond
-			s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(s.worker(0).Listing, 7, t.StoreClock) })
+			s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, s.worker(0).Listing, 7, t.StoreClock) })
 			s.handle(c.silence, func(*chuterunner.Transition) {})
 			s.report(0, []chutetask.RunReport{{Run: taskRun(0, 1)}}, nil)
-			s.handle(0, func(t *chuterunner.Transition) { t.MarkUnlisted(workerID(0), c.removal) })
+			s.handle(0, func(t *chuterunner.Transition) { chutemembership.MarkUnlisted(t, workerID(0), c.removal) })
 			if c.answers {
 				s.report(0, []chutetask.RunReport{{Run: taskRun(0, 1)}}, nil)
 			}
@@ -83,7 +84,7 @@
 	s := startedRun()
 	s.handle(0, func(t *chuterunner.Transition) {
 		t.Pool = t.Pool.Without(workerID(0))
-		t.ApplyListing(chutepool.Listing{ID: workerID(0), Address: "10.0.0.1:1", Incarnation: 1}, 7, t.StoreClock)
+		chutemembership.ApplyListing(t, chutepool.Listing{ID: workerID(0), Address: "10.0.0.1:1", Incarnation: 1}, 7, t.StoreClock)
 	})
 	s.report(0, []chutetask.RunReport{{Run: taskRun(0, 2)}}, nil) // not expected: it is stopped, and takes its capacity until then
 	is.Equal(s.worker(0).RunCount(), 1)
@@ -188,7 +189,7 @@
 		s := startedRun()
 		moved := s.worker(0).Listing
 		moved.Address = "10.0.0.2:1"
-		s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(moved, 7, t.StoreClock) })
+		s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, moved, 7, t.StoreClock) })
 		s.handle(100*time.Millisecond, func(t *chuterunner.Transition) {
 			t.HandleLeaseRenewed(chuteaction.LeaseRenewed{
 				Epoch: epoch, Worker: workerID(0), Address: address, SentAt: s.now, Outcome: chuteaction.OrderMisdirected,
@@ -202,11 +203,13 @@
 	is := is.New(t)
 	s := startedRun()
 	s.state.Bounds.HeartbeatInterval = 1500 * time.Millisecond
-	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(s.worker(0).Listing, 7, t.StoreClock) })
+	s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, s.worker(0).Listing, 7, t.StoreClock) })
 	s.handle(5*time.Second, func(*chuterunner.Transition) {})
-	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(s.worker(0).Listing, 8, t.StoreClock) })
+	s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, s.worker(0).Listing, 8, t.StoreClock) })
 	sentAt := s.now
-	s.handle(500*time.Millisecond, func(t *chuterunner.Transition) { t.MarkUnlisted(workerID(0), chuterunner.RemovalDeleted) })
+	s.handle(500*time.Millisecond, func(t *chuterunner.Transition) {
+		chutemembership.MarkUnlisted(t, workerID(0), chutemembership.RemovalDeleted)
+	})
 	is.True(s.worker(0).PresumedEnded)
 	s.handle(200*time.Millisecond, func(t *chuterunner.Transition) {
 		t.HandleLeaseRenewed(chuteaction.LeaseRenewed{Epoch: epoch, Worker: workerID(0), SentAt: sentAt, Outcome: chuteaction.OrderUnknown})
--- a/chuterunner/lostend_test.go
+++ b/chuterunner/lostend_test.go
@@ -10,6 +10,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutemembership"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -40,8 +41,12 @@
 // removeEntry lets the worker's entry disappear so soon after a heartbeat that the worker itself must have removed it.
 func (s *scheduler) removeEntry(index int) {
 	s.state.Bounds.HeartbeatInterval = 1500 * time.Millisecond
-	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(s.worker(index).Listing, 7, t.StoreClock) })
-	s.handle(time.Second, func(t *chuterunner.Transition) { t.MarkUnlisted(workerID(index), chuterunner.RemovalDeleted) })
+	s.handle(0, func(t *chuterunner.Transition) {
+		chutemembership.ApplyListing(t, s.worker(index).Listing, 7, t.StoreClock)
+	})
+	s.handle(time.Second, func(t *chuterunner.Transition) {
+		chutemembership.MarkUnlisted(t, workerID(index), chutemembership.RemovalDeleted)
+	})
 }
 
 func doneEnd(number int64, index int) chutetask.RunEnd {
--- a/chuterunner/order_test.go
+++ b/chuterunner/order_test.go
@@ -10,6 +10,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -24,17 +25,17 @@
 
 // scheduler drives the state of the runs and collects the orders.
 type scheduler struct {
-	state  chuterunner.State
+	state  chuteledger.State
 	now    time.Time
 	orders []chuteaction.Effect
 
-	environment chuterunner.Environment
+	environment chuteledger.Environment
 }
 
 // newScheduler returns a scheduler with a job of one step of count tasks, each with a recorded run on a worker of its
 // own: task i runs on worker wI.
 func newScheduler(count int, gang bool) *scheduler {
-	s := &scheduler{now: startTime, state: chuterunner.New(epoch, chuterunner.Bounds{MaxLease: 6 * time.Second}, startTime)}
+	s := &scheduler{now: startTime, state: chuteledger.New(epoch, chuteledger.Bounds{MaxLease: 6 * time.Second}, startTime)}
 	request := chutecapacity.Resources{Processor: 1000, Memory: 1000, Accelerators: 1}
 	submission := chutetask.Submission{ID: testID, Attempts: 3, Spec: chutegraph.Spec{
 		Steps: []chutegraph.Step{{Count: count, Request: request, Gang: gang}},
--- a/chuterunner/room_test.go
+++ b/chuterunner/room_test.go
@@ -9,6 +9,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutemembership"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -17,14 +18,14 @@
 func (s *scheduler) shrink(index int) {
 	listing := s.worker(index).Listing
 	listing.Capacity = chutecapacity.Resources{Processor: 500, Memory: 8000, Accelerators: 8}
-	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(listing, 7, t.StoreClock) })
+	s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, listing, 7, t.StoreClock) })
 }
 
 // drain lists the worker as one that drains.
 func (s *scheduler) drain(index int) {
 	listing := s.worker(index).Listing
 	listing.Draining = true
-	s.handle(0, func(t *chuterunner.Transition) { t.ApplyListing(listing, 7, t.StoreClock) })
+	s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, listing, 7, t.StoreClock) })
 }
 
 // TestAnUnansweredStartIsRepeatedOnlyWhereRunsMayStart guards against a start on a worker that may get none since the first order.
@@ -38,7 +39,9 @@
 		{"worker has shrunk", func(s *scheduler) { s.shrink(0) }, false},
 		{"worker drains", func(s *scheduler) { s.drain(0) }, false},
 		{"worker is no longer listed", func(s *scheduler) {
-			s.handle(0, func(t *chuterunner.Transition) { t.MarkUnlisted(workerID(0), chuterunner.RemovalDeleted) })
+			s.handle(0, func(t *chuterunner.Transition) {
+				chutemembership.MarkUnlisted(t, workerID(0), chutemembership.RemovalDeleted)
+			})
 		}, false},
 		{"zone is evacuated", func(s *scheduler) { s.environment.EvacuatedZones = map[string]bool{s.worker(0).Zone: true} }, false},
 		{"worker is cordoned", func(s *scheduler) { s.state.Cordoned = map[chutetask.WorkerID]bool{workerID(0): true} }, false},
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -5,6 +5,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -22,10 +23,6 @@
 	maxUnsentTime = 2 * time.Second
 	// maxAnswerOvertake is the longest time by which an answer of a worker may arrive later than one that was given after it.
 	maxAnswerOvertake = 2 * time.Second
-	// maxClockDrift is the share by which a worker's clock may be slow, with a margin.
-	maxClockDrift = 0.03
-	// leaseMargin is added to every lease before it counts as expired.
-	leaseMargin = 200 * time.Millisecond
 	// cooldownAfterRefusal is how long a worker that refused a start order gets no new runs.
 	cooldownAfterRefusal = time.Second
 	// cooldownAfterFailures is how long a worker on which runs of several jobs failed in a row gets no new runs.
@@ -34,21 +31,6 @@
 	maxFailureStreak = 2
 )
 
-// LongestLease returns how long a lease may last by the clock of this process.
-func (s State) LongestLease() time.Duration {
-	return time.Duration(float64(s.Bounds.MaxLease)*(1+maxClockDrift)) + leaseMargin
-}
-
-// ExtendLease returns the worker with a lease that begins now. A worker that does not answer keeps its lease as it is,
-// so that the lease expires although orders that may have arrived are repeated.
-func (t *Transition) ExtendLease(w chutepool.Worker) chutepool.Worker {
-	if w.MissedRenewals == 0 {
-		w.LeaseEnd = w.Clock.Now(t.Now) + t.Bounds.MaxLease
-		w.LeaseExpiryBound = t.Now.Add(t.LongestLease())
-	}
-	return w
-}
-
 // OrderStart sends the start order of a recorded run to its worker.
 func (t *Transition) OrderStart(w chutepool.Worker, r chutepool.Run) {
 	j, ok := t.Job(r.ID.Task.Job)
@@ -139,7 +121,7 @@
 	if earlier.ReadAt.IsZero() {
 		return false
 	}
-	drift := time.Duration(maxClockDrift * float64(now.Sub(earlier.ReadAt)))
+	drift := time.Duration(chuteledger.MaxClockDrift * float64(now.Sub(earlier.ReadAt)))
 	return reading < earlier.Now(now)-drift-maxAnswerOvertake
 }
 
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -5,13 +5,13 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutepool"
-	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
 // HandleRowsRead handles the end of a read that the scheduler began after its takeover. A failed read is repeated.
-func (s State) HandleRowsRead(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.RowsRead) State {
+func (s State) HandleRowsRead(t *chuteaction.Transition, environment chuteledger.Environment, e chuteaction.RowsRead) State {
 	if e.Token == s.hostsToken {
 		return s.handleHostsRead(t, environment, e)
 	}
@@ -28,7 +28,7 @@
 
 // handleHostsRead checks whether the predecessor's process has ended, in which case nobody renews leases under its
 // epoch any more. It has ended if a later row of its host names another process.
-func (s State) handleHostsRead(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.RowsRead) State {
+func (s State) handleHostsRead(t *chuteaction.Transition, environment chuteledger.Environment, e chuteaction.RowsRead) State {
 	if e.Outcome != chuteaction.StoreDone {
 		t.Count("store-retry", "hosts-read")
 		return s.readHosts(t)
@@ -46,14 +46,14 @@
 }
 
 // HandleForwarded handles rows of submitted and cancelled jobs that another host has recorded.
-func (s State) HandleForwarded(t *chuteaction.Transition, environment chuterunner.Environment, rows []chuteaction.Row) State {
+func (s State) HandleForwarded(t *chuteaction.Transition, environment chuteledger.Environment, rows []chuteaction.Row) State {
 	u := s.transition(t, environment)
 	u.applyJobRows(rows)
 	return u.state()
 }
 
 // HandleSubmissions handles a change of the table of submitted and cancelled jobs. It ignores events of earlier watches.
-func (s State) HandleSubmissions(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.TableChanged) State {
+func (s State) HandleSubmissions(t *chuteaction.Transition, environment chuteledger.Environment, e chuteaction.TableChanged) State {
 	if e.Watch != s.jobsWatch {
 		t.Count("watch-event-dropped", e.Table.String())
 		return s
--- a/chutescheduler/listing_test.go
+++ b/chutescheduler/listing_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
-	"monsoonchute.example/monsoonchute/chuterunner"
+	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
@@ -45,7 +45,7 @@
 			removed := entry(3)
 			removed.Deleted, removed.Value = true, nil
 			s.answerPoll(0, false, removed)
-			s.handle(100*time.Millisecond, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+			s.handle(100*time.Millisecond, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 				s.state, _ = s.state.HandleLeaseRenewed(t, environment, chuteaction.LeaseRenewed{Epoch: epoch, Worker: workerID, SentAt: s.now, Outcome: chuteaction.OrderUnreachable})
 			})
 			_, lost := s.flush()
@@ -70,7 +70,7 @@
 	s.submissions(false, submissionRow(1))
 	s.tick(100 * time.Millisecond)
 	s.flush()
-	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+	s.handle(0, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 		s.state = s.state.HandleCommit(t, environment)
 	})
 }
--- a/chutescheduler/lostprogress_test.go
+++ b/chutescheduler/lostprogress_test.go
@@ -11,8 +11,8 @@
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteleader"
+	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutepool"
-	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutescheduler"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -34,8 +34,8 @@
 func newSuccessor(predecessor chuteleader.Predecessor) *successor {
 	s := &successor{now: time.Unix(1_800_000_000, 0)}
 	predecessor.ObservedAt = s.now
-	bounds := chuterunner.Bounds{MaxLease: 6 * time.Second, UnconfirmedLimit: chuteleader.UnconfirmedLimit, HeartbeatInterval: 1500 * time.Millisecond}
-	s.handle(0, func(t *chuteaction.Transition, _ chuterunner.Environment) {
+	bounds := chuteledger.Bounds{MaxLease: 6 * time.Second, UnconfirmedLimit: chuteleader.UnconfirmedLimit, HeartbeatInterval: 1500 * time.Millisecond}
+	s.handle(0, func(t *chuteaction.Transition, _ chuteledger.Environment) {
 		s.state = chutescheduler.New(t, epoch, predecessor, bounds)
 	})
 	return s
@@ -45,10 +45,10 @@
 	return chuteleader.Predecessor{Row: chuteaction.LeaderRow{Epoch: epoch - 1, Released: true}}
 }
 
-func (s *successor) handle(after time.Duration, act func(*chuteaction.Transition, chuterunner.Environment)) {
+func (s *successor) handle(after time.Duration, act func(*chuteaction.Transition, chuteledger.Environment)) {
 	s.now = s.now.Add(after)
 	t := chuteaction.NewTransition(s.now, s.token)
-	act(t, chuterunner.Environment{ConfirmedAt: s.now})
+	act(t, chuteledger.Environment{ConfirmedAt: s.now})
 	s.token = t.LastToken()
 	s.effects = append(s.effects, t.Effects...)
 }
@@ -57,7 +57,7 @@
 func (s *successor) answerReads(table chuteaction.Table, rows ...chuteaction.Row) {
 	for _, effect := range s.effects {
 		if read, ok := effect.(chuteaction.ReadRows); ok && read.Table == table && s.state.Owns(read.Token) {
-			s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+			s.handle(0, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 				s.state = s.state.HandleRowsRead(t, environment, chuteaction.RowsRead{Token: read.Token, Outcome: chuteaction.StoreDone, Rows: rows})
 			})
 		}
@@ -76,7 +76,7 @@
 }
 
 func (s *successor) submissions(complete bool, rows ...chuteaction.Row) {
-	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+	s.handle(0, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 		s.state = s.state.HandleSubmissions(t, environment, chuteaction.TableChanged{Watch: s.watch(chuteaction.TableJobs), Table: chuteaction.TableJobs, Complete: complete, Rows: rows})
 	})
 }
@@ -92,7 +92,7 @@
 
 // answerHeldPoll does the same after the store has held the request.
 func (s *successor) answerHeldPoll(hold, age time.Duration, complete bool, rows ...chuteaction.Row) {
-	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+	s.handle(0, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 		s.state = s.state.HandleWorkers(t, environment, chuteaction.TableChanged{
 			Watch: s.watch(chuteaction.TableWorkers), Table: chuteaction.TableWorkers, SentAt: s.now.Add(-age - hold),
 			StoreClock: time.Duration(s.now.UnixNano()) - age, Complete: complete, Rows: rows,
@@ -113,7 +113,7 @@
 // tick advances the time in ticks of 50 ms.
 func (s *successor) tick(span time.Duration) {
 	for end := s.now.Add(span); s.now.Before(end); {
-		s.handle(50*time.Millisecond, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+		s.handle(50*time.Millisecond, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 			s.state = s.state.Tick(t, environment)
 		})
 	}
@@ -121,7 +121,7 @@
 
 // report lets the worker answer a renewal that was sent just now.
 func (s *successor) report(incarnation int64, running []chutetask.RunReport, ended []chutetask.RunEnd) {
-	s.handle(time.Millisecond, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+	s.handle(time.Millisecond, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 		s.state, _ = s.state.HandleLeaseRenewed(t, environment, chuteaction.LeaseRenewed{
 			Epoch: epoch, Worker: workerID, SentAt: s.now, Outcome: chuteaction.OrderAccepted,
 			Clock: time.Duration(s.now.UnixMilli()%100_000) * time.Millisecond, Incarnation: incarnation, Running: running, Ended: ended,
@@ -189,12 +189,12 @@
 	is.Equal(row.Occurrences[0][0][1].Phase, chutetask.TaskActive)
 
 	// The start order of the second task reaches the worker after its restart.
-	s.handle(100*time.Millisecond, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+	s.handle(100*time.Millisecond, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 		s.state, _ = s.state.HandleRunStarted(t, environment, chuteaction.RunStarted{Epoch: epoch, Worker: workerID, Run: runID(1), Outcome: chuteaction.OrderAccepted})
 	})
 	s.report(2, nil, []chutetask.RunEnd{{Number: 1, Run: runID(1), Kind: chutetask.EndDone}})
 	s.effects = nil
-	s.handle(100*time.Millisecond, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+	s.handle(100*time.Millisecond, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 		s.state = s.state.HandleCommit(t, environment)
 	})
 	s.tick(500 * time.Millisecond)
@@ -242,14 +242,14 @@
 	_, ok := s.flush()
 	is.True(ok)
 	since := len(s.effects)
-	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+	s.handle(0, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 		s.state = s.state.HandleCommit(t, environment)
 	})
 	is.Equal(s.acknowledgements(since), []int64{1}) // the worker has just listed that end
 
 	since = len(s.effects)
 	for range 3 {
-		s.handle(time.Second, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+		s.handle(time.Second, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 			s.state, _ = s.state.HandleLeaseRenewed(t, environment, chuteaction.LeaseRenewed{Epoch: epoch, Worker: workerID, SentAt: s.now, Outcome: chuteaction.OrderUnknown})
 		})
 		s.tick(500 * time.Millisecond)
@@ -295,7 +295,7 @@
 func TestAListOfAnEarlierWatchIsNotTakenForThePresentOne(t *testing.T) {
 	is := is.New(t)
 	s := newSuccessor(released())
-	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+	s.handle(0, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 		earlier := chuteaction.TableChanged{Watch: s.watch(chuteaction.TableJobs) - 1, Table: chuteaction.TableJobs, Complete: true}
 		s.state = s.state.HandleSubmissions(t, environment, earlier)
 	})
@@ -315,7 +315,7 @@
 	s.answerReads(chuteaction.TableProgress, recordedRow(1, chutetask.TaskActive))
 	s.listWorker()
 	s.tick(200 * time.Millisecond)
-	s.handle(0, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+	s.handle(0, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 		s.state, _ = s.state.HandleLeaseRenewed(t, environment, chuteaction.LeaseRenewed{Epoch: epoch, Worker: workerID, SentAt: s.now, Outcome: chuteaction.OrderUnknown})
 	})
 	s.tick(500 * time.Millisecond)
@@ -333,10 +333,10 @@
 	s.tick(200 * time.Millisecond)
 	s.report(1, nil, []chutetask.RunEnd{{Number: 1, Run: runID(0), Kind: chutetask.EndDone}})
 	s.flush()
-	s.handle(10*time.Millisecond, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+	s.handle(10*time.Millisecond, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 		s.state = s.state.HandleCommit(t, environment)
 	})
-	s.handle(time.Second, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+	s.handle(time.Second, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 		s.state, _ = s.state.HandleLeaseRenewed(t, environment, chuteaction.LeaseRenewed{Epoch: epoch, Worker: workerID, SentAt: s.now, Outcome: chuteaction.OrderUnknown})
 	})
 }
--- a/chutescheduler/renewal_test.go
+++ b/chutescheduler/renewal_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
-	"monsoonchute.example/monsoonchute/chuterunner"
+	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
@@ -45,7 +45,7 @@
 			break // the worker has been given up
 		}
 		tries++
-		s.handle(renewal.PollTimeout+unansweredTime, func(t *chuteaction.Transition, environment chuterunner.Environment) {
+		s.handle(renewal.PollTimeout+unansweredTime, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 			s.state, _ = s.state.HandleLeaseRenewed(t, environment, chuteaction.LeaseRenewed{Epoch: epoch, Worker: workerID, SentAt: s.now, Outcome: chuteaction.OrderUnknown})
 		})
 	}
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -8,6 +8,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteleader"
+	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chuteplanner"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -18,11 +19,11 @@
 
 // State is the immutable state of the job scheduler.
 type State struct {
-	runner chuterunner.State
+	runner chuteledger.State
 	schedulerState
 }
 
-// schedulerState is the part of State that chuterunner.State does not hold.
+// schedulerState is the part of State that chuteledger.State does not hold.
 type schedulerState struct {
 	batch            batch
 	predecessor      chuteleader.Predecessor                                 // the scheduler that led before this one
@@ -60,9 +61,9 @@
 }
 
 // New returns the epoch's scheduler. It begins to read hosts and the progress of all jobs, and watches submissions.
-func New(t *chuteaction.Transition, epoch int64, predecessor chuteleader.Predecessor, bounds chuterunner.Bounds) State {
+func New(t *chuteaction.Transition, epoch int64, predecessor chuteleader.Predecessor, bounds chuteledger.Bounds) State {
 	s := State{
-		runner: chuterunner.New(epoch, bounds, t.Now),
+		runner: chuteledger.New(epoch, bounds, t.Now),
 		schedulerState: schedulerState{
 			predecessor: predecessor, predecessorEnded: predecessor.Row.Epoch == 0 || predecessor.Row.Released,
 			planner:  chuteplanner.New(),
@@ -152,7 +153,7 @@
 	schedulerState
 }
 
-func (s State) transition(t *chuteaction.Transition, environment chuterunner.Environment) *transition {
+func (s State) transition(t *chuteaction.Transition, environment chuteledger.Environment) *transition {
 	return &transition{Transition: chuterunner.NewTransition(t, s.runner, environment), schedulerState: s.schedulerState}
 }
 
@@ -162,7 +163,7 @@
 }
 
 // HandleRunStarted handles the outcome of a start order, and reports whether a worker has seen a higher epoch.
-func (s State) HandleRunStarted(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.RunStarted) (State, bool) {
+func (s State) HandleRunStarted(t *chuteaction.Transition, environment chuteledger.Environment, e chuteaction.RunStarted) (State, bool) {
 	u := s.transition(t, environment)
 	if e.Reason == chuteaction.RefusedTicket {
 		u.planner = u.planner.WithoutStep(e.Run.Task.StepID)
@@ -172,14 +173,14 @@
 }
 
 // HandleRunStopped handles the outcome of a stop order, and reports whether a worker has seen a higher epoch.
-func (s State) HandleRunStopped(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.RunStopped) (State, bool) {
+func (s State) HandleRunStopped(t *chuteaction.Transition, environment chuteledger.Environment, e chuteaction.RunStopped) (State, bool) {
 	u := s.transition(t, environment)
 	u.HandleRunStopped(e)
 	return u.state(), u.Fenced
 }
 
 // HandleLeaseRenewed handles the outcome of a lease renewal, and reports whether a worker has seen a higher epoch.
-func (s State) HandleLeaseRenewed(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.LeaseRenewed) (State, bool) {
+func (s State) HandleLeaseRenewed(t *chuteaction.Transition, environment chuteledger.Environment, e chuteaction.LeaseRenewed) (State, bool) {
 	u := s.transition(t, environment)
 	u.HandleLeaseRenewed(e)
 	chuteplanner.PaceWorker(u.Transition, e.Worker)
@@ -187,21 +188,21 @@
 }
 
 // HandleStepApproved handles the answer of the approval service.
-func (s State) HandleStepApproved(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.StepApproved) State {
+func (s State) HandleStepApproved(t *chuteaction.Transition, environment chuteledger.Environment, e chuteaction.StepApproved) State {
 	u := s.transition(t, environment)
 	u.planner = u.planner.HandleStepApproved(u.Transition, e)
 	return u.state()
 }
 
 // HandleMachinesListed handles the platform's answer to a request for its list of machines.
-func (s State) HandleMachinesListed(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.MachinesListed) State {
+func (s State) HandleMachinesListed(t *chuteaction.Transition, environment chuteledger.Environment, e chuteaction.MachinesListed) State {
 	u := s.transition(t, environment)
 	u.waves = u.waves.HandleMachinesListed(u.Transition, e)
 	return u.state()
 }
 
 // HandleMachineMaintained handles the outcome of an order to maintain a machine.
-func (s State) HandleMachineMaintained(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.MachineMaintained) State {
+func (s State) HandleMachineMaintained(t *chuteaction.Transition, environment chuteledger.Environment, e chuteaction.MachineMaintained) State {
 	u := s.transition(t, environment)
 	u.waves = u.waves.HandleMachineMaintained(u.Transition, e)
 	return u.state()
--- a/chutescheduler/takeover_test.go
+++ b/chutescheduler/takeover_test.go
@@ -9,7 +9,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteleader"
-	"monsoonchute.example/monsoonchute/chuterunner"
+	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutescheduler"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -21,9 +21,9 @@
 	is := is.New(t)
 	const id = chutegraph.JobID("00000000000000aa")
 	transition := chuteaction.NewTransition(time.Unix(1_800_000_000, 0), 0)
-	s := chutescheduler.New(transition, 2, chuteleader.Predecessor{Row: chuteaction.LeaderRow{Epoch: 1, Released: true}}, chuterunner.Bounds{})
+	s := chutescheduler.New(transition, 2, chuteleader.Predecessor{Row: chuteaction.LeaderRow{Epoch: 1, Released: true}}, chuteledger.Bounds{})
 	watch, _ := transition.Effects[0].(chuteaction.WatchTable)
-	environment := chuterunner.Environment{}
+	environment := chuteledger.Environment{}
 	submission := chutetask.Submission{ID: id, Spec: chutegraph.Spec{Steps: []chutegraph.Step{{Count: 1}}}}
 	s = s.HandleSubmissions(transition, environment, chuteaction.TableChanged{Watch: watch.Watch, Table: chuteaction.TableJobs, Complete: true, Rows: []chuteaction.Row{
 		{RowKey: chuteaction.SubmissionKey(id), Version: 5, Value: chuteaction.SubmissionRow{Submission: submission}},
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -5,9 +5,10 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteledger"
+	"monsoonchute.example/monsoonchute/chutemembership"
 	"monsoonchute.example/monsoonchute/chuteplanner"
 	"monsoonchute.example/monsoonchute/chutepool"
-	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
@@ -27,7 +28,7 @@
 )
 
 // Tick starts due occurrences, checks some workers, advances maintenance waves and runs a planning pass if one is due.
-func (s State) Tick(t *chuteaction.Transition, environment chuterunner.Environment) State {
+func (s State) Tick(t *chuteaction.Transition, environment chuteledger.Environment) State {
 	u := s.transition(t, environment)
 	if !u.Ready() {
 		return u.state()
@@ -47,7 +48,7 @@
 }
 
 // Advance runs a planning pass if something has changed since the latest one.
-func (s State) Advance(t *chuteaction.Transition, environment chuterunner.Environment) State {
+func (s State) Advance(t *chuteaction.Transition, environment chuteledger.Environment) State {
 	u := s.transition(t, environment)
 	if u.Ready() && u.PlanDue {
 		u.planner = u.planner.Plan(u.Transition)
@@ -93,7 +94,7 @@
 		t.Emit(chuteaction.DisconnectWorker{Worker: w.ID})
 		return
 	}
-	t.StopBeforeLeave(w)
+	chutemembership.StopBeforeLeave(t.Transition, w)
 	w, _ = t.Pool.Get(w.ID)
 	t.EndProbations(w)
 	w, _ = t.Pool.Get(w.ID)
@@ -250,7 +251,7 @@
 }
 
 // HandleCommit handles the write's success: it starts the runs recorded, and workers may delete the ends recorded.
-func (s State) HandleCommit(t *chuteaction.Transition, environment chuterunner.Environment) State {
+func (s State) HandleCommit(t *chuteaction.Transition, environment chuteledger.Environment) State {
 	u := s.transition(t, environment)
 	b := u.batch
 	u.batch = batch{}
--- a/chutescheduler/worker.go
+++ b/chutescheduler/worker.go
@@ -4,12 +4,13 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
-	"monsoonchute.example/monsoonchute/chuterunner"
+	"monsoonchute.example/monsoonchute/chuteledger"
+	"monsoonchute.example/monsoonchute/chutemembership"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
 // HandleWorkers handles a change of the table of workers. It ignores events of earlier watches.
-func (s State) HandleWorkers(t *chuteaction.Transition, environment chuterunner.Environment, e chuteaction.TableChanged) State {
+func (s State) HandleWorkers(t *chuteaction.Transition, environment chuteledger.Environment, e chuteaction.TableChanged) State {
 	if s.workersWatch == 0 || e.Watch != s.workersWatch {
 		t.Count("watch-event-dropped", e.Table.String())
 		return s
@@ -26,18 +27,18 @@
 		id := chutetask.WorkerID(r.Key)
 		row, ok := r.Value.(chuteaction.WorkerRow)
 		if !ok {
-			u.MarkUnlisted(id, removalOf(r))
+			chutemembership.MarkUnlisted(u.Transition, id, removalOf(r))
 			continue
 		}
 		present[id] = true
-		u.ApplyListing(row.Listing, r.Version, writtenAfter)
+		chutemembership.ApplyListing(u.Transition, row.Listing, r.Version, writtenAfter)
 	}
 	if !e.Complete {
 		return u.state()
 	}
 	for _, w := range u.Pool.All() {
 		if w.Listed && !present[w.ID] {
-			u.MarkUnlisted(w.ID, chuterunner.RemovalMissing)
+			chutemembership.MarkUnlisted(u.Transition, w.ID, chutemembership.RemovalMissing)
 		}
 	}
 	if !u.hasWorkers {
@@ -77,9 +78,9 @@
 }
 
 // removalOf returns how a row that names no worker has removed the worker's entry.
-func removalOf(r chuteaction.Row) chuterunner.Removal {
+func removalOf(r chuteaction.Row) chutemembership.Removal {
 	if r.Deleted {
-		return chuterunner.RemovalDeleted
+		return chutemembership.RemovalDeleted
 	}
-	return chuterunner.RemovalMalformed
+	return chutemembership.RemovalMalformed
 }
