--- a/chuteledger/state.go
+++ b/chuteledger/state.go
@@ -47,7 +47,8 @@
 	*chuteaction.Transition
 	State
 	Environment Environment
-	Fenced      bool // a worker has seen a higher epoch
+	Fenced      bool            // a worker has seen a higher epoch
+	GivenUp     []chutetask.Job // jobs that have just failed and whose runs must be stopped
 }
 
 // NewTransition returns a transition that begins with the state.
--- a/chuterunner/crash.go
+++ b/chuterunner/crash.go
@@ -1,135 +1,44 @@
 package chuterunner
 
 import (
-	"slices"
-
-	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutecrash"
 	"monsoonchute.example/monsoonchute/chutepool"
-	"monsoonchute.example/monsoonchute/chutequarantine"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
-// mayHaveRun reports whether the run may have been running when its worker crashed.
-func mayHaveRun(r chutepool.Run) bool {
-	switch r.Phase {
-	case chutepool.RunOrdered:
-		return r.OrdersSent > 0 || r.Inherited
-	case chutepool.RunStarted, chutepool.RunStopping:
-		return true
-	case chutepool.RunPlanned, chutepool.RunRecording:
-	}
-	return false
-}
-
-// recordCrashes records the crash of a worker in the tasks of the runs that it may have been running. A crash that is not
-// confirmed may be a cut. A worker that drains has left as planned.
+// recordCrashes records the crash of a worker in the tasks of the runs that it may have been running.
 func (t *Transition) recordCrashes(w chutepool.Worker, runs []chutepool.Run, confirmed bool) {
-	if w.Draining {
-		return
-	}
-	for _, r := range runs {
-		if !mayHaveRun(r) || r.AfterRestart {
-			continue
-		}
-		started := !r.StartedAt.IsZero() || r.Inherited // otherwise the worker may have crashed before the order
-		t.recordCrash(r.ID, chutequarantine.Crash{
-			Run: r.ID.Number, Worker: string(w.ID), Incarnation: w.Incarnation, Quarantined: r.Quarantined && started,
-			Confirmed: confirmed, At: t.Now,
-		})
-	}
-}
-
-// recordCrash records the crash of a worker during a run, unless its task is done.
-func (t *Transition) recordCrash(run chutegraph.RunID, crash chutequarantine.Crash) {
-	j, ok := t.Job(run.Task.Job)
-	if !ok || j.Phase.Ended() {
-		return
-	}
-	if task, ok := j.Task(run.Task); !ok || task.Phase == chutetask.TaskDone {
-		return
-	}
-	record := j.Crashes(run.Task).WithCrash(crash)
-	t.Count("crash-recorded", crashReason(crash))
-	t.Log(component, "worker crashed, or is silent, under a run", j.ID, "run", run, "worker", crash.Worker, "confirmed", crash.Confirmed,
-		"quarantined", crash.Quarantined, "runs-with-crash", record.Runs())
-	t.putCrashes(j, run.Task, record)
-	if !crash.Confirmed {
-		t.AddSuspect(run.Task, crash.Worker)
-	}
-}
-
-func crashReason(crash chutequarantine.Crash) string {
-	if crash.Confirmed {
-		return "confirmed"
-	}
-	return "silent"
-}
-
-// putCrashes stores the record of a task, and fails its job if the task is given up.
-func (t *Transition) putCrashes(j chutetask.Job, id chutegraph.TaskID, record chutequarantine.Record) {
-	j = j.WithCrashes(id, record)
-	if !record.GivenUp() {
-		t.PutJob(j)
-		return
-	}
-	t.Count("job-given-up", "crashes")
-	t.Warn(component, "job failed: workers crash under its task", j.ID, "queue", j.Queue, "task", id, "runs-with-crash", record.Runs())
-	j = j.WithPhase(chutetask.PhaseFailed)
-	t.PutJob(j)
-	t.StopJob(j, "job-failed")
-}
-
-// AddSuspect notes that the worker may have crashed under the task.
-func (t *Transition) AddSuspect(id chutegraph.TaskID, worker string) {
-	known, _ := t.Suspects.Get(chutetask.WorkerID(worker))
-	if !slices.Contains(known, id) {
-		t.Suspects = t.Suspects.Set(chutetask.WorkerID(worker), append(slices.Clone(known), id))
-	}
+	chutecrash.Record(t.Transition, w, runs, confirmed)
+	t.stopGivenUp()
 }
 
 // resolveSuspects corrects the records of the tasks under which a worker seemed to crash, now that an incarnation of it
 // has answered.
 func (t *Transition) resolveSuspects(worker chutetask.WorkerID, incarnation int64) {
-	suspects, ok := t.Suspects.Get(worker)
-	if !ok {
-		return
-	}
-	t.Suspects = t.Suspects.Delete(worker)
-	for _, id := range suspects {
-		j, ok := t.Job(id.Job)
-		if !ok || j.Phase.Ended() {
-			continue
-		}
-		record := j.Crashes(id).WithAnswer(string(worker), incarnation)
-		t.Log(component, "silent worker answers", j.ID, "task", id, "worker", worker, "incarnation", incarnation, "runs-with-crash", record.Runs())
-		t.putCrashes(j, id, record)
-	}
+	chutecrash.Resolve(t.Transition, worker, incarnation)
+	t.stopGivenUp()
 }
 
 // ConfirmCrashes confirms the crashes of workers that have been silent for long.
 func (t *Transition) ConfirmCrashes() {
-	for i := t.Suspects.Iterator(); !i.Done(); {
-		worker, suspects, _ := i.Next()
-		for _, id := range suspects {
-			t.confirmIfGone(worker, id)
-		}
-	}
+	chutecrash.Confirm(t.Transition)
+	t.stopGivenUp()
 }
 
-func (t *Transition) confirmIfGone(worker chutetask.WorkerID, id chutegraph.TaskID) {
-	j, ok := t.Job(id.Job)
-	record := j.Crashes(id)
-	if ok && !j.Phase.Ended() && record.WithTime(t.Now).Unconfirmed(string(worker)) {
-		return
-	}
-	known, _ := t.Suspects.Get(worker)
-	rest := slices.DeleteFunc(slices.Clone(known), func(other chutegraph.TaskID) bool { return other == id })
-	t.Suspects = t.Suspects.Set(worker, rest)
-	if len(rest) == 0 {
-		t.Suspects = t.Suspects.Delete(worker)
-	}
-	if ok && !j.Phase.Ended() {
-		t.putCrashes(j, id, record.WithTime(t.Now))
+// recordInheritedCrash records the crash of a worker under a run that an earlier scheduler recorded for a former
+// incarnation of it, and reports whether that is so.
+func (t *Transition) recordInheritedCrash(worker chutetask.WorkerID, r chutepool.Run) bool {
+	crashed := chutecrash.RecordInherited(t.Transition, worker, r)
+	t.stopGivenUp()
+	return crashed
+}
+
+// stopGivenUp stops the runs of the jobs that have been given up.
+func (t *Transition) stopGivenUp() {
+	jobs := t.GivenUp
+	t.GivenUp = nil
+	for _, j := range jobs {
+		t.StopJob(j, "job-failed")
 	}
 }
 
@@ -142,43 +51,3 @@
 	t.ReleaseRun(worker, r.ID, chutetask.RunEnd{Run: r.ID, Kind: chutetask.EndLost})
 	return true
 }
-
-// recordInheritedCrash records the crash of a worker under a run that an earlier scheduler recorded for a former
-// incarnation of it, and reports whether that is so.
-func (t *Transition) recordInheritedCrash(worker chutetask.WorkerID, r chutepool.Run) bool {
-	w, _ := t.Pool.Get(worker)
-	j, ok := t.Job(r.ID.Task.Job)
-	if !ok || !r.Inherited {
-		return false
-	}
-	task, ok := j.Task(r.ID.Task)
-	if !ok || task.Run != r.ID.Number || task.Incarnation == 0 || task.Incarnation >= w.Incarnation {
-		return false
-	}
-	t.PutWorker(w.WithCrash(t.Now))
-	former := w
-	former.Incarnation = task.Incarnation
-	t.recordCrashes(former, []chutepool.Run{r}, true)
-	return true
-}
-
-// EndProbations opens a worker to other runs once its quarantined runs have outlived their probation.
-func (t *Transition) EndProbations(w chutepool.Worker) {
-	for _, r := range w.Runs() {
-		j, ok := t.Job(r.ID.Task.Job)
-		if !r.Quarantined || r.Phase != chutepool.RunStarted || !ok {
-			continue
-		}
-		record := j.Crashes(r.ID.Task)
-		if t.Now.Sub(r.StartedAt) < record.Probation() {
-			continue
-		}
-		t.Log(component, "quarantine ends", j.ID, "run", r.ID, "worker", w.ID, "lasted", t.Now.Sub(r.StartedAt))
-		task, _ := j.Task(r.ID.Task)
-		t.PutJob(j.WithTask(r.ID.Task, task.WithQuarantine(false)).WithCrashes(r.ID.Task, record.WithSurvival(r.ID.Number)))
-		r.Quarantined = false
-		w = w.WithRun(r)
-		t.PutWorker(w)
-		t.PlanDue = true
-	}
-}
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutecrash"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutepool"
@@ -160,7 +161,7 @@
 	j.ForEachTask(func(id chutegraph.TaskID, task chutetask.Task) {
 		for _, crash := range task.Crashes.Crashes() {
 			if !crash.Confirmed {
-				t.AddSuspect(id, crash.Worker)
+				chutecrash.AddSuspect(t.Transition.Transition, id, crash.Worker)
 			}
 		}
 	})
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutecrash"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutemembership"
@@ -96,7 +97,7 @@
 	}
 	chutemembership.StopBeforeLeave(t.Transition, w)
 	w, _ = t.Pool.Get(w.ID)
-	t.EndProbations(w)
+	chutecrash.EndProbations(t.Transition.Transition, w)
 	w, _ = t.Pool.Get(w.ID)
 	t.repeatOrders(w)
 	w, _ = t.Pool.Get(w.ID)
