Move the watches of tables to a package of their own, and failure streaks to the worker

Change: chutewatch has the watches, their answers and what they need of the store; Worker.WithRunEnd counts failures in a row. Declarations are moved.

--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -12,6 +12,7 @@
 	"monsoonchute.example/monsoonchute/chutelog"
 	"monsoonchute.example/monsoonchute/chutemetric"
 	"monsoonchute.example/monsoonchute/chutering"
+	"monsoonchute.example/monsoonchute/chutewatch"
 )
 
 const (
@@ -50,7 +51,7 @@
 	forwards     chutering.EntryEffects
 	starts       *waitingStarts
 	startRing    chutering.EntryEffects
-	watchers     *watchers
+	watchers     *chutewatch.Watchers
 	workerDuties *workerDuties
 	workers      Workers
 	machines     Machines
@@ -76,7 +77,7 @@
 		forwards: chutering.NewEntryEffects("news", forwardRingSize),
 		workers:  dependencies.Workers, machines: dependencies.Machines, peers: dependencies.Peers, metrics: metrics, log: log, group: group, stopped: make(chan struct{}),
 	}
-	d.watchers = newWatchers(group, dependencies.Store, d.events, log)
+	d.watchers = chutewatch.New(group, dependencies.Store, d.events, log)
 	d.logs = chutelog.New(log, metrics)
 	group.Go("log-info", d.logs.RunInfo)
 	group.Go("log-warn", d.logs.RunWarn)
--- a/chutedaemon/dependencies.go
+++ b/chutedaemon/dependencies.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutetask"
+	"monsoonchute.example/monsoonchute/chutewatch"
 )
 
 // Dependencies are the services and hosts that an entry host communicates with.
@@ -16,23 +16,13 @@
 	Peers    Peers
 }
 
-// TableAnswer is an answer of the store about a table.
-type TableAnswer struct {
-	Rows    []chuteaction.Row
-	Version chuteaction.RowVersion // Changes continues after it
-	Clock   time.Duration          // the store's steady clock when it answered; 0 if unknown
-}
-
 // Store is the platform's store.
 type Store interface {
+	chutewatch.Tables
 	// Write commits a transaction if all its conditions hold.
 	Write(ctx context.Context, write chuteaction.WriteRows) chuteaction.RowsWritten
 	// Read reads a range of rows.
 	Read(ctx context.Context, read chuteaction.ReadRows) chuteaction.RowsRead
-	// List reads all rows of a table.
-	List(ctx context.Context, table chuteaction.Table) (TableAnswer, error)
-	// Changes waits up to the poll timeout for changes after the version. After ErrHistoryGone the table must be listed again.
-	Changes(ctx context.Context, table chuteaction.Table, after chuteaction.RowVersion, pollTimeout time.Duration) (TableAnswer, error)
 	// Interrupt aborts all requests in flight.
 	Interrupt()
 }
--- a/chutedaemon/dispatch.go
+++ b/chutedaemon/dispatch.go
@@ -65,9 +65,9 @@
 	case chuteaction.ReadRows:
 		d.dispatchToStore(f, chuteaction.RowsRead{Token: f.Token, Outcome: chuteaction.StoreRefused})
 	case chuteaction.WatchTable:
-		d.watchers.watch(f)
+		d.watchers.Watch(f)
 	case chuteaction.UnwatchTable:
-		d.watchers.unwatch(f.Table)
+		d.watchers.Unwatch(f.Table)
 	case chuteaction.SetPeers:
 		d.peers.SetPeers(f.Addresses)
 	case chuteaction.ForwardRows:
--- a/chuterunner/crash.go
+++ b/chuterunner/crash.go
@@ -12,8 +12,7 @@
 	t.stopGivenUp()
 }
 
-// resolveSuspects corrects the records of the tasks under which a worker seemed to crash, now that an incarnation of it
-// has answered.
+// resolveSuspects corrects the records of the tasks under which a worker seemed to crash, now that it has answered.
 func (t *Transition) resolveSuspects(worker chutetask.WorkerID, incarnation int64) {
 	chutecrash.Resolve(t.Transition, worker, incarnation)
 	t.stopGivenUp()
@@ -25,12 +24,10 @@
 	t.stopGivenUp()
 }
 
-// recordInheritedCrash records the crash of a worker under a run that an earlier scheduler recorded for a former
-// incarnation of it, and reports whether that is so.
+// recordInheritedCrash records the crash of a worker under a run of an earlier scheduler, and reports whether there was one.
 func (t *Transition) recordInheritedCrash(worker chutetask.WorkerID, r chutepool.Run) bool {
-	crashed := chutecrash.RecordInherited(t.Transition, worker, r)
-	t.stopGivenUp()
-	return crashed
+	defer t.stopGivenUp()
+	return chutecrash.RecordInherited(t.Transition, worker, r)
 }
 
 // stopGivenUp stops the runs of the jobs that have been given up.
--- a/chuterunner/run.go
+++ b/chuterunner/run.go
@@ -25,10 +25,6 @@
 	maxAnswerOvertake = 2 * time.Second
 	// cooldownAfterRefusal is how long a worker that refused a start order gets no new runs.
 	cooldownAfterRefusal = time.Second
-	// cooldownAfterFailures is how long a worker on which runs of several jobs failed in a row gets no new runs.
-	cooldownAfterFailures = 6 * time.Second
-	// maxFailureStreak is the number of jobs whose runs fail in a row on a worker before its cooldown.
-	maxFailureStreak = 2
 )
 
 // OrderStart sends the start order of a recorded run to its worker.
@@ -345,24 +341,12 @@
 	t.StopRun(task.Worker, chutegraph.RunID{Task: id, Number: task.Run}, "task-done")
 }
 
-// trackFailures counts the jobs whose runs failed in a row on a worker, and starts a cooldown at maxFailureStreak.
+// trackFailures counts the jobs whose runs failed in a row on a worker, and starts a cooldown after several.
 func (t *Transition) trackFailures(w chutepool.Worker, end chutetask.RunEnd) {
-	switch end.Kind {
-	case chutetask.EndDone:
-		w.FailureStreak = 0
-	case chutetask.EndFailed:
-		if w.LastFailedJob == end.Run.Task.Job && w.FailureStreak > 0 {
-			return
-		}
-		w.FailureStreak++
-		w.LastFailedJob = end.Run.Task.Job
-		if w.FailureStreak >= maxFailureStreak {
-			w.CooldownUntil = t.Now.Add(cooldownAfterFailures)
-			t.Count("worker-cooldown", "failures")
-			t.Log(component, "worker gets no new runs during its cooldown", end.Run.Task.Job, "worker", w.ID, "failures", w.FailureStreak)
-		}
-	case chutetask.EndStopped, chutetask.EndLeaseExpired, chutetask.EndGangBroken, chutetask.EndGangIncomplete, chutetask.EndLost:
-		return
+	w, cooldown := w.WithRunEnd(end, t.Now)
+	if cooldown {
+		t.Count("worker-cooldown", "failures")
+		t.Log(component, "worker gets no new runs during its cooldown", end.Run.Task.Job, "worker", w.ID, "failures", w.FailureStreak)
 	}
 	t.PutWorker(w)
 }
--- a/chutedaemon/watch.go
+++ b/chutewatch/watch.go
@@ -1,4 +1,4 @@
-package chutedaemon
+package chutewatch
 
 import (
 	"context"
@@ -19,27 +19,45 @@
 // retryDelay is the shortest delay before a failed request is repeated; jitter adds up to as much again.
 const retryDelay = 150 * time.Millisecond
 
-// watchers are the duties that watch tables, one for each table. Only the core's duty calls watch and unwatch.
-type watchers struct {
+// TableAnswer is an answer of the store about a table.
+type TableAnswer struct {
+	Rows    []chuteaction.Row
+	Version chuteaction.RowVersion // Changes continues after it
+	Clock   time.Duration          // the store's steady clock when it answered; 0 if unknown
+}
+
+// Tables are the tables of the platform's store.
+type Tables interface {
+	// List reads all rows of a table.
+	List(ctx context.Context, table chuteaction.Table) (TableAnswer, error)
+	// Changes waits up to the poll timeout for changes after the version. After ErrHistoryGone the table must be listed again.
+	Changes(ctx context.Context, table chuteaction.Table, after chuteaction.RowVersion, pollTimeout time.Duration) (TableAnswer, error)
+}
+
+// Watchers are the duties that watch tables, one for each table. Only the core's duty calls Watch and Unwatch.
+type Watchers struct {
 	group  *chuteduty.Group
-	store  Store
+	store  Tables
 	events chutering.EntryEvents
 	log    *slog.Logger
 	active map[chuteaction.Table]context.CancelFunc
 }
 
-func newWatchers(group *chuteduty.Group, store Store, events chutering.EntryEvents, log *slog.Logger) *watchers {
-	return &watchers{group: group, store: store, events: events, log: log, active: make(map[chuteaction.Table]context.CancelFunc)}
+// New returns watchers without a watch. They deliver what they see to the events.
+func New(group *chuteduty.Group, store Tables, events chutering.EntryEvents, log *slog.Logger) *Watchers {
+	return &Watchers{group: group, store: store, events: events, log: log, active: make(map[chuteaction.Table]context.CancelFunc)}
 }
 
-func (w *watchers) watch(request chuteaction.WatchTable) {
-	w.unwatch(request.Table)
+// Watch begins to watch a table; an earlier watch of it ends.
+func (w *Watchers) Watch(request chuteaction.WatchTable) {
+	w.Unwatch(request.Table)
 	ctx, cancel := context.WithCancel(w.group.Context())
 	w.active[request.Table] = cancel
 	w.group.Go("follow-"+request.Table.String(), func(context.Context) { w.run(ctx, request) })
 }
 
-func (w *watchers) unwatch(table chuteaction.Table) {
+// Unwatch ends the watch of a table, if any.
+func (w *Watchers) Unwatch(table chuteaction.Table) {
 	if cancel, ok := w.active[table]; ok {
 		cancel()
 		delete(w.active, table)
@@ -47,7 +65,7 @@
 }
 
 // run lists the table and then long-polls for its changes. It lists the table again when the store no longer has the changes.
-func (w *watchers) run(ctx context.Context, request chuteaction.WatchTable) {
+func (w *Watchers) run(ctx context.Context, request chuteaction.WatchTable) {
 	unavailable := false
 	for ctx.Err() == nil {
 		sentAt := time.Now()
@@ -68,7 +86,7 @@
 }
 
 // runChanges long-polls for changes until the store no longer has those after the version.
-func (w *watchers) runChanges(ctx context.Context, request chuteaction.WatchTable, version chuteaction.RowVersion, unavailable *bool) {
+func (w *Watchers) runChanges(ctx context.Context, request chuteaction.WatchTable, version chuteaction.RowVersion, unavailable *bool) {
 	for ctx.Err() == nil {
 		if request.MinInterval > 0 && !sleep(ctx, request.MinInterval) {
 			return
@@ -91,7 +109,7 @@
 	}
 }
 
-func (w *watchers) reportUnavailable(ctx context.Context, table chuteaction.Table, unavailable *bool, err error) {
+func (w *Watchers) reportUnavailable(ctx context.Context, table chuteaction.Table, unavailable *bool, err error) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -104,7 +122,7 @@
 	sleep(ctx, retryDelay+jitter)
 }
 
-func (w *watchers) reportAvailable(table chuteaction.Table, unavailable *bool) {
+func (w *Watchers) reportAvailable(table chuteaction.Table, unavailable *bool) {
 	if *unavailable {
 		w.log.Info("store: table is watched again", "table", table.String())
 		*unavailable = false
--- a/chutedaemon/watch_test.go
+++ b/chutewatch/watch_test.go
@@ -1,4 +1,4 @@
-package chutedaemon
+package chutewatch_test
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chuteduty"
 	"monsoonchute.example/monsoonchute/chutering"
+	"monsoonchute.example/monsoonchute/chutewatch"
 )
 
 // slowStore answers each request after its latency, whether or not the caller still waits.
@@ -25,14 +26,14 @@
 	return chuteaction.RowsRead{}
 }
 
-func (s slowStore) List(context.Context, chuteaction.Table) (TableAnswer, error) {
+func (s slowStore) List(context.Context, chuteaction.Table) (chutewatch.TableAnswer, error) {
 	time.Sleep(s.latency)
-	return TableAnswer{Version: 1, Clock: listClock}, nil
+	return chutewatch.TableAnswer{Version: 1, Clock: listClock}, nil
 }
 
-func (s slowStore) Changes(context.Context, chuteaction.Table, chuteaction.RowVersion, time.Duration) (TableAnswer, error) {
+func (s slowStore) Changes(context.Context, chuteaction.Table, chuteaction.RowVersion, time.Duration) (chutewatch.TableAnswer, error) {
 	time.Sleep(s.latency)
-	return TableAnswer{Version: 1, Clock: changesClock}, nil
+	return chutewatch.TableAnswer{Version: 1, Clock: changesClock}, nil
 }
 
 // The readings of the store's clock in its answers.
@@ -50,12 +51,12 @@
 		group, end := chuteduty.New(log)
 		defer end()
 		events := chutering.NewEntryEvents("core", 64)
-		w := newWatchers(group, slowStore{latency: time.Second}, events, log)
+		w := chutewatch.New(group, slowStore{latency: time.Second}, events, log)
 		const watches = 20
 		for range watches {
-			w.watch(chuteaction.WatchTable{Table: chuteaction.TableJobs})
+			w.Watch(chuteaction.WatchTable{Table: chuteaction.TableJobs})
 			time.Sleep(10 * time.Millisecond)
-			w.unwatch(chuteaction.TableJobs)
+			w.Unwatch(chuteaction.TableJobs)
 		}
 		time.Sleep(2 * time.Second)
 		if delivered := events.Stats().Depth; delivered > 0 {
@@ -72,7 +73,7 @@
 		group, end := chuteduty.New(log)
 		defer end()
 		events := chutering.NewEntryEvents("core", 64)
-		newWatchers(group, slowStore{latency: time.Second}, events, log).watch(chuteaction.WatchTable{Table: chuteaction.TableWorkers})
+		chutewatch.New(group, slowStore{latency: time.Second}, events, log).Watch(chuteaction.WatchTable{Table: chuteaction.TableWorkers})
 		for _, clock := range []time.Duration{listClock, changesClock} {
 			event, _ := events.Take(t.Context())
 			changed, ok := event.(chuteaction.TableChanged)
@@ -92,7 +93,7 @@
 		defer end()
 		events := chutering.NewEntryEvents("core", 64)
 		sentAt := time.Now()
-		newWatchers(group, slowStore{latency: latency}, events, log).watch(chuteaction.WatchTable{Table: chuteaction.TableWorkers, MinInterval: interval})
+		chutewatch.New(group, slowStore{latency: latency}, events, log).Watch(chuteaction.WatchTable{Table: chuteaction.TableWorkers, MinInterval: interval})
 		time.Sleep(10 * time.Second) // the events wait in the ring meanwhile
 		for range 3 {
 			event, _ := events.Take(t.Context())
