Read the records of crashes once a pass, and name what is dropped after a write

Cause: each planning pass copied the step of every waiting task to find its record, and allocated for empty records; the condition for dropping a recorded run was hard to read. Change: records are read from the tasks; dropped runs and broken gangs have names.

--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -103,7 +103,8 @@
 	return true
 }
 
-// assign plans the next run of a task on the worker, which a quarantined run has to itself. The run is recorded before its start order is sent.
+// assign plans the next run of a task on the worker, which a quarantined run has to itself. The run is recorded before its
+// start order is sent.
 func (p *pass) assign(d chuteplacement.Start, quarantined bool) {
 	j, ok := p.Live.Get(d.Task.Job)
 	if !ok {
@@ -191,18 +192,6 @@
 	return demands
 }
 
-// ordinaryIndexes returns the waiting tasks of a step that need no quarantine.
-func ordinaryIndexes(j chutetask.Job, id chutegraph.StepID) []int {
-	var indexes []int
-	for i, task := range j.Tasks(id) {
-		record := j.Crashes(chutegraph.TaskID{StepID: id, Index: i})
-		if task.Phase == chutetask.TaskWaiting && !record.NeedsQuarantine() && !record.OnHold() {
-			indexes = append(indexes, i)
-		}
-	}
-	return indexes
-}
-
 // appendDemand appends the demand of the waiting tasks of a step, if any of them may start now. The members of a gang only
 // start once all of them wait.
 func (p *pass) appendDemand(list []rankedDemand, j chutetask.Job, id chutegraph.StepID, indexes []int) []rankedDemand {
--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -8,6 +8,7 @@
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chutequarantine"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
@@ -25,23 +26,46 @@
 // quarantinedIndexes returns the waiting tasks of a step that may start in quarantine now: all members of a gang and all
 // tasks that should run without end, or else one at a time, so that a job whose tasks all crash their workers crashes few.
 func quarantinedIndexes(j chutetask.Job, id chutegraph.StepID) []int {
-	step := j.Step(id)
+	gang, longRunning := j.Spec.Steps[id.Step].Gang, j.Spec.Steps[id.Step].LongRunning
+	tasks := j.Tasks(id)
 	var indexes []int
-	for i, task := range j.Tasks(id) {
-		record := j.Crashes(chutegraph.TaskID{StepID: id, Index: i})
-		if task.Phase == chutetask.TaskActive && task.Quarantined && !step.LongRunning {
+	for i, task := range tasks {
+		crashes := crashesOf(tasks, i, gang)
+		if task.Phase == chutetask.TaskActive && task.Quarantined && !longRunning {
 			return nil
 		}
-		if task.Phase == chutetask.TaskWaiting && record.NeedsQuarantine() && !record.OnHold() {
+		if task.Phase == chutetask.TaskWaiting && crashes.NeedsQuarantine() && !crashes.OnHold() {
 			indexes = append(indexes, i)
 		}
 	}
-	if !step.Gang && !step.LongRunning && len(indexes) > 1 {
+	if !gang && !longRunning && len(indexes) > 1 {
 		return indexes[:1]
 	}
 	return indexes
 }
 
+// ordinaryIndexes returns the waiting tasks of a step that need no quarantine.
+func ordinaryIndexes(j chutetask.Job, id chutegraph.StepID) []int {
+	gang := j.Spec.Steps[id.Step].Gang
+	tasks := j.Tasks(id)
+	var indexes []int
+	for i, task := range tasks {
+		crashes := crashesOf(tasks, i, gang)
+		if task.Phase == chutetask.TaskWaiting && !crashes.NeedsQuarantine() && !crashes.OnHold() {
+			indexes = append(indexes, i)
+		}
+	}
+	return indexes
+}
+
+// crashesOf returns the record of the task with the index, or of its gang.
+func crashesOf(tasks []chutetask.Task, index int, gang bool) chutequarantine.Record {
+	if gang {
+		return tasks[0].Crashes
+	}
+	return tasks[index].Crashes
+}
+
 // planQuarantine starts tasks that need quarantine on workers without runs. Where there are none, it keeps new runs off
 // the workers that empty soonest. It returns the workers that other tasks must not use, and the demands of tasks that
 // should run without end for which no worker is empty: they rather run beside others.
--- a/chutequarantine/record.go
+++ b/chutequarantine/record.go
@@ -154,6 +154,9 @@
 
 // countRuns returns the number of runs with a crash that matches.
 func (r Record) countRuns(matches func(Crash) bool) int {
+	if len(r.crashes) == 0 {
+		return 0
+	}
 	runs := make(map[int]bool)
 	for _, c := range r.crashes {
 		if matches(c) {
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -280,9 +280,9 @@
 // startRecordedRuns sends the start orders of a job's recorded runs whose workers may still start them. A gang starts
 // whole or not at all.
 func (t *transition) startRecordedRuns(j chutetask.Job) {
-	invalid := make(map[chutegraph.StepID]bool)
-	completed := make(map[chutegraph.TaskID]bool) // an earlier run has ended as done during the write
-	var ready []chutepool.Run
+	dropped := make(map[chutegraph.TaskID]bool)
+	broken := make(map[chutegraph.StepID]bool) // gangs of which a member is dropped
+	var recorded []chutepool.Run
 	var workers []chutetask.WorkerID
 	j.ForEachTask(func(id chutegraph.TaskID, task chutetask.Task) {
 		w, r, ok := t.Pool.FindRun(task.Worker, chutegraph.RunID{Task: id, Number: task.Run})
@@ -291,16 +291,14 @@
 		}
 		r = r.WithPhase(chutepool.RunOrdered, t.Now)
 		t.PutWorker(w.WithRun(r))
-		ready = append(ready, r)
+		recorded = append(recorded, r)
 		workers = append(workers, w.ID)
-		completed[id] = task.Phase == chutetask.TaskDone
-		if j.Phase.Ended() || !w.Contacted || !t.MayOrderStart(w) {
-			invalid[id.StepID] = true
-		}
+		completed := task.Phase == chutetask.TaskDone // an earlier run has ended as done during the write
+		dropped[id] = j.Phase.Ended() || completed || !t.mayStart(w.ID)
+		broken[id.StepID] = broken[id.StepID] || dropped[id] && j.Step(id.StepID).Gang
 	})
-	for i, r := range ready {
-		notStarted := invalid[r.ID.Task.StepID] && (j.Phase.Ended() || j.Step(r.ID.Task.StepID).Gang || !t.mayStart(workers[i]))
-		if notStarted || completed[r.ID.Task] {
+	for i, r := range recorded {
+		if dropped[r.ID.Task] || broken[r.ID.Task.StepID] {
 			t.Count("start-dropped", "no-longer-right")
 			t.ReleaseRun(workers[i], r.ID, chutetask.RunEnd{Run: r.ID, Kind: chutetask.EndStopped})
 			continue
