--- a/chutemembership/listing.go
+++ b/chutemembership/listing.go
@@ -9,6 +9,8 @@
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
+const component = "scheduler"
+
 // ApplyListing applies the entry of a worker in the list of workers. The worker wrote the entry's version after the given
 // time on the store's clock, which is 0 if nothing is known of it.
 func ApplyListing(t *chuterunner.Transition, listing chutepool.Listing, version chuteaction.RowVersion, writtenAfter time.Duration) {
@@ -46,8 +48,6 @@
 	}
 }
 
-const component = "scheduler"
-
 // Removal is the way in which a worker's entry disappeared from the list of workers.
 type Removal int
 
