Count a worker's quarantined runs, and record incarnations in few bytes

Each pass and each check of a worker copied all its runs to look for quarantines, and each active task had an entry of its own in its row. Change: the worker counts its quarantined runs; incarnations of active tasks are variable-length numbers in one field. Tests of the packages pass.

--- a/chutecrash/crash.go
+++ b/chutecrash/crash.go
@@ -157,6 +157,9 @@
 
 // EndProbations opens a worker to other runs once its quarantined runs have outlived their probation.
 func EndProbations(t *chuteledger.Transition, w chutepool.Worker) {
+	if !w.InQuarantine() {
+		return
+	}
 	for _, r := range w.Runs() {
 		j, ok := t.Job(r.ID.Task.Job)
 		if !r.Quarantined || r.Phase != chutepool.RunStarted || !ok {
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -57,6 +57,7 @@
 	ColdUntil        time.Time        // it is slow after its start until this time
 	CrashedAt        time.Time        // when it was last found to have crashed; zero if never
 	runs             *immutable.SortedMap[chutegraph.RunID, Run]
+	quarantined      int // number of runs in quarantine
 	reserved         chutecapacity.Resources
 	stopping         chutecapacity.Resources // the part of reserved that belongs to runs that are being stopped
 }
@@ -148,12 +149,7 @@
 
 // InQuarantine reports whether one of the worker's runs has the worker to itself.
 func (w Worker) InQuarantine() bool {
-	for i := w.runs.Iterator(); !i.Done(); {
-		if _, r, _ := i.Next(); r.Quarantined {
-			return true
-		}
-	}
-	return false
+	return w.quarantined > 0
 }
 
 // Free returns the capacity that no run reserves.
@@ -201,6 +197,9 @@
 	if run.Phase == RunStopping {
 		w.stopping = w.stopping.Plus(run.Reserved)
 	}
+	if run.Quarantined {
+		w.quarantined++
+	}
 	w.runs = w.runs.Set(run.ID, run)
 	return w
 }
@@ -216,12 +215,15 @@
 	return w
 }
 
-// withoutReservation returns the worker without the capacity that the run reserves.
+// withoutReservation returns the worker without the capacity that the run reserves, and without its quarantine.
 func (w Worker) withoutReservation(run Run) Worker {
 	w.reserved = w.reserved.Minus(run.Reserved)
 	if run.Phase == RunStopping {
 		w.stopping = w.stopping.Minus(run.Reserved)
 	}
+	if run.Quarantined {
+		w.quarantined--
+	}
 	return w
 }
 
--- a/chuterow/placement.go
+++ b/chuterow/placement.go
@@ -32,7 +32,7 @@
 	AtMilli     int64 // Unix time in milliseconds
 }
 
-// encodePlacements returns the placements of the tasks that have one to be recorded.
+// encodePlacements returns the placements of the tasks of which more than an incarnation is to be recorded.
 func encodePlacements(v chuteaction.ProgressRow) []encodedPlacement {
 	var placements []encodedPlacement
 	for k, steps := range v.Occurrences {
@@ -51,9 +51,9 @@
 	return placements
 }
 
-// hasPlacement reports whether the task may be running, or workers crashed under it.
+// hasPlacement reports whether more than the incarnation of its worker is to be recorded of the task.
 func hasPlacement(t chutetask.Task) bool {
-	return t.Phase == chutetask.TaskActive && t.Incarnation != 0 || !t.Crashes.Empty()
+	return t.Quarantined || !t.Crashes.Empty()
 }
 
 func encodeCrashes(record chutequarantine.Record) []encodedCrash {
--- a/chuterow/row.go
+++ b/chuterow/row.go
@@ -16,8 +16,10 @@
 	Progress   *encodedProgress      `cbor:"3,keyasint,omitempty"`
 	Placements []encodedPlacement    `cbor:"7,keyasint,omitempty"`
 	Failures   []encodedFailures     `cbor:"8,keyasint,omitempty"`
-	Leader     *encodedLeader        `cbor:"4,keyasint,omitempty"`
-	Host       *chuteaction.HostRow  `cbor:"6,keyasint,omitempty"`
+	// Incarnations are those of the workers of active tasks without an entry in Placements; see encodeIncarnations.
+	Incarnations []byte               `cbor:"9,keyasint,omitempty"`
+	Leader       *encodedLeader       `cbor:"4,keyasint,omitempty"`
+	Host         *chuteaction.HostRow `cbor:"6,keyasint,omitempty"`
 }
 
 type encodedProgress struct {
@@ -59,6 +61,7 @@
 		e.Progress = encodeProgress(v)
 		e.Placements = encodePlacements(v)
 		e.Failures = encodeFailures(v)
+		e.Incarnations = encodeIncarnations(v)
 	case chuteaction.LeaderRow:
 		e.Leader = &encodedLeader{
 			Epoch: v.Epoch, Host: v.Host, Process: v.Process, Sequence: v.Sequence, Released: v.Released, Pending: v.Pending,
@@ -85,6 +88,7 @@
 		return chuteaction.CancelRow{Job: *e.Cancel}, nil
 	case e.Progress != nil:
 		row := e.Progress.decode()
+		decodeIncarnations(e.Incarnations, row.Progress)
 		for _, p := range e.Placements {
 			p.apply(row.Progress)
 		}
--- a/chuterow/row_test.go
+++ b/chuterow/row_test.go
@@ -24,6 +24,8 @@
 		WithIncarnation(1_800_000_000_000).WithQuarantine(true).WithCrashes(chutequarantine.NewRecord([]chutequarantine.Crash{
 		{Run: 2, Worker: "w", Incarnation: 7, Quarantined: true, Confirmed: true, At: time.UnixMilli(1_800_000_000_001)},
 	}, 1, 1)))
+	first := chutegraph.TaskID{StepID: chutegraph.StepID{Job: job.ID}}
+	job = job.WithTask(first, chutetask.Task{}.WithRun(1, "v").WithIncarnation(1_800_000_000_001))
 	cases := []chuteaction.RowValue{
 		chuteaction.SubmissionRow{Submission: job.Submission},
 		chuteaction.CancelRow{Job: job.ID},
