--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"monsoonchute.example/monsoonchute/chutecapacity"
@@ -141,7 +142,7 @@
 		}
 		worker := p.placementWorker(w)
 		worker.Free, worker.Stopping = w.Capacity, chutecapacity.Resources{}
-		worker.Penalty += loadPenalty * load(w)
+		worker.Penalty += loadPenalty * w.Load()
 		if !w.CrashedAt.IsZero() && p.Now.Sub(w.CrashedAt) < crashMemory {
 			worker.Penalty += crashPenalty
 		}
@@ -152,19 +153,5 @@
 
 // hasLongRunning reports whether the worker has a run that should last without end, so that it does not empty.
 func (p *pass) hasLongRunning(w chutepool.Worker) bool {
-	for _, r := range w.Runs() {
-		if p.LongRunning(r) {
-			return true
-		}
-	}
-	return false
-}
-
-// load returns the share of the worker's accelerators, or else of its processor, that its runs reserve.
-func load(w chutepool.Worker) float64 {
-	reserved := w.Capacity.Minus(w.Free())
-	if w.Capacity.Accelerators > 0 {
-		return float64(reserved.Accelerators) / float64(w.Capacity.Accelerators)
-	}
-	return float64(reserved.Processor) / float64(max(1, w.Capacity.Processor))
+	return slices.ContainsFunc(w.Runs(), p.LongRunning)
 }
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -157,6 +157,14 @@
 	return w.Capacity.Minus(w.reserved)
 }
 
+// Load returns the share of the worker's accelerators, or else of its processor, that its runs reserve.
+func (w Worker) Load() float64 {
+	if w.Capacity.Accelerators > 0 {
+		return float64(w.reserved.Accelerators) / float64(w.Capacity.Accelerators)
+	}
+	return float64(w.reserved.Processor) / float64(max(1, w.Capacity.Processor))
+}
+
 // Overcommitted reports whether the runs reserve more than the worker's capacity, which may have shrunk since they were
 // placed.
 func (w Worker) Overcommitted() bool {
