--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -19,6 +19,7 @@
 	resources
 	EstimateMS  int    `json:"estimate_ms,omitempty"`
 	After       []int  `json:"after,omitempty"`
+	Gang        bool   `json:"gang,omitempty"`
 	LongRunning bool   `json:"long_running,omitempty"`
 	MayMiss     int    `json:"may_miss,omitempty"`
 	Anti        int    `json:"anti_affinity,omitempty"`
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -54,6 +54,7 @@
 
 	mutex sync.Mutex
 	runs  []*run
+	gangs map[string]*gang
 }
 
 // newPlatform starts the stand-ins. The clean-up function ends them and all processes.
@@ -62,7 +63,7 @@
 	if err != nil {
 		panic(err)
 	}
-	p := &platform{record: r, folder: folder, begun: time.Now()}
+	p := &platform{record: r, folder: folder, begun: time.Now(), gangs: make(map[string]*gang)}
 	p.store = newStore(r, p.since)
 	p.address = serve(p.store.handler())
 	return p, func() {
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -21,6 +21,7 @@
 	startupTime = 500 * time.Millisecond // of a task that lasts, until it is at work
 	maxWait     = 2 * time.Second
 	endsAtOnce  = 500
+	gangTimeout = 3 * time.Second // gang_timeout_ms
 )
 
 // resources are what a task needs and what a worker has.
@@ -74,6 +75,57 @@
 	worked    time.Duration
 	begun     time.Time
 	stopAt    time.Time
+	gang      *gang // nil for a task without a gang
+}
+
+// gang is one run of a gang: its members work from the moment when all of them are there, and end together.
+type gang struct {
+	size    int
+	present int
+	whole   time.Time // when all members were there; zero before
+	broken  bool      // a member has ended
+}
+
+// join adds a member to the run of its gang. The spec names the size of the gang as "gang=SIZE".
+func (p *platform) join(r *run, spec string) {
+	size := 0
+	for _, field := range strings.Fields(spec) {
+		if text, ok := strings.CutPrefix(field, "gang="); ok {
+			size, _ = strconv.Atoi(text)
+		}
+	}
+	if size == 0 {
+		return
+	}
+	key := fmt.Sprintf("%s/%d", r.task[:strings.LastIndex(r.task, ".")], r.number)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.gangs[key] == nil {
+		p.gangs[key] = &gang{size: size}
+	}
+	r.gang = p.gangs[key]
+	r.gang.present++
+	if r.gang.present == size && !r.gang.broken {
+		r.gang.whole = time.Now()
+	}
+}
+
+// leave takes a member that has ended from its gang.
+func (p *platform) leave(r *run) {
+	if r.gang == nil {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	r.gang.present--
+	r.gang.broken = r.gang.broken || !r.gang.whole.IsZero()
+}
+
+// gangState returns since when a gang works, and whether another member has ended meanwhile.
+func (p *platform) gangState(r *run) (time.Time, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return r.gang.whole, r.gang.broken
 }
 
 type end struct {
@@ -139,6 +191,7 @@
 	w.up = false
 	for _, r := range w.running {
 		r.endedAt, r.how = w.p.since(), how
+		w.p.leave(r)
 		w.p.record.line("worker %s: %s run %d ends: %s", w.id, r.task, r.number, how)
 	}
 	w.running = make(map[string]*run)
@@ -193,6 +246,8 @@
 				w.finish(r, "stopped")
 			case w.clock() > w.lease:
 				w.finish(r, "lapsed")
+			case r.gang != nil:
+				w.advanceGang(r, now)
 			case !r.lasts && now.Sub(r.begun) >= r.work:
 				w.finish(r, "done")
 			}
@@ -201,11 +256,25 @@
 	}
 }
 
+// advanceGang ends a member of a gang that works no more, or waits too long for the others. The caller holds the lock.
+func (w *worker) advanceGang(r *run, now time.Time) {
+	whole, broken := w.p.gangState(r)
+	switch {
+	case broken:
+		w.finish(r, "broken")
+	case whole.IsZero() && now.Sub(r.begun) > gangTimeout:
+		w.finish(r, "alone")
+	case !whole.IsZero() && now.Sub(whole) >= r.work:
+		w.finish(r, "done")
+	}
+}
+
 // finish ends a run. The caller holds the lock.
 func (w *worker) finish(r *run, how string) {
 	delete(w.running, r.task)
 	w.highest[r.task] = max(w.highest[r.task], r.number)
 	r.endedAt, r.how = w.p.since(), how
+	w.p.leave(r)
 	w.lastEnd++
 	w.ends = append(w.ends, end{number: w.lastEnd, run: r})
 	w.p.record.line("worker %s: %s run %d ends: %s", w.id, r.task, r.number, how)
@@ -262,6 +331,7 @@
 	case existing == nil:
 		started := &run{task: o.Task, number: o.Run, worker: w.id, startedAt: w.p.since(), begun: time.Now()}
 		started.work, started.lasts = workOf(o.Spec, o.Task)
+		w.p.join(started, o.Spec)
 		w.running[o.Task] = started
 		w.p.addRun(started)
 		w.p.record.line("worker %s: %s run %d starts, token %d, spec %q", w.id, o.Task, o.Run, o.Token, short(o.Spec))
@@ -375,6 +445,13 @@
 // percent returns the progress of a run; a task that lasts is at work when it is 100.
 func (w *worker) percent(r *run) int {
 	spent := time.Since(r.begun)
+	if r.gang != nil {
+		whole, _ := w.p.gangState(r)
+		if whole.IsZero() {
+			return 0
+		}
+		spent = time.Since(whole)
+	}
 	if r.lasts {
 		if spent >= startupTime {
 			return 100
