Review case 3: a worker under a clock that was set back is not listened to

Cause: a life of a worker whose `born` is lower than that of the life before is taken for late answers of the earlier one, as long as that counts as contacted. It gets work, and the ends of that work are dropped.

Change: review/3, a script: one worker of ten restarts while its machine's clock is 2.4 s ahead, and again 2.0 s later, after the clock jumped back.

--- a/review/harness/born.go
+++ b/review/harness/born.go
@@ -4,7 +4,13 @@
 
 func init() { cases["born"] = playBorn }
 
-const clockJump = 2400 * time.Millisecond // clock_step, x
+// Times of the case.
+const (
+	clockJump  = 2400 * time.Millisecond // clock_step, x
+	firstDown  = 700 * time.Millisecond
+	upBetween  = 1500 * time.Millisecond
+	secondDown = 500 * time.Millisecond
+)
 
 // playBorn lets one worker go down and up twice within the time by which the clock of its machine jumps ahead and back.
 func playBorn(p *platform) int {
@@ -16,12 +22,12 @@
 	if trouble() {
 		w.clockStep = clockJump
 		w.crash()
-		time.Sleep(flapPeriod / 2)
+		time.Sleep(firstDown)
 		w.start()
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(upBetween)
 		w.clockStep = 0
 		w.crash()
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(secondDown)
 		w.start()
 		p.record.line("worker %s is up for good", w.id)
 	}
