Record the cancellation of an unknown job, so that a late hand-in has no effect

That host found no row and answered 410; the job ran afterwards from beginning to end.

Hypotheses: (1) the write of the job commits after the cancellation was answered and nothing keeps it from doing so; (2) the cancellation is recorded and the leader forgets it; (3) a repeated hand-in records the job again.

Cause: a cancellation without a job left nothing in the store, and the write of a job had the job's absence as its only condition.

Change: such a cancellation writes its row on condition that neither row exists, and the write of a job requires that there is no cancellation. The store decides who was first; the host that loses reads the rows in the conflict. A cancelled job that had been recorded is answered as before. The cost is one write for each cancellation of a job that does not exist.

--- a/chuteentry/fakeclients_test.go
+++ b/chuteentry/fakeclients_test.go
@@ -74,9 +74,13 @@
 
 // call sends a call to a random host and runs the callback once, with the answer or after a timeout of 3 s.
 func (c *fakeClients) call(queue, path string, request chuteaction.Call, callback func(chuteaction.AnswerCall)) {
+	names := c.sim.hostNames()
+	c.callAt(c.sim.hosts[names[c.sim.random.IntN(len(names))]], queue, path, request, callback)
+}
+
+// callAt does so with the host.
+func (c *fakeClients) callAt(h *fakeHost, queue, path string, request chuteaction.Call, callback func(chuteaction.AnswerCall)) {
 	sm := c.sim
-	names := sm.hostNames()
-	h := sm.hosts[names[sm.random.IntN(len(names))]]
 	c.lastCall++
 	id := c.lastCall
 	c.callbacks[id] = callback
@@ -91,6 +95,13 @@
 }
 
 func (c *fakeClients) submit(queue string, duration time.Duration, steps ...chutegraph.Step) *fakeJob {
+	j := c.newJob(queue, duration, steps...)
+	c.trySubmit(j, 0)
+	return j
+}
+
+// newJob returns a job that has not been handed in.
+func (c *fakeClients) newJob(queue string, duration time.Duration, steps ...chutegraph.Step) *fakeJob {
 	j := &fakeJob{
 		id: chutegraph.JobID(fmt.Sprintf("%016x", len(c.jobs)+1)), queue: queue, duration: duration,
 		spec: chutegraph.Spec{Payload: "work", Steps: steps}, doneAt: make(map[chutegraph.TaskID]time.Time),
@@ -100,7 +111,6 @@
 	}
 	c.jobs[j.id] = j
 	c.jobIDs = append(c.jobIDs, j.id)
-	c.trySubmit(j, 0)
 	return j
 }
 
@@ -116,18 +126,28 @@
 	})
 }
 
+// cancel cancels the job at a random host, until a host answers.
 func (c *fakeClients) cancel(j *fakeJob) {
-	c.call(j.queue, string(j.id), chuteaction.CancelJob{}, func(a chuteaction.AnswerCall) {
-		if a.Result.Code.Class() == chuteresult.ClassRan {
+	names := c.sim.hostNames()
+	c.cancelAt(c.sim.hosts[names[c.sim.random.IntN(len(names))]], j)
+}
+
+// cancelAt does so, first at the host.
+func (c *fakeClients) cancelAt(h *fakeHost, j *fakeJob) {
+	c.callAt(h, j.queue, string(j.id), chuteaction.CancelJob{}, func(a chuteaction.AnswerCall) {
+		if cancelAnswered(a) {
 			j.cancelledAt = c.sim.now
 			return
 		}
-		if a.Result.Code != chuteresult.UnknownJob {
-			c.sim.after(300*time.Millisecond, func() { c.cancel(j) })
-		}
+		c.sim.after(300*time.Millisecond, func() { c.cancel(j) })
 	})
 }
 
+// cancelAnswered reports whether the answer is final: the job is cancelled, or does not exist.
+func cancelAnswered(a chuteaction.AnswerCall) bool {
+	return a.Result.Code.Class() == chuteresult.ClassRan || a.Result.Code == chuteresult.UnknownJob
+}
+
 // show queries the phase of a job once; the callback gets false if the answer holds none.
 func (c *fakeClients) show(j *fakeJob, callback func(chutetask.Phase, bool)) {
 	c.call(j.queue, string(j.id), chuteaction.ShowJob{}, func(a chuteaction.AnswerCall) {
--- a/chuteentry/fakestore_test.go
+++ b/chuteentry/fakestore_test.go
@@ -15,12 +15,27 @@
 	history        []chuteaction.Row
 	version        chuteaction.RowVersion
 	down           bool
-	hidesChanges   bool                   // watchers get no changes
-	lostAnswerRate float64                // fraction of writes whose answer is lost
-	delayedRate    float64                // fraction of those that are committed late
-	oldestVersion  chuteaction.RowVersion // a poll for changes after an earlier version gets all rows of its table instead
+	hidesChanges   bool                                   // watchers get no changes
+	lostAnswerRate float64                                // fraction of writes whose answer is lost
+	delayedRate    float64                                // fraction of those that are committed late
+	oldestVersion  chuteaction.RowVersion                 // a poll for changes after an earlier version gets all rows of its table instead
+	chooseFault    func(chuteaction.WriteRows) writeFault // called for each write; may be nil
 }
 
+// writeFault is what becomes of a write.
+type writeFault int
+
+const (
+	writeAnswered writeFault = iota
+	writeLost                // committed without an answer
+	writeLate                // committed lateWriteDelay later without an answer
+	writeRefused             // not committed
+	writeFaults              // number of the above
+)
+
+// lateWriteDelay is how much later a late write is committed.
+const lateWriteDelay = 4 * time.Second
+
 func newFakeStore(sm *simulation) *fakeStore {
 	return &fakeStore{sim: sm, rows: make(map[chuteaction.RowKey]chuteaction.Row)}
 }
@@ -66,10 +81,10 @@
 		if sm.chance(s.delayedRate) {
 			when = sm.jittered(3 * time.Second)
 		}
-		sm.after(when, func() { s.commit(f) })
-		sm.after(1200*time.Millisecond, func() {
-			h.deliver(chuteaction.RowsWritten{Token: f.Token, Outcome: chuteaction.StoreUnknown})
-		})
+		s.commitUnanswered(h, f, when)
+		return
+	}
+	if s.chooseFault != nil && s.carryOutFault(h, f) {
 		return
 	}
 	sm.after(sm.jittered(storeDelay), func() {
@@ -78,6 +93,29 @@
 	})
 }
 
+// commitUnanswered commits a write after the delay, without an answer.
+func (s *fakeStore) commitUnanswered(h *fakeHost, f chuteaction.WriteRows, delay time.Duration) {
+	s.sim.after(delay, func() { s.commit(f) })
+	s.sim.after(1200*time.Millisecond, func() {
+		h.deliver(chuteaction.RowsWritten{Token: f.Token, Outcome: chuteaction.StoreUnknown})
+	})
+}
+
+// carryOutFault lets the chosen fault befall a write, and reports whether there is one.
+func (s *fakeStore) carryOutFault(h *fakeHost, f chuteaction.WriteRows) bool {
+	switch s.chooseFault(f) {
+	case writeLost:
+		s.commitUnanswered(h, f, s.sim.jittered(storeDelay))
+	case writeLate:
+		s.commitUnanswered(h, f, lateWriteDelay)
+	case writeRefused:
+		s.sim.after(storeDelay, func() { h.deliver(chuteaction.RowsWritten{Token: f.Token, Outcome: chuteaction.StoreRefused}) })
+	case writeAnswered, writeFaults:
+		return false
+	}
+	return true
+}
+
 func (s *fakeStore) commit(f chuteaction.WriteRows) chuteaction.RowsWritten {
 	written := chuteaction.RowsWritten{Token: f.Token, Outcome: chuteaction.StoreDone}
 	for _, c := range f.Conditions {
--- a/chuteintake/answer.go
+++ b/chuteintake/answer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteresult"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -18,9 +19,9 @@
 	}
 	switch e.Outcome {
 	case chuteaction.StoreDone:
-		return s.handleRecorded(t, c, false), committedRows(c.write, e.Version)
-	case chuteaction.StoreConflict: // the row exists: an earlier attempt or call has written it
-		return s.handleRecorded(t, c, true), e.Current
+		return s.handleCommit(t, c), committedRows(c.write, e.Version)
+	case chuteaction.StoreConflict: // an earlier attempt or another call has written a row that the conditions name
+		return s.handleConflict(t, c, e.Current), e.Current
 	case chuteaction.StoreRefused:
 		t.Count("store-retry", "refused")
 		return s.withCall(c.withResendAt(t.Now.Add(retryDelay))), nil
@@ -40,16 +41,65 @@
 	return rows
 }
 
-func (s State) handleRecorded(t *chuteaction.Transition, c call, alreadyRecorded bool) State {
-	took := t.Now.Sub(c.arrivedAt)
+// handleCommit answers a call whose write has committed.
+func (s State) handleCommit(t *chuteaction.Transition, c call) State {
+	switch c.stage {
+	case stageRecordJob, stageRecordCancel:
+		return s.answerRecorded(t, c, false)
+	case stageRejectJob:
+		t.Count("job-rejected", "cancelled")
+		t.Log(component, "cancellation recorded of an unknown job, which cannot be recorded any more", c.job, "queue", c.queue)
+		return s.answerUnknownJob(t, c)
+	case stageReadProgress, stageReadSubmission, stageFindJob:
+		t.Warn(component, "a write ended for a call that reads", c.job, "stage", int(c.stage))
+	}
+	return s
+}
+
+// handleConflict handles the rows that the store has instead of those that a call was to write.
+func (s State) handleConflict(t *chuteaction.Transition, c call, current []chuteaction.Row) State {
+	submitted, cancelled := recordedRows(c, current)
 	switch c.stage {
 	case stageRecordJob:
-		t.Log(component, "job accepted", c.job, "queue", c.queue, "took", took, "before", alreadyRecorded)
-		t.Emit(chuteaction.Observe{Histogram: "acceptance", Kind: c.queue, Duration: took})
+		switch {
+		case submitted:
+			return s.answerRecorded(t, c, true)
+		case cancelled:
+			return s.answer(t, c, chuteresult.New(chuteresult.Cancelled, "the job was cancelled before it was recorded"), 0, nil)
+		}
 	case stageRecordCancel:
-		t.Log(component, "cancellation recorded", c.job, "queue", c.queue, "took", took, "before", alreadyRecorded)
+		if cancelled {
+			return s.answerRecorded(t, c, true)
+		}
+	case stageRejectJob:
+		if submitted || cancelled {
+			return s.cancelRecorded(t, c, submitted, cancelled)
+		}
 	case stageReadProgress, stageReadSubmission, stageFindJob:
 		t.Warn(component, "a write ended for a call that reads", c.job, "stage", int(c.stage))
+		return s
+	}
+	t.Count("store-retry", "conflict")
+	return s.withCall(c.withResendAt(t.Now.Add(retryDelay)))
+}
+
+// recordedRows reports which rows of the call's job are among the rows, whether or not they can be decoded.
+func recordedRows(c call, rows []chuteaction.Row) (submitted, cancelled bool) {
+	for _, r := range rows {
+		submitted = submitted || r.RowKey == chuteaction.SubmissionKey(c.job)
+		cancelled = cancelled || r.RowKey == chuteaction.CancelKey(c.job)
+	}
+	return submitted, cancelled
+}
+
+// answerRecorded answers a call whose row is in the store, where an earlier call may have written it.
+func (s State) answerRecorded(t *chuteaction.Transition, c call, before bool) State {
+	took := t.Now.Sub(c.arrivedAt)
+	if c.stage == stageRecordJob {
+		t.Log(component, "job accepted", c.job, "queue", c.queue, "took", took, "before", before)
+		t.Emit(chuteaction.Observe{Histogram: "acceptance", Kind: c.queue, Duration: took})
+	} else {
+		t.Log(component, "cancellation recorded", c.job, "queue", c.queue, "took", took, "before", before)
 	}
 	return s.answer(t, c, chuteresult.Result{Code: chuteresult.Done}, 0, nil)
 }
@@ -70,8 +120,9 @@
 	case stageReadSubmission:
 		return s.handleSubmission(t, c, e.Rows)
 	case stageFindJob:
-		return s.recordCancellation(t, c, e.Rows)
-	case stageRecordJob, stageRecordCancel:
+		submitted, cancelled := recordedRows(c, e.Rows)
+		return s.cancelRecorded(t, c, submitted, cancelled)
+	case stageRecordJob, stageRecordCancel, stageRejectJob:
 		t.Warn(component, "a read ended for a call that writes", c.job, "stage", int(c.stage))
 	}
 	return s
@@ -101,30 +152,46 @@
 		}
 	}
 	switch {
+	case !found: // a cancellation alone is of a job that was never accepted
+		return s.answerUnknownJob(t, c)
 	case cancelled:
 		return s.answerPhase(t, c, chutetask.PhaseCancelled)
-	case found:
-		return s.answerPhase(t, c, chutetask.PhaseQueued)
 	}
-	return s.answerUnknownJob(t, c)
+	return s.answerPhase(t, c, chutetask.PhaseQueued)
 }
 
 func (s State) answerUnknownJob(t *chuteaction.Transition, c call) State {
 	return s.answer(t, c, chuteresult.New(chuteresult.UnknownJob, "the store has no job of this id"), 0, nil)
 }
 
-// recordCancellation writes the cancellation of the job if its submission exists.
-func (s State) recordCancellation(t *chuteaction.Transition, c call, rows []chuteaction.Row) State {
-	for _, r := range rows {
-		if _, ok := r.Value.(chuteaction.SubmissionRow); ok {
-			key := chuteaction.CancelKey(c.job)
-			return s.send(t, c.withStage(stageRecordCancel).withWrite(chuteaction.WriteRows{
-				Conditions: []chuteaction.Condition{{RowKey: key}},
-				Put:        []chuteaction.Row{{RowKey: key, Value: chuteaction.CancelRow{Job: c.job}}},
-			}))
-		}
+// cancelRecorded cancels a job of which the store has the given rows. Of an unknown job it records the cancellation as well:
+// a write of the submission may be on its way, and must not take effect any more.
+func (s State) cancelRecorded(t *chuteaction.Transition, c call, submitted, cancelled bool) State {
+	switch {
+	case submitted && cancelled:
+		return s.answerRecorded(t, c.withStage(stageRecordCancel), true)
+	case cancelled:
+		return s.answerUnknownJob(t, c)
+	case submitted:
+		return s.send(t, c.withStage(stageRecordCancel).withWrite(cancellation(c.job)))
+	}
+	return s.send(t, c.withStage(stageRejectJob).withWrite(rejection(c.job)))
+}
+
+// cancellation returns the write that cancels a job.
+func cancellation(id chutegraph.JobID) chuteaction.WriteRows {
+	key := chuteaction.CancelKey(id)
+	return chuteaction.WriteRows{
+		Conditions: []chuteaction.Condition{{RowKey: key}},
+		Put:        []chuteaction.Row{{RowKey: key, Value: chuteaction.CancelRow{Job: id}}},
 	}
-	return s.answerUnknownJob(t, c)
+}
+
+// rejection returns the write that cancels a job unless it is recorded, so that it will not be.
+func rejection(id chutegraph.JobID) chuteaction.WriteRows {
+	write := cancellation(id)
+	write.Conditions = append(write.Conditions, chuteaction.Condition{RowKey: chuteaction.SubmissionKey(id)})
+	return write
 }
 
 // Tick retries the requests that are due, and answers the calls that have reached their time limit.
@@ -147,8 +214,7 @@
 // giveUp answers a call without a result from the store. The answer tells the client whether the write may have
 // committed or certainly has not.
 func (s State) giveUp(t *chuteaction.Transition, c call) State {
-	writes := c.stage == stageRecordJob || c.stage == stageRecordCancel
-	if writes && (c.uncertain || c.resendAt.IsZero()) {
+	if c.stage.writes() && (c.uncertain || c.resendAt.IsZero()) {
 		return s.answer(t, c, chuteresult.New(chuteresult.StoreAnswerLost, "the store did not tell whether it wrote"), 0, nil)
 	}
 	return s.answer(t, c, chuteresult.New(chuteresult.StoreUnavailable, "the store refuses or does not answer"), clientRetryDelay, nil)
@@ -157,7 +223,7 @@
 func (s State) retry(t *chuteaction.Transition, c call) State {
 	c.resendAt = time.Time{}
 	switch c.stage {
-	case stageRecordJob, stageRecordCancel:
+	case stageRecordJob, stageRecordCancel, stageRejectJob:
 		return s.send(t, c)
 	case stageReadProgress:
 		return s.readProgress(t, c)
--- a/chuteintake/arrive.go
+++ b/chuteintake/arrive.go
@@ -58,11 +58,16 @@
 	if err := sub.Spec.Check(); err != nil {
 		return s.answer(t, c, chuteresult.FromError(err), 0, nil)
 	}
+	return s.send(t, c.withStage(stageRecordJob).withWrite(record(sub)))
+}
+
+// record returns the write that records a job, unless it is recorded or cancelled already.
+func record(sub chutetask.Submission) chuteaction.WriteRows {
 	key := chuteaction.SubmissionKey(sub.ID)
-	return s.send(t, c.withStage(stageRecordJob).withWrite(chuteaction.WriteRows{
-		Conditions: []chuteaction.Condition{{RowKey: key}},
+	return chuteaction.WriteRows{
+		Conditions: []chuteaction.Condition{{RowKey: key}, {RowKey: chuteaction.CancelKey(sub.ID)}},
 		Put:        []chuteaction.Row{{RowKey: key, Value: chuteaction.SubmissionRow{Submission: sub}}},
-	}))
+	}
 }
 
 func (s State) send(t *chuteaction.Transition, c call) State {
--- a/chuteintake/malformed_test.go
+++ b/chuteintake/malformed_test.go
@@ -1,6 +1,7 @@
 package chuteintake_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -38,8 +39,13 @@
 			}
 			s = s.HandleRowsRead(transition, read)
 		case chuteaction.WriteRows:
-			written = append(written, f.Put...)
-			s, _ = s.HandleRowsWritten(transition, chuteaction.RowsWritten{Token: f.Token, Outcome: chuteaction.StoreDone})
+			result := chuteaction.RowsWritten{Token: f.Token, Outcome: chuteaction.StoreDone}
+			if result.Current = existing(f.Conditions, rows); len(result.Current) > 0 {
+				result.Outcome = chuteaction.StoreConflict
+			} else {
+				written = append(written, f.Put...)
+			}
+			s, _ = s.HandleRowsWritten(transition, result)
 		case chuteaction.AnswerCall:
 			return f, written
 		}
@@ -48,6 +54,17 @@
 	return chuteaction.AnswerCall{}, nil
 }
 
+// existing returns the rows that the conditions name, which are that there are none.
+func existing(conditions []chuteaction.Condition, rows []chuteaction.Row) []chuteaction.Row {
+	var found []chuteaction.Row
+	for _, r := range rows {
+		if slices.Contains(conditions, chuteaction.Condition{RowKey: r.RowKey}) {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
 // TestAJobWhoseProgressCannotBeReadIsStillKnown guards against a client that is told that an accepted job does not exist or is completed.
 func TestAJobWhoseProgressCannotBeReadIsStillKnown(t *testing.T) {
 	is := is.New(t)
--- a/chuteintake/state.go
+++ b/chuteintake/state.go
@@ -86,9 +86,15 @@
 	stageReadProgress                    // read of the job's progress, to answer with its phase
 	stageReadSubmission                  // read of the submission and cancellation of a job that has no progress row
 	stageFindJob                         // read of the submission of a job that is to be cancelled
-	stageRecordCancel                    // write of the cancellation
+	stageRecordCancel                    // write of the cancellation of a recorded job
+	stageRejectJob                       // write of the cancellation of a job that is not recorded
 )
 
+// writes reports whether the request is a write.
+func (s stage) writes() bool {
+	return s == stageRecordJob || s == stageRecordCancel || s == stageRejectJob
+}
+
 func (c call) withStage(s stage) call {
 	c.stage = s
 	c.resendAt = time.Time{}
