Remember a cancellation that reaches the scheduler before its job

The host that records a cancellation forwards it to the leader; so does the host that records the job, and a forwarded row may be lost. A cancellation of a job that the scheduler did not know yet was dropped. The job then started, until the watch of the table brought the cancellation again; where a host of an earlier version writes a job after its cancellation, nothing brought it again.

Cause: the scheduler took the order of arrival for the order of the rows.

Change: the scheduler keeps cancellations of unknown jobs, and a job that comes later is recorded as cancelled at once.

--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -98,10 +98,20 @@
 		j = j.WithOccurrenceBegun(0)
 	}
 	t.PlanDue = true
+	_, cancelled := t.cancelledEarly.Get(j.ID)
+	if cancelled {
+		t.cancelledEarly = t.cancelledEarly.Delete(j.ID)
+		j = j.WithCancelled()
+	}
 	if r, recorded := t.unmerged.Get(j.ID); recorded {
 		t.mergeRow(j, r)
 		return
 	}
+	if cancelled {
+		t.Log(component, "job received after its cancellation", submission.ID, "queue", submission.Queue, "version", version)
+		t.PutJob(j)
+		return
+	}
 	t.PutRecordedJob(j)
 	if t.Ready() {
 		t.Log(component, "job received", submission.ID, "queue", submission.Queue, "priority", submission.Priority, "version", version)
@@ -199,10 +209,15 @@
 	return latest.Add(t.LongestLease())
 }
 
-// cancelJob ends a job whose cancellation the client recorded, and stops its runs.
+// cancelJob ends a job whose cancellation the client recorded, and stops its runs. The cancellation may have overtaken its
+// job on the way here.
 func (t *transition) cancelJob(id chutegraph.JobID) {
 	j, ok := t.Job(id)
-	if !ok || j.Cancelled || j.Phase.Ended() {
+	if !ok {
+		t.cancelledEarly = t.cancelledEarly.Set(id, true)
+		return
+	}
+	if j.Cancelled || j.Phase.Ended() {
 		return
 	}
 	t.Log(component, "job cancelled", id, "phase", j.Phase)
--- a/chutescheduler/lostprogress_test.go
+++ b/chutescheduler/lostprogress_test.go
@@ -105,7 +105,7 @@
 	malformed := recordedRow(1, chutetask.TaskActive)
 	malformed.Value = nil
 	s.answerReads(chuteaction.TableProgress, malformed)
-	s.submissions(false, chuteaction.Row{RowKey: chuteaction.CancelKey(jobID), Version: 10, Value: chuteaction.CancelRow{Job: jobID}})
+	s.submissions(false, cancelRow())
 	s.listWorker()
 	s.tick(200 * time.Millisecond)
 	s.report(1, []chutetask.RunReport{{Run: runID(0)}}, nil)
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -32,6 +32,7 @@
 	predecessorEnded bool                                                    // the predecessor's process has certainly ended
 	progress         []chuteaction.Row                                       // rows to merge once all submissions are known
 	unmerged         *immutable.SortedMap[chutegraph.JobID, chuteaction.Row] // progress of jobs without a submission, or malformed
+	cancelledEarly   *immutable.SortedMap[chutegraph.JobID, bool]            // cancelled jobs without a submission
 	hasHosts         bool                                                    // the process of every host has been read
 	hasProgress      bool                                                    // the progress of all jobs has been read
 	hasJobs          bool                                                    // all submissions have been read
@@ -55,11 +56,12 @@
 		runner: chuteledger.New(epoch, bounds, t.Now),
 		schedulerState: schedulerState{
 			predecessor: predecessor, predecessorEnded: predecessor.Row.Epoch == 0 || predecessor.Row.Released,
-			planner:   chuteplanner.New(),
-			timed:     immutable.NewSortedMap[chutegraph.JobID, bool](nil),
-			unmerged:  immutable.NewSortedMap[chutegraph.JobID, chuteaction.Row](chutegraph.JobOrder{}),
-			malformed: immutable.NewSortedMap[chutetask.WorkerID, bool](chutetask.WorkerOrder{}),
-			waves:     chutewave.New(),
+			planner:        chuteplanner.New(),
+			timed:          immutable.NewSortedMap[chutegraph.JobID, bool](nil),
+			cancelledEarly: immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
+			unmerged:       immutable.NewSortedMap[chutegraph.JobID, chuteaction.Row](chutegraph.JobOrder{}),
+			malformed:      immutable.NewSortedMap[chutetask.WorkerID, bool](chutetask.WorkerOrder{}),
+			waves:          chutewave.New(),
 		},
 	}
 	s.jobsWatch = t.NewToken()
