Record a job of the product's own interface once if it is handed in twice at once

A client that repeats a submission before the owner's write of the first is answered has the job written twice. The second commit put the job back into the queue, although it may have been reserved and started between the two: its accelerators stay held, and it can be started once more.

Cause: a duplicate was recognized among the recorded jobs alone.

What the document refuses is refused as before.

Test: TestAJobThatIsHandedInTwiceAtOnceIsRecordedOnce failed before (two writes).

--- a/chutegang/state.go
+++ b/chutegang/state.go
@@ -130,6 +130,17 @@
 	return false
 }
 
+// Recording reports whether the first row of the job is being written.
+func (s State) Recording(id chutejob.ID) bool {
+	for i := s.pending.Iterator(); !i.Done(); {
+		_, p, _ := i.Next()
+		if submit, ok := p.(PendingSubmit); ok && submit.Job.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
 // WithoutEnded returns the state without the ended jobs of these ids.
 func (s State) WithoutEnded(ids []chutejob.ID) State {
 	for _, id := range ids {
--- a/chuteshard/call.go
+++ b/chuteshard/call.go
@@ -45,6 +45,10 @@
 		t.Answer(from, chutecall.ResultReply{Result: refusal})
 		return
 	}
+	if t.State.Recording(call.Job) {
+		t.Answer(from, chutecall.Refuse(chuteresult.InProgress, "job %s: an earlier call is being recorded", call.Job))
+		return
+	}
 	j := chutejob.New(call.Job, call.Spec, t.Now())
 	t.CommitJob(chutegang.PendingSubmit{Call: from, Job: j}, j)
 }
