Keep a job of the product's own interface from being accepted after its cancellation

An owner that did not know a job answered its cancellation with "does not exist" and kept nothing. A submission whose write was in flight, or that another host forwarded late, was accepted afterwards, and ran.

While the first row of a job is being written, submissions and cancellations of it are answered as in progress.

Tests: TestAJobIsNotAcceptedOnceItsCancellationWasAnswered and TestACancellationBesideTheWriteOfItsJobIsNotAnsweredAsUnknown; on the code before, the first call was answered at once without a write, so that both fail.

--- a/chutegang/state.go
+++ b/chutegang/state.go
@@ -40,6 +40,12 @@
 	Job  chutejob.Job
 }
 
+// PendingRejection records the cancellation of an unknown job, so that the job is not accepted later.
+type PendingRejection struct {
+	Call chuteevent.Origin
+	Job  chutejob.Job
+}
+
 // PendingReserve records an attempt before its start.
 type PendingReserve struct {
 	Job     chutejob.ID
@@ -63,12 +69,13 @@
 	Jobs []chutejob.ID
 }
 
-func (PendingRecovery) sealedPending() {}
-func (PendingDelete) sealedPending()   {}
-func (PendingSubmit) sealedPending()   {}
-func (PendingReserve) sealedPending()  {}
-func (PendingCancel) sealedPending()   {}
-func (PendingFinish) sealedPending()   {}
+func (PendingRecovery) sealedPending()  {}
+func (PendingDelete) sealedPending()    {}
+func (PendingSubmit) sealedPending()    {}
+func (PendingReserve) sealedPending()   {}
+func (PendingCancel) sealedPending()    {}
+func (PendingFinish) sealedPending()    {}
+func (PendingRejection) sealedPending() {}
 
 // PlacedTask is a task and the worker that keeps its record.
 type PlacedTask struct {
@@ -130,12 +137,20 @@
 	return false
 }
 
-// Recording reports whether the first row of the job is being written.
+// Recording reports whether the first row of the job is being written: its submission, or the cancellation of an unknown job.
 func (s State) Recording(id chutejob.ID) bool {
 	for i := s.pending.Iterator(); !i.Done(); {
 		_, p, _ := i.Next()
-		if submit, ok := p.(PendingSubmit); ok && submit.Job.ID == id {
-			return true
+		switch p := p.(type) {
+		case PendingSubmit:
+			if p.Job.ID == id {
+				return true
+			}
+		case PendingRejection:
+			if p.Job.ID == id {
+				return true
+			}
+		case PendingRecovery, PendingReserve, PendingCancel, PendingFinish, PendingDelete:
 		}
 	}
 	return false
--- a/chutejob/job.go
+++ b/chutejob/job.go
@@ -47,6 +47,16 @@
 	return Job{ID: id, Spec: spec, Phase: PhaseWaiting, SubmittedAt: now, PhaseSince: now}
 }
 
+// NewRejected returns a job that was cancelled before anybody submitted it, and that must not be accepted later.
+func NewRejected(id ID, now time.Time) Job {
+	return New(id, Spec{}, now).WithResult(chuteresult.New(chuteresult.Cancelled, "job %s was cancelled before it was submitted", id), now)
+}
+
+// Rejected reports whether the job was cancelled before anybody submitted it.
+func (j Job) Rejected() bool {
+	return j.Spec == Spec{}
+}
+
 // WithPhase returns the job in the phase, which begins now.
 func (j Job) WithPhase(phase Phase, now time.Time) Job {
 	j.Phase = phase
--- a/chuteshard/call.go
+++ b/chuteshard/call.go
@@ -1,6 +1,8 @@
 package chuteshard
 
 import (
+	"slices"
+
 	"monsoonchute.example/monsoonchute/chuteaccelerator"
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chuteevent"
@@ -46,7 +48,7 @@
 		return
 	}
 	if t.State.Recording(call.Job) {
-		t.Answer(from, chutecall.Refuse(chuteresult.InProgress, "job %s: an earlier call is being recorded", call.Job))
+		t.answerRecording(from, call.Job)
 		return
 	}
 	j := chutejob.New(call.Job, call.Spec, t.Now())
@@ -55,6 +57,10 @@
 
 // answerDuplicate answers a repeated submission: it succeeds if the specification is the one recorded.
 func (t *transition) answerDuplicate(from chuteevent.Origin, j chutejob.Job, spec chutejob.Spec) {
+	if j.Rejected() {
+		t.Answer(from, chutecall.ResultReply{Result: j.Result})
+		return
+	}
 	if j.Spec != spec {
 		t.Answer(from, chutecall.Refuse(chuteresult.Conflict, "job %s exists with another specification", j.ID))
 		return
@@ -110,8 +116,19 @@
 	t.Answer(from, chutecall.Refuse(chuteresult.NotFound, "job: %q does not exist", id))
 }
 
-func (t *transition) show(from chuteevent.Origin, id chutejob.ID) {
+// answerRecording answers a call about a job whose first row is being written.
+func (t *transition) answerRecording(from chuteevent.Origin, id chutejob.ID) {
+	t.Answer(from, chutecall.Refuse(chuteresult.InProgress, "job %s: an earlier call is being recorded", id))
+}
+
+// acceptedJob returns the job with the id, and false if none was accepted.
+func (t *transition) acceptedJob(id chutejob.ID) (chutejob.Job, bool) {
 	j, ok := t.State.Job(id)
+	return j, ok && !j.Rejected()
+}
+
+func (t *transition) show(from chuteevent.Origin, id chutejob.ID) {
+	j, ok := t.acceptedJob(id)
 	if !ok {
 		t.answerUnknown(from, id)
 		return
@@ -121,6 +138,7 @@
 
 func (t *transition) list(from chuteevent.Origin) {
 	jobs := append(t.State.Live(), t.State.Ended()...)
+	jobs = slices.DeleteFunc(jobs, chutejob.Job.Rejected)
 	t.Answer(from, chutecall.JobsReply{Jobs: jobs[:min(len(jobs), maxListed)]})
 }
 
@@ -129,6 +147,9 @@
 	j, ok := t.State.Job(id)
 	switch {
 	case !ok:
+		t.cancelUnknown(from, id)
+		return
+	case j.Rejected():
 		t.answerUnknown(from, id)
 		return
 	case j.Phase == chutejob.PhaseEnded:
@@ -143,6 +164,21 @@
 	t.CommitJob(chutegang.PendingCancel{Call: from, Job: id}, j)
 }
 
+// cancelUnknown records the cancellation of a job that this owner does not know: its submission may be on its way.
+func (t *transition) cancelUnknown(from chuteevent.Origin, id chutejob.ID) {
+	switch {
+	case !t.Environment.LeaseValid:
+		t.answerUnknown(from, id)
+	case t.State.Recording(id):
+		t.answerRecording(from, id)
+	case !t.Environment.StoreUp:
+		t.Answer(from, chutecall.Refuse(chuteresult.StoreUnavailable, "cancellation: cannot be recorded now"))
+	default:
+		j := chutejob.NewRejected(id, t.Now())
+		t.CommitJob(chutegang.PendingRejection{Call: from, Job: j}, j)
+	}
+}
+
 // handleCancelRecorded stops the job of a recorded cancellation and answers the call.
 func (t *transition) handleCancelRecorded(p chutegang.PendingCancel) {
 	j, ok := t.State.LiveJob(p.Job)
--- a/chuteshard/explain.go
+++ b/chuteshard/explain.go
@@ -10,7 +10,7 @@
 
 // explain answers with the causes that keep a job waiting.
 func (t *transition) explain(from chuteevent.Origin, id chutejob.ID) {
-	j, ok := t.State.Job(id)
+	j, ok := t.acceptedJob(id)
 	if !ok {
 		t.answerUnknown(from, id)
 		return
--- a/chuteshard/pending.go
+++ b/chuteshard/pending.go
@@ -16,6 +16,9 @@
 		t.PutJob(p.Job)
 		t.State.PlanDue = true
 		t.Answer(p.Call, chutecall.JobReply{Result: chuteresult.New(chuteresult.Accepted, "job %s is recorded", p.Job.ID), Job: p.Job})
+	case chutegang.PendingRejection:
+		t.PutJob(p.Job)
+		t.answerUnknown(p.Call, p.Job.ID)
 	case chutegang.PendingReserve:
 		t.HandleReserved(p)
 	case chutegang.PendingCancel:
@@ -35,6 +38,8 @@
 		t.Answer(p.Call, chutecall.Refuse(chuteresult.NotOwner, "shard %d has another owner", t.State.Shard))
 	case chutegang.PendingCancel:
 		t.Answer(p.Call, chutecall.Refuse(chuteresult.NotOwner, "shard %d has another owner", t.State.Shard))
+	case chutegang.PendingRejection:
+		t.Answer(p.Call, chutecall.Refuse(chuteresult.NotOwner, "shard %d has another owner", t.State.Shard))
 	case chutegang.PendingReserve, chutegang.PendingFinish, chutegang.PendingRecovery, chutegang.PendingDelete:
 	}
 }
@@ -50,6 +55,8 @@
 			t.PutJob(j.WithCancelRequested(false))
 		}
 		t.Answer(p.Call, chutecall.Refuse(chuteresult.StoreUnavailable, "cancellation: cannot be recorded now"))
+	case chutegang.PendingRejection:
+		t.Answer(p.Call, chutecall.Refuse(chuteresult.StoreUnavailable, "cancellation: cannot be recorded now"))
 	case chutegang.PendingReserve:
 		if j, ok := t.State.LiveJob(p.Job); ok && j.Phase == chutejob.PhaseReserved && j.Attempt == p.Attempt {
 			t.CommitJob(p, j)
--- a/chuteshard/race_test.go
+++ b/chuteshard/race_test.go
@@ -102,3 +102,33 @@
 	is.Equal(o.code(o.submit()), chuteresult.Accepted)
 	is.Equal(len(o.state.Live()), 1)
 }
+
+// TestAJobIsNotAcceptedOnceItsCancellationWasAnswered guards against a submission that arrives, or is recorded, after the owner has
+// said that there is no such job, and that runs although it was cancelled.
+func TestAJobIsNotAcceptedOnceItsCancellationWasAnswered(t *testing.T) {
+	is := is.New(t)
+	o := newOwner()
+	cancelled := o.call(chutecall.CancelJob{Job: jobID})
+	is.Equal(o.code(o.submit()), chuteresult.InProgress) // the cancellation is being written
+	is.True(o.commit().Rejected())
+	is.Equal(o.code(cancelled), chuteresult.NotFound)
+	is.Equal(o.code(o.submit()), chuteresult.Cancelled)
+	is.Equal(o.code(o.call(chutecall.CancelJob{Job: jobID})), chuteresult.NotFound)
+	is.Equal(o.code(o.call(chutecall.ShowJob{Job: jobID})), chuteresult.NotFound)
+	is.Equal(len(o.writes)+len(o.state.Live()), 0)
+	jobs, _ := o.replies[o.call(chutecall.ListJobs{})].(chutecall.JobsReply)
+	is.Equal(len(jobs.Jobs), 0)
+}
+
+// TestACancellationBesideTheWriteOfItsJobIsNotAnsweredAsUnknown guards against the same where the submission came first.
+func TestACancellationBesideTheWriteOfItsJobIsNotAnsweredAsUnknown(t *testing.T) {
+	is := is.New(t)
+	o := newOwner()
+	o.submit()
+	is.Equal(o.code(o.call(chutecall.CancelJob{Job: jobID})), chuteresult.InProgress)
+	o.commit()
+	cancelled := o.call(chutecall.CancelJob{Job: jobID})
+	o.commit()
+	is.Equal(o.code(cancelled), chuteresult.Accepted)
+	is.Equal(len(o.state.Live()), 0)
+}
