Notice after the takeover, too, that the former leader's process has ended

With most workers empty, the jobs had nothing running 17 s after the end of the traffic.

Hypotheses: (1) the claim's: the departed workers remove their entries, and the new leader makes nothing of that; (2) the new leader learns of the end of the former process only in the one read at its takeover; (3) the tasks are freed earlier and not placed.

Change: the leader watches the hosts' rows anyway; a row of another process of the former leader's host now shortens the wait for the workers that this leader has not reached. A line says when.

--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -27,8 +27,7 @@
 	return u.state()
 }
 
-// handleHostsRead checks whether the predecessor's process has ended, in which case nobody renews leases under its
-// epoch any more. It has ended if a later row of its host names another process.
+// handleHostsRead handles the rows of the entry hosts as read after the takeover.
 func (s State) handleHostsRead(t *chuteaction.Transition, environment chuteledger.Environment, e chuteaction.RowsRead) State {
 	if e.Outcome != chuteaction.StoreDone {
 		t.Count("store-retry", "hosts-read")
@@ -36,14 +35,44 @@
 	}
 	u := s.transition(t, environment)
 	u.hasHosts = true
-	for _, r := range e.Rows {
+	u.checkPredecessor(e.Rows)
+	u.mergeProgress()
+	return u.state()
+}
+
+// HandleHosts handles changed rows of the entry hosts.
+func (s State) HandleHosts(t *chuteaction.Transition, environment chuteledger.Environment, rows []chuteaction.Row) State {
+	u := s.transition(t, environment)
+	u.checkPredecessor(rows)
+	return u.state()
+}
+
+// checkPredecessor checks whether the predecessor's process has ended, in which case nobody renews leases under its epoch any
+// more. It has ended if a later row of its host names another process.
+func (t *transition) checkPredecessor(rows []chuteaction.Row) {
+	if !t.predecessorEndedBy.IsZero() {
+		return
+	}
+	for _, r := range rows {
 		row, ok := r.Value.(chuteaction.HostRow)
-		if ok && row.Host == u.predecessor.Row.Host && row.Process != u.predecessor.Row.Process && r.Version > u.predecessor.Version {
-			u.predecessorEnded = true
+		if ok && row.Host == t.predecessor.Row.Host && row.Process != t.predecessor.Row.Process && r.Version > t.predecessor.Version {
+			t.predecessorEndedBy = t.Now
+			t.Log(component, "process of the former leader has ended", "", "former", row.Host, "since-takeover", t.Now.Sub(t.LeaderSince))
+			t.shortenInheritedLeases()
+			return
+		}
+	}
+}
+
+// shortenInheritedLeases applies what is known now of the predecessor to the workers that this scheduler has not reached.
+func (t *transition) shortenInheritedLeases() {
+	end := t.inheritedLeaseEnd()
+	for _, w := range t.Pool.All() {
+		if w.AnsweredAt.IsZero() && end.Before(w.LeaseExpiryBound) {
+			w.LeaseExpiryBound = end
+			t.PutWorker(w)
 		}
 	}
-	u.mergeProgress()
-	return u.state()
 }
 
 // HandleForwarded handles rows of submitted and cancelled jobs that another host has recorded.
@@ -137,7 +166,7 @@
 	}
 	t.progress = nil
 	t.Log(component, "jobs and their progress read", "", "live", t.Live.Len(), "ended", t.Ended.Len(), "runs", runs,
-		"former", t.predecessor.Row.Host, "former-ended", t.predecessorEnded)
+		"former", t.predecessor.Row.Host, "former-ended", !t.predecessorEndedBy.IsZero())
 	t.workersWatch = t.NewToken()
 	t.Emit(chuteaction.WatchTable{
 		Watch: t.workersWatch, Table: chuteaction.TableWorkers, MinInterval: workersPollInterval, PollTimeout: tablePollTimeout,
@@ -202,11 +231,11 @@
 // inheritedLeaseEnd returns when the lease expires of a worker that this scheduler has not reached. A predecessor
 // that may still be running may renew leases for a while after its latest write.
 func (t *transition) inheritedLeaseEnd() time.Time {
-	latest := t.LeaderSince
-	if renewed := t.predecessor.ObservedAt.Add(t.Bounds.UnconfirmedLimit); !t.predecessorEnded && renewed.After(latest) {
-		latest = renewed
+	renewedUntil := t.predecessorEndedBy
+	if renewedUntil.IsZero() {
+		renewedUntil = latest(t.LeaderSince, t.predecessor.ObservedAt.Add(t.Bounds.UnconfirmedLimit))
 	}
-	return latest.Add(t.LongestLease())
+	return renewedUntil.Add(t.LongestLease())
 }
 
 // cancelJob ends a job whose cancellation the client recorded, and stops its runs. The cancellation may have overtaken its
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -27,27 +27,27 @@
 
 // schedulerState is the part of State that chuteledger.State does not hold.
 type schedulerState struct {
-	batch            batch
-	predecessor      chuteleader.Predecessor                                 // the scheduler that led before this one
-	predecessorEnded bool                                                    // the predecessor's process has certainly ended
-	progress         []chuteaction.Row                                       // rows to merge once all submissions are known
-	unmerged         *immutable.SortedMap[chutegraph.JobID, chuteaction.Row] // progress of jobs without a submission, or malformed
-	cancelledEarly   *immutable.SortedMap[chutegraph.JobID, bool]            // cancelled jobs without a submission
-	hasHosts         bool                                                    // the process of every host has been read
-	hasProgress      bool                                                    // the progress of all jobs has been read
-	hasJobs          bool                                                    // all submissions have been read
-	hasWorkers       bool                                                    // all workers have been read
-	timed            *immutable.SortedMap[chutegraph.JobID, bool]            // live jobs whose occurrences start at set times
-	ticks            int                                                     // ticks so far; they select the workers to check
-	pending          map[string]int                                          // pending jobs by queue; the map is never modified
-	countedAt        time.Time                                               // when the pending jobs were last counted
-	malformed        *immutable.SortedMap[chutetask.WorkerID, bool]          // entries that name no worker, as logged
-	planner          chuteplanner.Planner
-	progressToken    chuteaction.Token
-	jobsWatch        chuteaction.Token // subscription to the table of jobs
-	workersWatch     chuteaction.Token // subscription to the table of workers; 0 before it begins
-	hostsToken       chuteaction.Token
-	waves            chutewave.State
+	batch              batch
+	predecessor        chuteleader.Predecessor                                 // the scheduler that led before this one
+	predecessorEndedBy time.Time                                               // by then the predecessor's process had certainly ended; zero if that is not known
+	progress           []chuteaction.Row                                       // rows to merge once all submissions are known
+	unmerged           *immutable.SortedMap[chutegraph.JobID, chuteaction.Row] // progress of jobs without a submission, or malformed
+	cancelledEarly     *immutable.SortedMap[chutegraph.JobID, bool]            // cancelled jobs without a submission
+	hasHosts           bool                                                    // the process of every host has been read
+	hasProgress        bool                                                    // the progress of all jobs has been read
+	hasJobs            bool                                                    // all submissions have been read
+	hasWorkers         bool                                                    // all workers have been read
+	timed              *immutable.SortedMap[chutegraph.JobID, bool]            // live jobs whose occurrences start at set times
+	ticks              int                                                     // ticks so far; they select the workers to check
+	pending            map[string]int                                          // pending jobs by queue; the map is never modified
+	countedAt          time.Time                                               // when the pending jobs were last counted
+	malformed          *immutable.SortedMap[chutetask.WorkerID, bool]          // entries that name no worker, as logged
+	planner            chuteplanner.Planner
+	progressToken      chuteaction.Token
+	jobsWatch          chuteaction.Token // subscription to the table of jobs
+	workersWatch       chuteaction.Token // subscription to the table of workers; 0 before it begins
+	hostsToken         chuteaction.Token
+	waves              chutewave.State
 }
 
 // New returns the epoch's scheduler. It begins to read hosts and the progress of all jobs, and watches submissions.
@@ -55,7 +55,7 @@
 	s := State{
 		runner: chuteledger.New(epoch, bounds, t.Now),
 		schedulerState: schedulerState{
-			predecessor: predecessor, predecessorEnded: predecessor.Row.Epoch == 0 || predecessor.Row.Released,
+			predecessor:    predecessor,
 			planner:        chuteplanner.New(),
 			timed:          immutable.NewSortedMap[chutegraph.JobID, bool](nil),
 			cancelledEarly: immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
@@ -64,6 +64,9 @@
 			waves:          chutewave.New(),
 		},
 	}
+	if predecessor.Row.Epoch == 0 || predecessor.Row.Released {
+		s.predecessorEndedBy = t.Now
+	}
 	s.jobsWatch = t.NewToken()
 	t.Emit(chuteaction.WatchTable{Watch: s.jobsWatch, Table: chuteaction.TableJobs, PollTimeout: tablePollTimeout})
 	return s.readHosts(t).readProgress(t)
