Let no lease outlast the leader's latest write by more than 14 s

The next leader then waits for a lost worker until 8 s and the longest lease after the former leader's latest write: 18.5 s where leases last 10 s, and 14.4 s where they last 6 s.

Cause: a leader whose writes fail goes on granting whole leases for 8 s, so that a long lease is added to a long time without proof.

Change: a lease ends 14 s after the leader's latest successful write at the latest. With leases of 6 s nothing changes (8 + 6); with leases of 10 s, work goes on without a leader for 14 s in place of 18 s. The successor waits as long.

--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -231,11 +231,11 @@
 // inheritedLeaseEnd returns when the lease expires of a worker that this scheduler has not reached. A predecessor
 // that may still be running may renew leases for a while after its latest write.
 func (t *transition) inheritedLeaseEnd() time.Time {
-	renewedUntil := t.predecessorEndedBy
-	if renewedUntil.IsZero() {
-		renewedUntil = latest(t.LeaderSince, t.predecessor.ObservedAt.Add(t.Bounds.UnconfirmedLimit))
+	if !t.predecessorEndedBy.IsZero() {
+		return t.predecessorEndedBy.Add(t.Bounds.LongestLease())
 	}
-	return renewedUntil.Add(t.LongestLease())
+	granted := t.predecessor.ObservedAt.Add(t.Bounds.LongestUnconfirmedLease())
+	return latest(granted, t.LeaderSince.Add(t.Bounds.LongestLease()))
 }
 
 // cancelJob ends a job whose cancellation the client recorded, and stops its runs. The cancellation may have overtaken its
