Wait after two takeovers for the leases of the first leader as well

The first leader loses the store, but still reaches a worker that nobody else does, and renews its lease for 8 s. The second leader stops as planned, or its process restarts.

Cause: a successor waited for the leases of its predecessor alone, although a worker that the predecessor never reached has not refused the leader before.

Change: the leader's row tells when all leases of earlier leaders have expired, by the store's steady clock, which all hosts read with each answer (chuteclock). The takeover writes it, and the next leader waits for it too. Older hosts skip the field.

--- a/chuteaction/row.go
+++ b/chuteaction/row.go
@@ -93,6 +93,8 @@
 	Sequence int64          // increases with each write
 	Released bool           // the scheduler has stopped; any host may take over at once
 	Pending  map[string]int // number of accepted jobs of which no task has started, by queue
+	// FormerLeaseEnd is when, by the store's clock, all leases have expired that earlier schedulers granted; 0 if unknown.
+	FormerLeaseEnd time.Duration
 }
 
 // HostRow identifies the current process of an entry host; its earlier processes have ended. Its field names are part of
--- /dev/null
+++ b/chuteclock/store.go
@@ -0,0 +1,50 @@
+package chuteclock
+
+import (
+	"math"
+	"time"
+)
+
+// maxDrift is the share by which the two clocks may run at different speeds.
+const maxDrift = 0.02
+
+// Store is an immutable reading of the store's clock. The zero value is that of a clock which has not been read.
+type Store struct {
+	reading time.Duration
+	sentAt  time.Time // when the request was sent that the store answered with the reading
+	readAt  time.Time // when the answer arrived
+}
+
+// WithReading returns the clock as read in an answer; a reading of 0 changes nothing.
+func (s Store) WithReading(reading time.Duration, sentAt, readAt time.Time) Store {
+	if reading <= 0 || sentAt.Before(s.sentAt) {
+		return s
+	}
+	return Store{reading: reading, sentAt: sentAt, readAt: readAt}
+}
+
+// Known reports whether the clock has been read.
+func (s Store) Known() bool {
+	return s.reading > 0
+}
+
+// ReadSince reports whether the clock was read after the time.
+func (s Store) ReadSince(t time.Time) bool {
+	return s.Known() && !s.sentAt.Before(t)
+}
+
+// Latest returns the latest that the store's clock may show at the time.
+func (s Store) Latest(at time.Time) time.Duration {
+	return s.reading + withDrift(at.Sub(s.sentAt))
+}
+
+// Time returns a time at which the store's clock has certainly reached the value.
+func (s Store) Time(value time.Duration) time.Time {
+	return s.readAt.Add(withDrift(value - s.reading))
+}
+
+// withDrift returns the longest time that one clock may take while the other advances by the time, and 0 for a time that has
+// passed.
+func withDrift(d time.Duration) time.Duration {
+	return max(0, time.Duration(math.Ceil(float64(d)/(1-maxDrift))))
+}
--- a/chuteentry/fakeorders_test.go
+++ b/chuteentry/fakeorders_test.go
@@ -104,7 +104,7 @@
 // sendOrder sends a start or stop order; some orders get no answer and are executed late.
 func (sm *simulation) sendOrder(h *fakeHost, target chuteaction.WorkerTarget, carryOut func(*fakeWorker) chuteaction.Event, unknown chuteaction.Event) {
 	k := sm.workers[string(target.Worker)]
-	if k == nil || k.dead || k.disconnected {
+	if k == nil || k.dead || k.unreachableFrom(h) {
 		unreached := sm.unreached(unknown)
 		sm.after(orderTimeout, func() { h.deliver(unreached) })
 		return
@@ -139,13 +139,13 @@
 	sent := sm.now
 	k := sm.workers[string(o.Worker)]
 	unknown := chuteaction.LeaseRenewed{Epoch: o.Epoch, Worker: o.Worker, SentAt: sent, Outcome: chuteaction.OrderUnknown}
-	if k == nil || k.dead || k.disconnected {
+	if k == nil || k.dead || k.unreachableFrom(h) {
 		unreached := sm.unreached(unknown)
 		sm.after(o.PollTimeout+orderTimeout, func() { h.deliver(unreached) })
 		return
 	}
 	sm.after(sm.jittered(workerDelay), func() {
-		if k.dead || k.disconnected {
+		if k.dead || k.unreachableFrom(h) {
 			sm.after(o.PollTimeout+orderTimeout, func() { h.deliver(unknown) })
 			return
 		}
@@ -166,7 +166,7 @@
 // answerRenewal answers a renewal once the worker has an unacknowledged end or the renewal's poll timeout has passed.
 func (k *fakeWorker) answerRenewal(h *fakeHost, o chuteaction.RenewLease, sent time.Time, known int) {
 	sm := k.sim
-	if k.dead || k.disconnected {
+	if k.dead || k.unreachableFrom(h) {
 		unknown := chuteaction.LeaseRenewed{Epoch: o.Epoch, Worker: o.Worker, SentAt: sent, Outcome: chuteaction.OrderUnknown}
 		sm.after(orderTimeout, func() { h.deliver(unknown) })
 		return
--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -25,8 +25,9 @@
 	expiredEnds     map[int64]bool            // numbers of the ends that were unacknowledged when the lease expired
 	endedAt         map[chutegraph.RunID]time.Time
 	dead            bool
-	disconnected    bool // no host reaches the worker
-	offStore        bool // the worker does not reach the store
+	disconnected    bool      // no host reaches the worker
+	reachedBy       *fakeHost // the only host that reaches the worker; nil if all do
+	offStore        bool      // the worker does not reach the store
 	heartbeatAt     time.Time
 	lostOrderRate   float64 // fraction of orders that get no answer and are executed late
 	failsRuns       bool    // every run fails
@@ -164,6 +165,11 @@
 	k.sim.after(d+time.Second, func() { k.crash(50 * time.Millisecond) })
 }
 
+// unreachableFrom reports whether orders of the host do not reach the worker.
+func (k *fakeWorker) unreachableFrom(h *fakeHost) bool {
+	return k.disconnected || k.reachedBy != nil && k.reachedBy != h
+}
+
 func (k *fakeWorker) clock() time.Duration {
 	return k.sim.now.Sub(k.startedAt)
 }
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -7,6 +7,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecatalog"
+	"monsoonchute.example/monsoonchute/chuteclock"
 	"monsoonchute.example/monsoonchute/chuteintake"
 	"monsoonchute.example/monsoonchute/chuteleader"
 	"monsoonchute.example/monsoonchute/chuteledger"
@@ -61,6 +62,7 @@
 	evacuatedZones map[string]bool       // zones in which nothing may start; copied on write
 	contactAt      time.Time             // time of the store's latest answer
 	contactSince   time.Time             // start of the current unbroken contact with the store
+	storeClock     chuteclock.Store
 	leader         chuteleader.State
 	intake         chuteintake.State
 	scheduler      *chutescheduler.State // nil unless this host leads
@@ -81,7 +83,9 @@
 	return State{
 		settings: settings, peerAddresses: immutable.NewSortedMap[string, string](nil),
 		hostRows: immutable.NewSortedMap[string, chuteaction.Row](nil), evacuatedZones: make(map[string]bool),
-		leader: chuteleader.New(settings.Host, settings.Process, settings.Jitter), intake: chuteintake.New(),
+		leader: chuteleader.New(settings.Host, settings.Process, settings.Jitter).
+			WithLongestLeases(settings.Bounds.LongestLease(), settings.Bounds.LongestUnconfirmedLease()),
+		intake: chuteintake.New(),
 	}
 }
 
@@ -103,7 +107,7 @@
 func (s State) environment() chuteledger.Environment {
 	return chuteledger.Environment{
 		Catalog: s.catalog, EvacuatedZones: s.evacuatedZones, Waves: s.waves,
-		ConfirmedAt: s.leader.ConfirmedAt(), ContactSince: s.contactSince,
+		ConfirmedAt: s.leader.ConfirmedAt(), ContactSince: s.contactSince, StoreClock: s.storeClock,
 	}
 }
 
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -113,6 +113,8 @@
 
 func (t *transition) tableChanged(e chuteaction.TableChanged) {
 	t.recordContact()
+	t.state.storeClock = t.state.storeClock.WithReading(e.StoreClock, e.SentAt, t.Now)
+	t.state.leader = t.state.leader.WithStoreClock(t.state.storeClock)
 	switch e.Table {
 	case chuteaction.TableOperator:
 		t.operatorChanged(e)
--- a/chuteleader/leader.go
+++ b/chuteleader/leader.go
@@ -148,10 +148,30 @@
 		"unchanged", t.Now.Sub(s.changedAt), "version", s.version)
 	s.role = RoleCandidate
 	s.predecessor = Predecessor{Row: s.row, Version: s.version, ObservedAt: s.changedAt}
-	row := chuteaction.LeaderRow{Epoch: s.row.Epoch + 1, Host: s.host, Process: s.process, Pending: s.row.Pending}
+	row := chuteaction.LeaderRow{
+		Epoch: s.row.Epoch + 1, Host: s.host, Process: s.process, Pending: s.row.Pending, FormerLeaseEnd: s.formerLeaseEnd(t.Now),
+	}
 	return s.send(t, row, nil, nil)
 }
 
+// formerLeaseEnd returns when, by the store's clock, all leases have expired that the present leader and earlier ones have
+// granted. Each of them may go on for a while although others have led since.
+func (s State) formerLeaseEnd(now time.Time) time.Duration {
+	if s.row.Epoch == 0 || !s.storeClock.Known() {
+		return s.row.FormerLeaseEnd
+	}
+	end := s.changedAt.Add(s.leaseAfterWrite)
+	if s.leaderEnded() {
+		end = now.Add(s.longestLease)
+	}
+	return max(s.row.FormerLeaseEnd, s.storeClock.Latest(end))
+}
+
+// leaderEnded reports whether the leader has stopped, or its process is known to have ended.
+func (s State) leaderEnded() bool {
+	return s.row.Released || s.row.Process != "" && s.endedProcess == s.row.Process
+}
+
 // HandleFenced notes that a worker says it has seen a higher epoch. The leader goes on if a write that is sent after that
 // succeeds: a leader of a higher epoch would have written the row before, so that the worker has its epoch from elsewhere.
 func (s State) HandleFenced(t *chuteaction.Transition) State {
--- a/chuteleader/state.go
+++ b/chuteleader/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chuteclock"
 )
 
 // Role is the role of a host in the election.
@@ -18,26 +19,29 @@
 
 // State is the immutable state of the election as one host sees it.
 type State struct {
-	host          string
-	process       string
-	jitter        time.Duration // added to the takeover time, so that hosts do not take over at the same time
-	takeoverDelay time.Duration // how much longer than others this host waits before it takes over
-	handOverDelay time.Duration // how much longer than others it waits before it takes over from a leader that has stopped
-	role          Role
-	row           chuteaction.LeaderRow
-	predecessor   Predecessor
-	version       chuteaction.RowVersion
-	changedAt     time.Time // when this host last saw the row change; zero before the first answer
-	contactAt     time.Time // time of the store's latest answer about the row
-	endedProcess  string    // a process that is known to have ended; empty for none
-	inFlight      bool
-	write         chuteaction.WriteRows // the latest write; a resend changes only its token
-	writtenRow    chuteaction.LeaderRow // the leader's row in the latest write
-	sentAt        time.Time             // when the latest write was first sent
-	resendAt      time.Time             // when to send the write again; zero while it waits for an answer
-	confirmedAt   time.Time             // when the latest successful write was first sent
-	fencedAt      time.Time             // when a worker said it has seen a higher epoch; zero after a later successful write
-	fenceLogged   bool                  // such an answer was logged since this host leads
+	host            string
+	process         string
+	jitter          time.Duration // added to the takeover time, so that hosts do not take over at the same time
+	takeoverDelay   time.Duration // how much longer than others this host waits before it takes over
+	handOverDelay   time.Duration // how much longer than others it waits before it takes over from a leader that has stopped
+	longestLease    time.Duration // how long a lease may last
+	leaseAfterWrite time.Duration // how long after a leader's latest write the leases that it has granted may last
+	storeClock      chuteclock.Store
+	role            Role
+	row             chuteaction.LeaderRow
+	predecessor     Predecessor
+	version         chuteaction.RowVersion
+	changedAt       time.Time // when this host last saw the row change; zero before the first answer
+	contactAt       time.Time // time of the store's latest answer about the row
+	endedProcess    string    // a process that is known to have ended; empty for none
+	inFlight        bool
+	write           chuteaction.WriteRows // the latest write; a resend changes only its token
+	writtenRow      chuteaction.LeaderRow // the leader's row in the latest write
+	sentAt          time.Time             // when the latest write was first sent
+	resendAt        time.Time             // when to send the write again; zero while it waits for an answer
+	confirmedAt     time.Time             // when the latest successful write was first sent
+	fencedAt        time.Time             // when a worker said it has seen a higher epoch; zero after a later successful write
+	fenceLogged     bool                  // such an answer was logged since this host leads
 }
 
 // New returns the state of a follower. The jitter keeps hosts from taking over at the same time.
@@ -58,6 +62,18 @@
 	return s
 }
 
+// WithLongestLeases returns the state for leaders whose leases last so long at most, and end so long after their latest write.
+func (s State) WithLongestLeases(lease, afterWrite time.Duration) State {
+	s.longestLease, s.leaseAfterWrite = lease, afterWrite
+	return s
+}
+
+// WithStoreClock returns the state with the reading of the store's clock.
+func (s State) WithStoreClock(clock chuteclock.Store) State {
+	s.storeClock = clock
+	return s
+}
+
 // Role returns the role of this host.
 func (s State) Role() Role {
 	return s.role
--- a/chuteledger/environment.go
+++ b/chuteledger/environment.go
@@ -5,6 +5,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecatalog"
+	"monsoonchute.example/monsoonchute/chuteclock"
 )
 
 // Bounds are the time limits that the workers and the operators set.
@@ -25,4 +26,5 @@
 	Waves          []chuteaction.WaveRow
 	ConfirmedAt    time.Time // send time of the latest successful write as leader
 	ContactSince   time.Time // start of the time in which the store has answered without a gap
+	StoreClock     chuteclock.Store
 }
--- a/chuterow/row.go
+++ b/chuterow/row.go
@@ -9,7 +9,7 @@
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
-// encodedRow is the CBOR form of a row: exactly one field is set, but for those that are only beside Progress.
+// encodedRow is the CBOR form of a row: exactly one field is set, but for those that are only beside Progress or Leader.
 type encodedRow struct {
 	Submission *chutetask.Submission `cbor:"1,keyasint,omitempty"`
 	Cancel     *chutegraph.JobID     `cbor:"2,keyasint,omitempty"`
@@ -21,6 +21,7 @@
 	CrashDetails []byte               `cbor:"10,keyasint,omitempty"` // of the crashes in Placements; see encodeCrashDetails
 	Begun        []byte               `cbor:"11,keyasint,omitempty"` // see encodeBegun
 	Leader       *encodedLeader       `cbor:"4,keyasint,omitempty"`
+	Leases       *encodedLeases       `cbor:"12,keyasint,omitempty"` // beside Leader
 	Host         *chuteaction.HostRow `cbor:"6,keyasint,omitempty"`
 }
 
@@ -70,6 +71,7 @@
 		e.Leader = &encodedLeader{
 			Epoch: v.Epoch, Host: v.Host, Process: v.Process, Sequence: v.Sequence, Released: v.Released, Pending: v.Pending,
 		}
+		e.Leases = encodeLeases(v)
 	case chuteaction.HostRow:
 		e.Host = &v
 	case chuteaction.CatalogRow, chuteaction.EvacuationRow, chuteaction.WaveRow, chuteaction.WaveStateRow, chuteaction.WorkerRow:
@@ -104,9 +106,9 @@
 		return row, nil
 	case e.Leader != nil:
 		l := e.Leader
-		return chuteaction.LeaderRow{
+		return e.Leases.apply(chuteaction.LeaderRow{
 			Epoch: l.Epoch, Host: l.Host, Process: l.Process, Sequence: l.Sequence, Released: l.Released, Pending: l.Pending,
-		}, nil
+		}), nil
 	case e.Host != nil:
 		return *e.Host, nil
 	}
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -228,9 +228,18 @@
 	return count
 }
 
-// inheritedLeaseEnd returns when the lease expires of a worker that this scheduler has not reached. A predecessor
-// that may still be running may renew leases for a while after its latest write.
+// inheritedLeaseEnd returns when the lease expires of a worker that this scheduler has not reached. Earlier schedulers that the
+// worker may have heard last may renew it for a while after their latest writes.
 func (t *transition) inheritedLeaseEnd() time.Time {
+	end := t.predecessorsLeaseEnd()
+	if former := t.predecessor.Row.FormerLeaseEnd; former > 0 && t.Environment.StoreClock.Known() {
+		end = latest(end, t.Environment.StoreClock.Time(former))
+	}
+	return end
+}
+
+// predecessorsLeaseEnd returns when the leases expire that the predecessor has granted.
+func (t *transition) predecessorsLeaseEnd() time.Time {
 	if !t.predecessorEndedBy.IsZero() {
 		return t.predecessorEndedBy.Add(t.Bounds.LongestLease())
 	}
