Start a quarantined task elsewhere after a run of it has failed on a worker

Cause: the one empty worker without a recent crash was chosen again each time, although the job's latest run there had failed. Such a start shows nothing of the task and spends its crash budget.

Change: a worker on which a run of the job was the latest to fail comes after the others, like one that crashed lately.

--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -115,7 +115,7 @@
 
 // startAlone starts the tasks of the demand on empty workers that are not taken, and reports whether any started.
 func (p *pass) startAlone(d chuteplacement.Demand, taken map[chutetask.WorkerID]bool) bool {
-	starts := placeAlone(d, p.quarantineWorkers(taken, true))
+	starts := placeAlone(d, p.quarantineWorkers(d, taken, true))
 	if len(starts) > 0 {
 		p.Log(component, "step starts in quarantine", d.ID.Job, "step", d.ID, "tasks", len(starts), "waited", p.waitedForQuarantine(d.ID))
 	}
@@ -128,7 +128,7 @@
 
 // emptyWorkers takes the workers that empty soonest for the demand, and reports whether there are any.
 func (p *pass) emptyWorkers(d chuteplacement.Demand, taken map[chutetask.WorkerID]bool) bool {
-	emptied := placeAlone(d, p.quarantineWorkers(taken, false))
+	emptied := placeAlone(d, p.quarantineWorkers(d, taken, false))
 	for _, s := range emptied {
 		taken[s.Worker] = true
 	}
@@ -231,9 +231,9 @@
 	return starts
 }
 
-// quarantineWorkers returns the workers on which a quarantined task may start: those without runs, or all as if they had
-// none.
-func (p *pass) quarantineWorkers(taken map[chutetask.WorkerID]bool, empty bool) []chuteplacement.Worker {
+// quarantineWorkers returns the workers on which a quarantined task of the demand may start: those without runs, or all as if they
+// had none.
+func (p *pass) quarantineWorkers(d chuteplacement.Demand, taken map[chutetask.WorkerID]bool, empty bool) []chuteplacement.Worker {
 	var workers []chuteplacement.Worker
 	for _, w := range p.Pool.All() {
 		if !w.Usable(p.Now) || !p.MayStartOn(w) || w.InQuarantine() || taken[w.ID] {
@@ -248,6 +248,9 @@
 		if !w.CrashedAt.IsZero() && p.Now.Sub(w.CrashedAt) < crashMemory {
 			worker.Penalty += crashPenalty
 		}
+		if w.FailureStreak > 0 && w.LastFailedJob == d.ID.Job { // a start there would spend the task's crash budget in vain
+			worker.Penalty += crashPenalty
+		}
 		workers = append(workers, worker)
 	}
 	return workers
