Let the leader's row tell which leases are final, so that no wait begins anew

Cause: what a leader knows of the leases that it has not extended died with it.

Change: the leader's row names the workers with runs whose leases this leader does not extend, each with the time on the store's clock at which the lease has certainly expired: workers that it has not reached a second after its takeover, that have missed two renewals, or that leave at short notice. From when a worker is to be named until a row without it has been written, its lease is not extended and nothing new starts there; a worker that answers again has it written at once. A takeover keeps the entries, and the next leader waits no longer than they say.

Alternatives: the lease's end in each job's progress (a row per job and renewal), and a shorter limit for leaders that cannot write (ends work in short outages).

--- a/chuteaction/row.go
+++ b/chuteaction/row.go
@@ -93,8 +93,31 @@
 	Sequence int64          // increases with each write
 	Released bool           // the scheduler has stopped; any host may take over at once
 	Pending  map[string]int // number of accepted jobs of which no task has started, by queue
-	// FormerLeaseEnd is when, by the store's clock, all leases have expired that earlier schedulers granted; 0 if unknown.
-	FormerLeaseEnd time.Duration
+	Leases   Leases
+}
+
+// Leases is what a scheduler tells its successor of the workers' leases. Its times are those of the store's clock.
+type Leases struct {
+	// FormerEnd is when all leases have expired that earlier schedulers granted; 0 if Final names all workers with runs that
+	// this one has not reached.
+	FormerEnd time.Duration
+	Final     []FinalLease // never modified
+}
+
+// FinalLease is the lease of a worker that the scheduler does not extend while its row says so.
+type FinalLease struct {
+	Worker chutetask.WorkerID
+	End    time.Duration // when the lease has certainly expired
+}
+
+// FinalLeaseOf returns the end of the worker's lease, and false if it is not among the leases.
+func FinalLeaseOf(leases []FinalLease, worker chutetask.WorkerID) (time.Duration, bool) {
+	for _, l := range leases {
+		if l.Worker == worker {
+			return l.End, true
+		}
+	}
+	return 0, false
 }
 
 // HostRow identifies the current process of an entry host; its earlier processes have ended. Its field names are part of
--- a/chuteentry/leading.go
+++ b/chuteentry/leading.go
@@ -65,7 +65,7 @@
 	switch outcome {
 	case chuteleader.OutcomeNone:
 	case chuteleader.OutcomeElected:
-		t.setScheduler(chutescheduler.New(t.Transition, t.state.leader.Epoch(), t.state.leader.Predecessor(), t.state.settings.Bounds))
+		t.setScheduler(chutescheduler.New(t.Transition, t.state.leader.Row(), t.state.leader.Predecessor(), t.state.settings.Bounds))
 		t.Emit(chuteaction.UnwatchTable{Table: chuteaction.TableLeaders})
 	case chuteleader.OutcomeCommitted:
 		if t.state.leader.Row().Released {
@@ -104,16 +104,24 @@
 	}
 	scheduler, rows := t.state.scheduler.Flush(maxBatchRows)
 	t.setScheduler(scheduler)
+	silent := t.Now.Sub(t.state.leader.ConfirmedAt()) >= chuteleader.HeartbeatInterval
 	switch {
 	case len(rows) > 0:
-		t.state.leader = t.state.leader.Write(t.Transition, rows, nil, scheduler.Pending())
+		t.write(rows)
 	case t.state.stopping:
 		t.release()
-	case t.Now.Sub(t.state.leader.ConfirmedAt()) >= chuteleader.HeartbeatInterval:
-		t.state.leader = t.state.leader.Write(t.Transition, nil, nil, scheduler.Pending())
+	case silent || scheduler.FinalLeasesOutdated():
+		t.write(nil)
 	}
 }
 
+// write writes the rows with the leader's row.
+func (t *transition) write(rows []chuteaction.Row) {
+	report := chuteleader.Report{Pending: t.state.scheduler.Pending(), Leases: t.state.scheduler.Leases()}
+	t.state.leader = t.state.leader.Write(t.Transition, rows, report)
+	t.setScheduler(t.state.scheduler.WithLeasesWritten(report.Leases))
+}
+
 // release writes that any host may take over. The scheduler ends at once, since a successor takes it as ended although the
 // answer to the write may be lost.
 func (t *transition) release() {
--- a/chuteleader/leader.go
+++ b/chuteleader/leader.go
@@ -149,22 +149,23 @@
 	s.role = RoleCandidate
 	s.predecessor = Predecessor{Row: s.row, Version: s.version, ObservedAt: s.changedAt}
 	row := chuteaction.LeaderRow{
-		Epoch: s.row.Epoch + 1, Host: s.host, Process: s.process, Pending: s.row.Pending, FormerLeaseEnd: s.formerLeaseEnd(t.Now),
+		Epoch: s.row.Epoch + 1, Host: s.host, Process: s.process, Pending: s.row.Pending,
+		Leases: chuteaction.Leases{FormerEnd: s.formerLeaseEnd(t.Now), Final: s.row.Leases.Final},
 	}
-	return s.send(t, row, nil, nil)
+	return s.send(t, row, nil)
 }
 
 // formerLeaseEnd returns when, by the store's clock, all leases have expired that the present leader and earlier ones have
 // granted. Each of them may go on for a while although others have led since.
 func (s State) formerLeaseEnd(now time.Time) time.Duration {
 	if s.row.Epoch == 0 || !s.storeClock.Known() {
-		return s.row.FormerLeaseEnd
+		return s.row.Leases.FormerEnd
 	}
 	end := s.changedAt.Add(s.leaseAfterWrite)
 	if s.leaderEnded() {
 		end = now.Add(s.longestLease)
 	}
-	return max(s.row.FormerLeaseEnd, s.storeClock.Latest(end))
+	return max(s.row.Leases.FormerEnd, s.storeClock.Latest(end))
 }
 
 // leaderEnded reports whether the leader has stopped, or its process is known to have ended.
--- a/chuteleader/leader_test.go
+++ b/chuteleader/leader_test.go
@@ -146,7 +146,7 @@
 func TestWriteWithoutAnswerIsResentUnchanged(t *testing.T) {
 	is := is.New(t)
 	e := electedLeader(t)
-	e.handle(func(t *chuteaction.Transition) { e.state = e.state.Write(t, nil, nil, nil) })
+	e.handle(func(t *chuteaction.Transition) { e.state = e.state.Write(t, nil, chuteleader.Report{}) })
 	first := e.writes[len(e.writes)-1]
 	e.finishWrite(chuteaction.StoreUnknown, 0)
 	e.advance(200 * time.Millisecond)
@@ -157,14 +157,14 @@
 	// The first attempt had committed: the conflict returns the row that this host wrote.
 	e.finishWrite(chuteaction.StoreConflict, 0, leaderRow(12, first.Put[0].Value.(chuteaction.LeaderRow)))
 	is.Equal(e.outcome, chuteleader.OutcomeCommitted)
-	e.handle(func(t *chuteaction.Transition) { e.state = e.state.Write(t, nil, nil, nil) })
+	e.handle(func(t *chuteaction.Transition) { e.state = e.state.Write(t, nil, chuteleader.Report{}) })
 	is.Equal(e.writes[len(e.writes)-1].Conditions[0].Version, chuteaction.RowVersion(12))
 }
 
 func TestConflictWithAnotherLeaderDeposesTheLeader(t *testing.T) {
 	is := is.New(t)
 	e := electedLeader(t)
-	e.handle(func(t *chuteaction.Transition) { e.state = e.state.Write(t, nil, nil, nil) })
+	e.handle(func(t *chuteaction.Transition) { e.state = e.state.Write(t, nil, chuteleader.Report{}) })
 	e.finishWrite(chuteaction.StoreConflict, 0, leaderRow(20, chuteaction.LeaderRow{Epoch: 2, Host: "other", Process: "p"}))
 	is.Equal(e.outcome, chuteleader.OutcomeDeposed)
 	is.Equal(e.state.Role(), chuteleader.RoleFollower)
@@ -196,7 +196,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			e := electedLeader(t)
-			e.handle(func(t *chuteaction.Transition) { e.state = e.state.Write(t, nil, nil, nil) })
+			e.handle(func(t *chuteaction.Transition) { e.state = e.state.Write(t, nil, chuteleader.Report{}) })
 			e.finishWrite(chuteaction.StoreConflict, 0, c.current...)
 			is.Equal(e.outcome, chuteleader.OutcomeDeposed)
 			e.advance(3 * time.Second)
@@ -224,7 +224,7 @@
 			e.handle(func(t *chuteaction.Transition) { e.state = e.state.HandleFenced(t) })
 			e.now = e.now.Add(100 * time.Millisecond)
 			if c.writes {
-				e.handle(func(t *chuteaction.Transition) { e.state = e.state.Write(t, nil, nil, nil) })
+				e.handle(func(t *chuteaction.Transition) { e.state = e.state.Write(t, nil, chuteleader.Report{}) })
 				e.finishWrite(c.outcome, 20, leaderRow(20, chuteaction.LeaderRow{Epoch: 2, Host: "other", Process: "p"}))
 			}
 			if e.outcome != chuteleader.OutcomeDeposed {
@@ -238,7 +238,7 @@
 // TestAWriteFromBeforeTheFenceIsNoProof guards against a deposed leader that takes its last write for a later one.
 func TestAWriteFromBeforeTheFenceIsNoProof(t *testing.T) {
 	e := electedLeader(t)
-	e.handle(func(t *chuteaction.Transition) { e.state = e.state.Write(t, nil, nil, nil) })
+	e.handle(func(t *chuteaction.Transition) { e.state = e.state.Write(t, nil, chuteleader.Report{}) })
 	e.now = e.now.Add(10 * time.Millisecond)
 	e.handle(func(t *chuteaction.Transition) { e.state = e.state.HandleFenced(t) })
 	e.finishWrite(chuteaction.StoreDone, 20)
--- a/chuteleader/write.go
+++ b/chuteleader/write.go
@@ -6,12 +6,18 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 )
 
+// Report is what the leader's row tells others.
+type Report struct {
+	Pending map[string]int // number of accepted jobs of which no task has started, by queue
+	Leases  chuteaction.Leases
+}
+
 // Write sends the rows together with the leader's own row. The caller must lead and have no write in flight.
-func (s State) Write(t *chuteaction.Transition, put []chuteaction.Row, deleted []chuteaction.RowKey, pending map[string]int) State {
+func (s State) Write(t *chuteaction.Transition, put []chuteaction.Row, report Report) State {
 	row := s.row
 	row.Sequence++
-	row.Pending = pending
-	return s.send(t, row, put, deleted)
+	row.Pending, row.Leases = report.Pending, report.Leases
+	return s.send(t, row, put)
 }
 
 // Release sends the leader's row with the mark that any host may take over. The caller must lead and have no write in
@@ -20,17 +26,16 @@
 	row := s.row
 	row.Sequence++
 	row.Released = true
-	return s.send(t, row, nil, nil)
+	return s.send(t, row, nil)
 }
 
-func (s State) send(t *chuteaction.Transition, row chuteaction.LeaderRow, put []chuteaction.Row, deleted []chuteaction.RowKey) State {
+func (s State) send(t *chuteaction.Transition, row chuteaction.LeaderRow, put []chuteaction.Row) State {
 	key := chuteaction.LeaderKey()
 	s.writtenRow = row
 	s.write = chuteaction.WriteRows{
 		Token:      t.NewToken(),
 		Conditions: []chuteaction.Condition{{RowKey: key, Version: s.version}},
 		Put:        append([]chuteaction.Row{{RowKey: key, Value: row}}, put...),
-		Delete:     deleted,
 	}
 	s.inFlight = true
 	s.sentAt = t.Now
--- a/chuteledger/lease.go
+++ b/chuteledger/lease.go
@@ -41,9 +41,10 @@
 // so that the lease expires although orders that may have arrived are repeated.
 func (t *Transition) ExtendLease(w chutepool.Worker) chutepool.Worker {
 	lease := min(t.Bounds.MaxLease, t.Environment.ConfirmedAt.Add(t.Bounds.unconfirmedLease()).Sub(t.Now))
-	if w.MissedRenewals > 0 || lease <= 0 {
+	if w.MissedRenewals > 0 || lease <= 0 || t.FinalLeases[w.ID] {
 		return w
 	}
+	w.LeaseExtendedAt = t.Now
 	w.LeaseEnd = max(w.LeaseEnd, w.Clock.Now(t.Now)+lease)
 	if bound := t.Now.Add(withDrift(lease)); bound.After(w.LeaseExpiryBound) {
 		w.LeaseExpiryBound = bound
--- a/chuteledger/state.go
+++ b/chuteledger/state.go
@@ -28,6 +28,7 @@
 	Outages     chuteoutage.History
 	Speeds      chutespeed.Speeds
 	Cordoned    map[chutetask.WorkerID]bool // workers whose machines go down soon, which get no new runs; never modified
+	FinalLeases map[chutetask.WorkerID]bool // workers whose leases are not extended, and which get no new runs; never modified
 	PlanDue     bool                        // something has changed since the latest planning pass
 	ListedAt    time.Time                   // up to this time all changes of the list of workers are known
 	StoreClock  time.Duration               // the store's clock in that answer; 0 if unknown
@@ -136,7 +137,7 @@
 
 // MayStartOn reports whether new runs may start on the worker.
 func (t *Transition) MayStartOn(w chutepool.Worker) bool {
-	return w.Listed && !w.Draining && !w.Lost && !t.Environment.EvacuatedZones[w.Zone] && !t.Cordoned[w.ID] &&
+	return w.Listed && !w.Draining && !w.Lost && !t.Environment.EvacuatedZones[w.Zone] && !t.Cordoned[w.ID] && !t.FinalLeases[w.ID] &&
 		t.Now.Sub(t.ListedAt) <= maxListAge
 }
 
--- a/chutemembership/leaving.go
+++ b/chutemembership/leaving.go
@@ -17,11 +17,16 @@
 	maxShortNotice = 5 * time.Second
 )
 
+// LeavesAtShortNotice reports whether the worker drains and leaves soon.
+func LeavesAtShortNotice(w chutepool.Worker) bool {
+	return w.Draining && !w.LeavesAt.IsZero() && w.TimeToLeave <= maxShortNotice
+}
+
 // StopBeforeLeave stops the runs on a worker that leaves at short notice before they end, so that their tasks go on
 // elsewhere. Runs without checkpoints that are known to end too late are stopped at once, all others at the last
 // moment. A worker that vanishes with its runs delays their tasks until its lease expires.
 func StopBeforeLeave(t *chuterunner.Transition, w chutepool.Worker) {
-	if !w.Draining || w.LeavesAt.IsZero() || w.TimeToLeave > maxShortNotice {
+	if !LeavesAtShortNotice(w) {
 		return
 	}
 	left := w.LeavesAt.Sub(t.Now)
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -33,6 +33,7 @@
 	MissedRenewals   int              // number of unanswered renewals since the latest answer
 	LeaseEnd         time.Duration    // end of the latest lease on the worker's clock
 	LeaseExpiryBound time.Time        // nothing runs there after this time unless the lease is renewed
+	LeaseExtendedAt  time.Time        // when that time was last put off; zero if never
 	HandledEnd       int64            // number of the latest run end that was handled
 	RecordedEnd      int64            // number of the latest run end whose effect is recorded
 	AcknowledgedEnd  int64            // number of the latest run end that the worker may delete
--- a/chuterenewal/renewal.go
+++ b/chuterenewal/renewal.go
@@ -103,7 +103,7 @@
 	w = w.WithRenewalAnswer(e.Incarnation, e.Clock, t.Now)
 	w.AnsweredFrom = e.Address
 	if w.LeaseExpiryBound.IsZero() { // orders of an earlier scheduler, or from before it was forgotten, may have set a lease
-		w.LeaseExpiryBound = t.Now.Add(t.Bounds.LongestLease())
+		w.LeaseExpiryBound, w.LeaseExtendedAt = t.Now.Add(t.Bounds.LongestLease()), t.Now
 	}
 	t.PutWorker(w)
 	if !e.SentAt.Before(w.LostAt) {
--- a/chuterow/leases.go
+++ b/chuterow/leases.go
@@ -4,28 +4,44 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutetask"
 )
 
-// encodedLeases is what a leader's row tells of leases. Older hosts skip it.
+// encodedLeases are the leases in a leader's row, with times in milliseconds, rounded up. Older hosts skip them.
 type encodedLeases struct {
-	_        struct{} `cbor:",toarray"`
-	FormerMS int64    // chuteaction.LeaderRow.FormerLeaseEnd, in milliseconds, rounded up
+	_           struct{} `cbor:",toarray"`
+	FormerEndMS int64
+	Final       []encodedFinalLease
 }
 
-func encodeLeases(v chuteaction.LeaderRow) *encodedLeases {
-	if v.FormerLeaseEnd == 0 {
+type encodedFinalLease struct {
+	_      struct{} `cbor:",toarray"`
+	Worker chutetask.WorkerID
+	EndMS  int64
+}
+
+// encodeLeases returns the encoded leases, or nil for none.
+func encodeLeases(leases chuteaction.Leases) *encodedLeases {
+	if leases.FormerEnd == 0 && len(leases.Final) == 0 {
 		return nil
 	}
-	return &encodedLeases{FormerMS: millisecondsUp(v.FormerLeaseEnd)}
+	e := &encodedLeases{FormerEndMS: millisecondsUp(leases.FormerEnd)}
+	for _, l := range leases.Final {
+		e.Final = append(e.Final, encodedFinalLease{Worker: l.Worker, EndMS: millisecondsUp(l.End)})
+	}
+	return e
 }
 
-// apply returns the leader's row with what is told of leases, if anything is.
-func (e *encodedLeases) apply(row chuteaction.LeaderRow) chuteaction.LeaderRow {
+func (e *encodedLeases) decode() chuteaction.Leases {
+	var leases chuteaction.Leases
 	if e == nil {
-		return row
+		return leases
+	}
+	leases.FormerEnd = time.Duration(e.FormerEndMS) * time.Millisecond
+	for _, l := range e.Final {
+		leases.Final = append(leases.Final, chuteaction.FinalLease{Worker: l.Worker, End: time.Duration(l.EndMS) * time.Millisecond})
 	}
-	row.FormerLeaseEnd = time.Duration(e.FormerMS) * time.Millisecond
-	return row
+	return leases
 }
 
 // millisecondsUp returns the duration in milliseconds, rounded up.
--- a/chuterow/row.go
+++ b/chuterow/row.go
@@ -71,7 +71,7 @@
 		e.Leader = &encodedLeader{
 			Epoch: v.Epoch, Host: v.Host, Process: v.Process, Sequence: v.Sequence, Released: v.Released, Pending: v.Pending,
 		}
-		e.Leases = encodeLeases(v)
+		e.Leases = encodeLeases(v.Leases)
 	case chuteaction.HostRow:
 		e.Host = &v
 	case chuteaction.CatalogRow, chuteaction.EvacuationRow, chuteaction.WaveRow, chuteaction.WaveStateRow, chuteaction.WorkerRow:
@@ -106,9 +106,10 @@
 		return row, nil
 	case e.Leader != nil:
 		l := e.Leader
-		return e.Leases.apply(chuteaction.LeaderRow{
+		return chuteaction.LeaderRow{
 			Epoch: l.Epoch, Host: l.Host, Process: l.Process, Sequence: l.Sequence, Released: l.Released, Pending: l.Pending,
-		}), nil
+			Leases: e.Leases.decode(),
+		}, nil
 	case e.Host != nil:
 		return *e.Host, nil
 	}
--- /dev/null
+++ b/chutescheduler/finallease.go
@@ -0,0 +1,110 @@
+package chutescheduler
+
+import (
+	"time"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutemembership"
+	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chutetask"
+)
+
+const (
+	// finalLeaseDelay is how long after its takeover a scheduler waits for answers before it declares leases final.
+	finalLeaseDelay = time.Second
+	// minMissedForFinalLease is the number of renewals that a worker misses in a row before its lease is declared final.
+	minMissedForFinalLease = 2
+)
+
+// finalLeases are the leases that the leader's row declares final. This scheduler extends none of them from when it means to
+// declare it until a row without it has been written, so that a successor can rely on the row.
+type finalLeases struct {
+	due      []chuteaction.FinalLease // to be declared by the next write; never modified
+	written  []chuteaction.FinalLease // declared by the latest write
+	declared []chuteaction.FinalLease // declared by the latest successful write
+	complete bool                     // due holds all workers with runs that this scheduler has not reached
+}
+
+// workers returns the workers whose leases must not be extended, or nil for none.
+func (f finalLeases) workers() map[chutetask.WorkerID]bool {
+	var workers map[chutetask.WorkerID]bool
+	for _, leases := range [][]chuteaction.FinalLease{f.due, f.written, f.declared} {
+		for _, l := range leases {
+			if workers == nil {
+				workers = make(map[chutetask.WorkerID]bool)
+			}
+			workers[l.Worker] = true
+		}
+	}
+	return workers
+}
+
+// updateFinalLeases finds the leases that the next write of the leader's row declares final.
+func (t *transition) updateFinalLeases() {
+	if t.Now.Sub(t.LeaderSince) < finalLeaseDelay || !t.Environment.StoreClock.Known() {
+		return
+	}
+	t.finalLeases.complete = true
+	t.finalLeases.due = nil
+	for _, w := range t.Pool.All() {
+		if leaseIsFinal(w) && t.Environment.StoreClock.ReadSince(w.LeaseExtendedAt) {
+			t.finalLeases.due = append(t.finalLeases.due, t.finalLease(w))
+		}
+	}
+	t.FinalLeases = t.finalLeases.workers()
+}
+
+// leaseIsFinal reports whether the worker's lease need not be extended: the worker does not answer, or leaves before the lease
+// expires.
+func leaseIsFinal(w chutepool.Worker) bool {
+	if w.RunCount() == 0 || w.LeaseExpiryBound.IsZero() {
+		return false
+	}
+	return !w.Contacted || w.MissedRenewals >= minMissedForFinalLease || chutemembership.LeavesAtShortNotice(w)
+}
+
+func (t *transition) finalLease(w chutepool.Worker) chuteaction.FinalLease {
+	end := t.Environment.StoreClock.Latest(w.LeaseExpiryBound)
+	if former, ok := chuteaction.FinalLeaseOf(t.finalLeases.declared, w.ID); ok {
+		return chuteaction.FinalLease{Worker: w.ID, End: min(former, end)}
+	}
+	if !t.FinalLeases[w.ID] {
+		t.Count("lease-final", "declared")
+		t.Log(component, "lease of a worker is not extended", "", "worker", w.ID, "runs", w.RunCount(), "contacted", w.Contacted,
+			"missed", w.MissedRenewals, "draining", w.Draining, "lease-left", w.LeaseExpiryBound.Sub(t.Now))
+	}
+	return chuteaction.FinalLease{Worker: w.ID, End: end}
+}
+
+// FinalLeasesOutdated reports whether the leader's row declares the lease of a worker final that answers again.
+func (s State) FinalLeasesOutdated() bool {
+	for _, l := range s.finalLeases.declared {
+		w, ok := s.runner.Pool.Get(l.Worker)
+		if _, due := chuteaction.FinalLeaseOf(s.finalLeases.due, l.Worker); ok && w.Contacted && w.RunCount() > 0 && !due {
+			return true
+		}
+	}
+	return false
+}
+
+// Leases returns what the next write of the leader's row tells of leases.
+func (s State) Leases() chuteaction.Leases {
+	leases := chuteaction.Leases{Final: s.finalLeases.due}
+	if !s.finalLeases.complete {
+		leases = s.takeoverLeases
+	}
+	return leases
+}
+
+// WithLeasesWritten returns the state after a write of the leader's row with the leases.
+func (s State) WithLeasesWritten(leases chuteaction.Leases) State {
+	s.finalLeases.written = leases.Final
+	s.runner.FinalLeases = s.finalLeases.workers()
+	return s
+}
+
+// handleLeasesRecorded applies the success of that write.
+func (t *transition) handleLeasesRecorded() {
+	t.finalLeases.declared = t.finalLeases.written
+	t.FinalLeases = t.finalLeases.workers()
+}
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -66,9 +66,8 @@
 
 // shortenInheritedLeases applies what is known now of the predecessor to the workers that this scheduler has not reached.
 func (t *transition) shortenInheritedLeases() {
-	end := t.inheritedLeaseEnd()
 	for _, w := range t.Pool.All() {
-		if w.AnsweredAt.IsZero() && end.Before(w.LeaseExpiryBound) {
+		if end := t.inheritedLeaseEnd(w.ID); w.AnsweredAt.IsZero() && end.Before(w.LeaseExpiryBound) {
 			w.LeaseExpiryBound = end
 			t.PutWorker(w)
 		}
@@ -217,7 +216,7 @@
 		w, ok := t.Pool.Get(task.Worker)
 		if !ok {
 			w = chutepool.NewWorker(chutepool.Listing{ID: task.Worker}, t.Now).WithUnlisted()
-			w.LeaseExpiryBound = t.inheritedLeaseEnd()
+			w.LeaseExpiryBound = t.inheritedLeaseEnd(task.Worker)
 		}
 		run := chutepool.Run{
 			ID: chutegraph.RunID{Task: id, Number: task.Run}, Reserved: j.Step(id.StepID).Reserved(),
@@ -230,12 +229,16 @@
 
 // inheritedLeaseEnd returns when the lease expires of a worker that this scheduler has not reached. Earlier schedulers that the
 // worker may have heard last may renew it for a while after their latest writes.
-func (t *transition) inheritedLeaseEnd() time.Time {
-	end := t.predecessorsLeaseEnd()
-	if former := t.predecessor.Row.FormerLeaseEnd; former > 0 && t.Environment.StoreClock.Known() {
-		end = latest(end, t.Environment.StoreClock.Time(former))
+func (t *transition) inheritedLeaseEnd(worker chutetask.WorkerID) time.Time {
+	leases, clock := t.predecessor.Row.Leases, t.Environment.StoreClock
+	final, declared := chuteaction.FinalLeaseOf(leases.Final, worker)
+	switch {
+	case declared && clock.Known():
+		return latest(clock.Time(final), t.LeaderSince.Add(finalLeaseDelay))
+	case leases.FormerEnd > 0 && clock.Known():
+		return latest(t.predecessorsLeaseEnd(), clock.Time(leases.FormerEnd))
 	}
-	return end
+	return t.predecessorsLeaseEnd()
 }
 
 // predecessorsLeaseEnd returns when the leases expire that the predecessor has granted.
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -48,14 +48,17 @@
 	workersWatch       chuteaction.Token // subscription to the table of workers; 0 before it begins
 	hostsToken         chuteaction.Token
 	waves              chutewave.State
+	takeoverLeases     chuteaction.Leases // as the takeover wrote them
+	finalLeases        finalLeases
 }
 
-// New returns the epoch's scheduler. It begins to read hosts and the progress of all jobs, and watches submissions.
-func New(t *chuteaction.Transition, epoch int64, predecessor chuteleader.Predecessor, bounds chuteledger.Bounds) State {
+// New returns the scheduler that has taken over with the leader's row. It begins to read hosts and the progress of all jobs,
+// and watches submissions.
+func New(t *chuteaction.Transition, row chuteaction.LeaderRow, predecessor chuteleader.Predecessor, bounds chuteledger.Bounds) State {
 	s := State{
-		runner: chuteledger.New(epoch, bounds, t.Now),
+		runner: chuteledger.New(row.Epoch, bounds, t.Now),
 		schedulerState: schedulerState{
-			predecessor:    predecessor,
+			predecessor: predecessor, takeoverLeases: row.Leases, finalLeases: finalLeases{declared: row.Leases.Final},
 			planner:        chuteplanner.New(),
 			timed:          immutable.NewSortedMap[chutegraph.JobID, bool](nil),
 			cancelledEarly: immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
@@ -67,6 +70,7 @@
 	if predecessor.Row.Epoch == 0 || predecessor.Row.Released {
 		s.predecessorEndedBy = t.Now
 	}
+	s.runner.FinalLeases = s.finalLeases.workers()
 	s.jobsWatch = t.NewToken()
 	t.Emit(chuteaction.WatchTable{Watch: s.jobsWatch, Table: chuteaction.TableJobs, PollTimeout: tablePollTimeout})
 	return s.readHosts(t).readProgress(t)
--- a/chutescheduler/takeover_test.go
+++ b/chutescheduler/takeover_test.go
@@ -21,7 +21,7 @@
 	is := is.New(t)
 	const id = chutegraph.JobID("00000000000000aa")
 	transition := chuteaction.NewTransition(time.Unix(1_800_000_000, 0), 0)
-	s := chutescheduler.New(transition, 2, chuteleader.Predecessor{Row: chuteaction.LeaderRow{Epoch: 1, Released: true}}, chuteledger.Bounds{})
+	s := chutescheduler.New(transition, chuteaction.LeaderRow{Epoch: 2}, chuteleader.Predecessor{Row: chuteaction.LeaderRow{Epoch: 1, Released: true}}, chuteledger.Bounds{})
 	watch, _ := transition.Effects[0].(chuteaction.WatchTable)
 	environment := chuteledger.Environment{}
 	submission := chutetask.Submission{ID: id, Spec: chutegraph.Spec{Steps: []chutegraph.Step{{Count: 1}}}}
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -31,6 +31,7 @@
 			u.checkWorker(w)
 		}
 	}
+	u.updateFinalLeases()
 	u.countPending()
 	u.waves = u.waves.Tick(u.Transition)
 	u.planner = u.planner.Plan(u.Transition)
