Find workers that have ended in the platform's list of machines

Hypotheses: a shorter lease; an address of the worker for the next leader; what the platform says of the worker's machine.

Cause: silence alone proves nothing, and was the only thing the scheduler looked at, although the platform knows which workers live: a worker is one life of a machine (PROTOCOL.md, Machines).

Change: while workers with runs are silent, the leader reads the list of machines. A worker without a machine in two lists has ended. The former list must name all workers that have shown since that they live, and one at least; a worker that answers is asked for that.

--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -198,6 +198,7 @@
 
 // MachinesListed is the result of a ListMachines effect.
 type MachinesListed struct {
+	SentAt   time.Time // when the list was requested
 	Answered bool
 	Machines []chutemaintenance.Machine
 }
--- a/chuteclock/store.go
+++ b/chuteclock/store.go
@@ -33,18 +33,21 @@
 	return s.Known() && !s.sentAt.Before(t)
 }
 
-// Latest returns the latest that the store's clock may show at the time.
+// Latest returns the latest that the store's clock may show, or have shown, at the time.
 func (s Store) Latest(at time.Time) time.Duration {
-	return s.reading + withDrift(at.Sub(s.sentAt))
+	return s.reading + longest(at.Sub(s.sentAt))
 }
 
 // Time returns a time at which the store's clock has certainly reached the value.
 func (s Store) Time(value time.Duration) time.Time {
-	return s.readAt.Add(withDrift(value - s.reading))
+	return s.readAt.Add(max(0, longest(value-s.reading)))
 }
 
-// withDrift returns the longest time that one clock may take while the other advances by the time, and 0 for a time that has
-// passed.
-func withDrift(d time.Duration) time.Duration {
-	return max(0, time.Duration(math.Ceil(float64(d)/(1-maxDrift))))
+// longest returns the longest time by which one clock may advance while the other advances by the time, or the shortest of a time
+// that lies back, as a negative one.
+func longest(d time.Duration) time.Duration {
+	if d < 0 {
+		return time.Duration(math.Ceil(float64(d) * (1 - maxDrift)))
+	}
+	return time.Duration(math.Ceil(float64(d) / (1 - maxDrift)))
 }
--- a/chuteclock/store_test.go
+++ b/chuteclock/store_test.go
@@ -22,8 +22,9 @@
 			shown := func(at time.Time) time.Duration {
 				return 100*time.Second + time.Duration(math.Round(float64(at.Sub(takenAt))*speed))
 			}
-			end := readAt.Add(14 * time.Second)
-			is.True(clock.Latest(end) >= shown(end))
+			for _, at := range []time.Time{readAt.Add(14 * time.Second), sentAt, sentAt.Add(-5 * time.Second)} {
+				is.True(clock.Latest(at) >= shown(at))
+			}
 			is.True(shown(clock.Time(114*time.Second)) >= 114*time.Second)
 		}
 	}
--- a/chuteentry/fakehost_test.go
+++ b/chuteentry/fakehost_test.go
@@ -119,7 +119,7 @@
 	case chuteaction.LogLine:
 		sm.logLines = append(sm.logLines, fmt.Sprintf("%9s %s %s: %s %s %v", sm.elapsed().Round(time.Millisecond), h.name, f.Component, f.Text, f.Job, f.Fields))
 	case chuteaction.ListMachines:
-		sm.after(sm.jittered(storeDelay), func() { h.deliver(chuteaction.MachinesListed{Answered: true, Machines: sm.machineList()}) })
+		sm.listMachines(h)
 	case chuteaction.MaintainMachine:
 		sm.after(sm.jittered(storeDelay), func() { h.deliver(sm.maintain(f)) })
 	case chuteaction.RequestApproval:
--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -16,6 +16,8 @@
 	sim             *simulation
 	listing         chutepool.Listing
 	startedAt       time.Time
+	firstStartedAt  time.Time // when its first process started
+	endedLastAt     time.Time // when its latest process ended; zero before
 	highestEpoch    int64
 	leaseEnd        time.Time
 	runs            map[chutegraph.RunID]*fakeRun
@@ -36,7 +38,7 @@
 
 func (sm *simulation) addWorker(name string, i int) *fakeWorker {
 	k := &fakeWorker{
-		sim: sm, startedAt: sm.now, runs: make(map[chutegraph.RunID]*fakeRun), expiredEnds: make(map[int64]bool),
+		sim: sm, startedAt: sm.now, firstStartedAt: sm.now, runs: make(map[chutegraph.RunID]*fakeRun), expiredEnds: make(map[int64]bool),
 		endedAt: make(map[chutegraph.RunID]time.Time), highestEndedRun: make(map[chutegraph.TaskID]int),
 		listing: chutepool.Listing{
 			ID: chutetask.WorkerID(name), Service: "main", Address: name + ":1", Zone: fmt.Sprintf("zone-%d", i%3),
@@ -79,6 +81,7 @@
 // crash ends the process; its listing is removed after the delay.
 func (k *fakeWorker) crash(listingDelay time.Duration) {
 	k.dead = true
+	k.endedLastAt = k.sim.now
 	for _, r := range k.runs {
 		r.ended = true
 		r.job.crashes[r.id.Task]++
--- a/chuteentry/longrunning_test.go
+++ b/chuteentry/longrunning_test.go
@@ -9,7 +9,6 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecatalog"
 	"monsoonchute.example/monsoonchute/chutegraph"
-	"monsoonchute.example/monsoonchute/chutemaintenance"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
@@ -39,19 +38,6 @@
 	return approved
 }
 
-// machineList returns one machine for each worker; its id is the worker's name with the prefix "m-".
-func (sm *simulation) machineList() []chutemaintenance.Machine {
-	var machines []chutemaintenance.Machine
-	for _, name := range sm.workerNames() {
-		m := chutemaintenance.Machine{ID: "m-" + name, State: chutemaintenance.MachineUp, Worker: chutetask.WorkerID(name)}
-		if sm.workers[name].dead {
-			m.State = chutemaintenance.MachineMaintained
-		}
-		machines = append(machines, m)
-	}
-	return machines
-}
-
 // maintain takes a machine down for two seconds; its worker restarts afterwards.
 func (sm *simulation) maintain(f chuteaction.MaintainMachine) chuteaction.MachineMaintained {
 	k := sm.workers[f.Machine[len("m-"):]]
--- a/chuteentry/simulation_test.go
+++ b/chuteentry/simulation_test.go
@@ -24,6 +24,7 @@
 	violations []string // violated invariants
 	logLines   []string // log lines of all hosts
 
+	machineService  fakeMachineService
 	maxOrderWait    time.Duration                               // longest time that a start order waits on its host
 	workerReturn    workerReturn                                // how workers come back after their tasks crashed them
 	onCrash         func(cause *fakeRun)                        // called after a task has crashed its worker; may be nil
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -19,6 +19,7 @@
 	UnlistedAt       time.Time     // when its entry last disappeared; zero before
 	ListingVersion   int64         // version of its entry in the list of workers; it increases with each heartbeat
 	HeartbeatAfter   time.Duration // the worker wrote that version after this time on the store's clock; 0 if unknown
+	KnownSince       time.Time     // when this scheduler first heard of it
 	AnsweredAt       time.Time
 	AnsweredFrom     string        // address at which its present incarnation has answered a renewal; empty if none
 	ReportClock      time.Duration // the worker's clock in its latest report of its runs
@@ -66,7 +67,7 @@
 
 // NewWorker returns a worker that has not been contacted.
 func NewWorker(listing Listing, now time.Time) Worker {
-	w := Worker{runs: immutable.NewSortedMap[chutegraph.RunID, Run](runOrder{})}
+	w := Worker{KnownSince: now, runs: immutable.NewSortedMap[chutegraph.RunID, Run](runOrder{})}
 	return w.WithListing(listing, now)
 }
 
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -69,6 +69,18 @@
 	t.endWorker(w.WithUnlisted(), true)
 }
 
+// MarkGone records that no machine has the worker any more: it has ended, and all its runs with it.
+func (t *Transition) MarkGone(id chutetask.WorkerID) {
+	w, ok := t.Pool.Get(id)
+	if !ok {
+		return
+	}
+	t.Count("worker-lost", "no-machine")
+	t.Log(component, "worker is lost: no machine has it", "", "worker", id, "runs", w.RunCount(), "draining", w.Draining, "listed", w.Listed,
+		"lease-left", w.LeaseExpiryBound.Sub(t.Now))
+	t.endWorker(w, true)
+}
+
 // MarkLost ends all runs of a worker that can certainly run nothing under its lease any more.
 func (t *Transition) MarkLost(w chutepool.Worker) {
 	t.endWorker(w, false)
--- a/chutescheduler/finallease.go
+++ b/chutescheduler/finallease.go
@@ -12,7 +12,7 @@
 const (
 	// finalLeaseDelay is how long after its takeover a scheduler waits for answers before it declares leases final.
 	finalLeaseDelay = time.Second
-	// minMissedForFinalLease is the number of renewals that a worker misses in a row before its lease is declared final.
+	// minMissedForFinalLease is the number of renewals in a row that a worker must have missed before its lease is declared final.
 	minMissedForFinalLease = 2
 )
 
@@ -39,15 +39,16 @@
 	return workers
 }
 
-// updateFinalLeases finds the leases that the next write of the leader's row declares final.
-func (t *transition) updateFinalLeases() {
+// updateFinalLeases finds, among the workers, those whose leases the next write of the leader's row declares final.
+func (t *transition) updateFinalLeases(workers []chutepool.Worker) {
 	if t.Now.Sub(t.LeaderSince) < finalLeaseDelay || !t.Environment.StoreClock.Known() {
 		return
 	}
 	t.finalLeases.complete = true
 	t.finalLeases.due = nil
-	for _, w := range t.Pool.All() {
-		if leaseIsFinal(w) && t.Environment.StoreClock.ReadSince(w.LeaseExtendedAt) {
+	for _, candidate := range workers {
+		w, ok := t.Pool.Get(candidate.ID)
+		if ok && leaseIsFinal(w) && t.Environment.StoreClock.ReadSince(w.LeaseExtendedAt) {
 			t.finalLeases.due = append(t.finalLeases.due, t.finalLease(w))
 		}
 	}
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -9,6 +9,7 @@
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteleader"
 	"monsoonchute.example/monsoonchute/chuteledger"
+	"monsoonchute.example/monsoonchute/chutemembership"
 	"monsoonchute.example/monsoonchute/chutepacing"
 	"monsoonchute.example/monsoonchute/chuteplanner"
 	"monsoonchute.example/monsoonchute/chuterenewal"
@@ -50,6 +51,7 @@
 	waves              chutewave.State
 	takeoverLeases     chuteaction.Leases // as the takeover wrote them
 	finalLeases        finalLeases
+	machineLists       chutemembership.MachineLists
 }
 
 // New returns the scheduler that has taken over with the leader's row. It begins to read hosts and the progress of all jobs,
@@ -196,6 +198,7 @@
 // HandleMachinesListed handles the platform's answer to a request for its list of machines.
 func (s State) HandleMachinesListed(t *chuteaction.Transition, environment chuteledger.Environment, e chuteaction.MachinesListed) State {
 	u := s.transition(t, environment)
+	u.machineLists = u.machineLists.HandleMachinesListed(u.Transition, e)
 	u.waves = u.waves.HandleMachinesListed(u.Transition, e)
 	return u.state()
 }
