Tell the next leader the addresses of working workers without an entry

A worker that is cut off from the store alone loses its entry and goes on, as the leader renews its lease. After a takeover the next leader does not know its address, so that its work ends with the lease and starts anew after it.

Cause: an address is known from the list of workers alone, and died with the leader that had read it.

Change: the leader's row names the workers with runs that the list lacks, with the address at which each has answered; the next leader asks them. What the row tells a successor is one value now, the handover.

--- a/chuteaction/row.go
+++ b/chuteaction/row.go
@@ -93,15 +93,16 @@
 	Sequence int64          // increases with each write
 	Released bool           // the scheduler has stopped; any host may take over at once
 	Pending  map[string]int // number of accepted jobs of which no task has started, by queue
-	Leases   Leases
+	Handover Handover
 }
 
-// Leases is what a scheduler tells its successor of the workers' leases. Its times are those of the store's clock.
-type Leases struct {
-	// FormerEnd is when all leases have expired that earlier schedulers granted; 0 if Final names all workers with runs that
-	// this one has not reached.
-	FormerEnd time.Duration
-	Final     []FinalLease // never modified
+// Handover is what a scheduler tells its successor of the workers. Its times are those of the store's clock.
+type Handover struct {
+	// FormerLeaseEnd is when all leases have expired that earlier schedulers granted; 0 if FinalLeases names all workers with
+	// runs that this one has not reached.
+	FormerLeaseEnd time.Duration
+	FinalLeases    []FinalLease     // never modified
+	Unlisted       []UnlistedWorker // never modified
 }
 
 // FinalLease is the lease of a worker that the scheduler does not extend while its row says so.
@@ -110,6 +111,22 @@
 	End    time.Duration // when the lease has certainly expired
 }
 
+// UnlistedWorker is a worker with runs that the list of workers does not have, and the address at which it has answered.
+type UnlistedWorker struct {
+	Worker  chutetask.WorkerID
+	Address string
+}
+
+// AddressOf returns the address of an unlisted worker, and false if it is not among them.
+func (h Handover) AddressOf(worker chutetask.WorkerID) (string, bool) {
+	for _, u := range h.Unlisted {
+		if u.Worker == worker {
+			return u.Address, true
+		}
+	}
+	return "", false
+}
+
 // FinalLeaseOf returns the end of the worker's lease, and false if it is not among the leases.
 func FinalLeaseOf(leases []FinalLease, worker chutetask.WorkerID) (time.Duration, bool) {
 	for _, l := range leases {
--- a/chuteentry/fakeorders_test.go
+++ b/chuteentry/fakeorders_test.go
@@ -73,7 +73,7 @@
 
 func (k *fakeWorker) renewalAnswer(o chuteaction.RenewLease, sent time.Time) chuteaction.LeaseRenewed {
 	renewed := chuteaction.LeaseRenewed{
-		Epoch: o.Epoch, Worker: o.Worker, SentAt: sent, Outcome: chuteaction.OrderAccepted, Clock: k.clock(), Incarnation: k.listing.Incarnation,
+		Epoch: o.Epoch, Worker: o.Worker, Address: o.Address, SentAt: sent, Outcome: chuteaction.OrderAccepted, Clock: k.clock(), Incarnation: k.listing.Incarnation,
 	}
 	for _, r := range k.sortedRuns() {
 		renewed.Running = append(renewed.Running, chutetask.RunReport{Run: r.id, Usage: k.tailLatency(r)})
--- a/chuteentry/leading.go
+++ b/chuteentry/leading.go
@@ -117,9 +117,9 @@
 
 // write writes the rows with the leader's row.
 func (t *transition) write(rows []chuteaction.Row) {
-	report := chuteleader.Report{Pending: t.state.scheduler.Pending(), Leases: t.state.scheduler.Leases()}
+	report := chuteleader.Report{Pending: t.state.scheduler.Pending(), Handover: t.state.scheduler.Handover()}
 	t.state.leader = t.state.leader.Write(t.Transition, rows, report)
-	t.setScheduler(t.state.scheduler.WithLeasesWritten(report.Leases))
+	t.setScheduler(t.state.scheduler.WithHandoverWritten(report.Handover))
 }
 
 // release writes that any host may take over. The scheduler ends at once, since a successor takes it as ended although the
--- a/chuteentry/successors_test.go
+++ b/chuteentry/successors_test.go
@@ -39,7 +39,7 @@
 // finalLeaseDeclared reports whether the leader's row declares the lease of a worker final.
 func (sm *simulation) finalLeaseDeclared() bool {
 	row, _ := sm.store.rows[chuteaction.LeaderKey()].Value.(chuteaction.LeaderRow)
-	return len(row.Leases.Final) > 0
+	return len(row.Handover.FinalLeases) > 0
 }
 
 // loseLeader ends the leader's process for good.
@@ -179,3 +179,30 @@
 	}
 	sm.after(span, func() { k.disconnected, k.offStore, k.reachedBy = false, false, nil })
 }
+
+// TestAWorkerThatIsCutOffFromTheStoreKeepsItsWorkOverATakeover guards against work that ends with its lease, since the next leader does
+// not know the address of a worker without an entry.
+func TestAWorkerThatIsCutOffFromTheStoreKeepsItsWorkOverATakeover(t *testing.T) {
+	for _, seed := range seeds(t, 6) {
+		sm := newSimulation(seed, 5, 4)
+		sm.run(4 * time.Second)
+		j := sm.clients.submit("normal", 25*time.Second, taskStep(1))
+		sm.run(time.Second)
+		sm.workerOf(j).offStore = true
+		sm.run(8 * time.Second) // its entry has expired
+		for range 3 {
+			sm.loseLeader()
+			sm.run(4 * time.Second)
+		}
+		sm.run(8 * time.Second)
+		if phase := sm.phase(j); phase != "completed" {
+			t.Errorf("seed %d: the job is %s", seed, phase)
+		}
+		for id, starts := range j.starts {
+			if starts != 1 {
+				t.Errorf("seed %d: %s was started %d times", seed, id, starts)
+			}
+		}
+		sm.failOnViolations(t)
+	}
+}
--- a/chuteleader/leader.go
+++ b/chuteleader/leader.go
@@ -150,22 +150,30 @@
 	s.predecessor = Predecessor{Row: s.row, Version: s.version, ObservedAt: s.changedAt}
 	row := chuteaction.LeaderRow{
 		Epoch: s.row.Epoch + 1, Host: s.host, Process: s.process, Pending: s.row.Pending,
-		Leases: chuteaction.Leases{FormerEnd: s.formerLeaseEnd(t.Now), Final: s.row.Leases.Final},
+		Handover: s.handover(t.Now),
 	}
 	return s.send(t, row, nil)
 }
 
+// handover returns what the takeover of this host tells its own successor: what the present leader told, since this host has not
+// heard of any worker yet.
+func (s State) handover(now time.Time) chuteaction.Handover {
+	handover := s.row.Handover
+	handover.FormerLeaseEnd = s.formerLeaseEnd(now)
+	return handover
+}
+
 // formerLeaseEnd returns when, by the store's clock, all leases have expired that the present leader and earlier ones have
 // granted. Each of them may go on for a while although others have led since.
 func (s State) formerLeaseEnd(now time.Time) time.Duration {
 	if s.row.Epoch == 0 || !s.storeClock.Known() {
-		return s.row.Leases.FormerEnd
+		return s.row.Handover.FormerLeaseEnd
 	}
 	end := s.changedAt.Add(s.leaseAfterWrite)
 	if s.leaderEnded() {
 		end = now.Add(s.longestLease)
 	}
-	return max(s.row.Leases.FormerEnd, s.storeClock.Latest(end))
+	return max(s.row.Handover.FormerLeaseEnd, s.storeClock.Latest(end))
 }
 
 // leaderEnded reports whether the leader has stopped, or its process is known to have ended.
--- a/chuteleader/write.go
+++ b/chuteleader/write.go
@@ -8,15 +8,15 @@
 
 // Report is what the leader's row tells others.
 type Report struct {
-	Pending map[string]int // number of accepted jobs of which no task has started, by queue
-	Leases  chuteaction.Leases
+	Pending  map[string]int // number of accepted jobs of which no task has started, by queue
+	Handover chuteaction.Handover
 }
 
 // Write sends the rows together with the leader's own row. The caller must lead and have no write in flight.
 func (s State) Write(t *chuteaction.Transition, put []chuteaction.Row, report Report) State {
 	row := s.row
 	row.Sequence++
-	row.Pending, row.Leases = report.Pending, report.Leases
+	row.Pending, row.Handover = report.Pending, report.Handover
 	return s.send(t, row, put)
 }
 
--- a/chuterow/row.go
+++ b/chuterow/row.go
@@ -21,7 +21,7 @@
 	CrashDetails []byte               `cbor:"10,keyasint,omitempty"` // of the crashes in Placements; see encodeCrashDetails
 	Begun        []byte               `cbor:"11,keyasint,omitempty"` // see encodeBegun
 	Leader       *encodedLeader       `cbor:"4,keyasint,omitempty"`
-	Leases       *encodedLeases       `cbor:"12,keyasint,omitempty"` // beside Leader
+	Handover     *encodedHandover     `cbor:"12,keyasint,omitempty"` // beside Leader
 	Host         *chuteaction.HostRow `cbor:"6,keyasint,omitempty"`
 }
 
@@ -71,7 +71,7 @@
 		e.Leader = &encodedLeader{
 			Epoch: v.Epoch, Host: v.Host, Process: v.Process, Sequence: v.Sequence, Released: v.Released, Pending: v.Pending,
 		}
-		e.Leases = encodeLeases(v.Leases)
+		e.Handover = encodeHandover(v.Handover)
 	case chuteaction.HostRow:
 		e.Host = &v
 	case chuteaction.CatalogRow, chuteaction.EvacuationRow, chuteaction.WaveRow, chuteaction.WaveStateRow, chuteaction.WorkerRow:
@@ -108,7 +108,7 @@
 		l := e.Leader
 		return chuteaction.LeaderRow{
 			Epoch: l.Epoch, Host: l.Host, Process: l.Process, Sequence: l.Sequence, Released: l.Released, Pending: l.Pending,
-			Leases: e.Leases.decode(),
+			Handover: e.Handover.decode(),
 		}, nil
 	case e.Host != nil:
 		return *e.Host, nil
--- a/chuterow/row_test.go
+++ b/chuterow/row_test.go
@@ -33,8 +33,9 @@
 		chuteaction.CancelRow{Job: job.ID},
 		chuteaction.ProgressRow{Job: job.ID, Progress: job.Progress},
 		chuteaction.LeaderRow{Epoch: 4, Host: "h", Process: "p", Sequence: 9, Released: true, Pending: map[string]int{"q": 2}},
-		chuteaction.LeaderRow{Epoch: 4, Host: "h", Process: "p", Leases: chuteaction.Leases{
-			FormerEnd: 90_123 * time.Millisecond, Final: []chuteaction.FinalLease{{Worker: "w", End: 80_321 * time.Millisecond}},
+		chuteaction.LeaderRow{Epoch: 4, Host: "h", Process: "p", Handover: chuteaction.Handover{
+			FormerLeaseEnd: 90_123 * time.Millisecond, FinalLeases: []chuteaction.FinalLease{{Worker: "w", End: 80_321 * time.Millisecond}},
+			Unlisted: []chuteaction.UnlistedWorker{{Worker: "v", Address: "127.0.0.1:2"}},
 		}},
 		chuteaction.HostRow{Host: "h", Process: "p", Address: "127.0.0.1:1"},
 	}
--- a/chutescheduler/finallease.go
+++ b/chutescheduler/finallease.go
@@ -1,20 +1,14 @@
 package chutescheduler
 
 import (
-	"time"
-
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutemembership"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
-const (
-	// finalLeaseDelay is how long after its takeover a scheduler waits for answers before it declares leases final.
-	finalLeaseDelay = time.Second
-	// minMissedForFinalLease is the number of renewals in a row that a worker must have missed before its lease is declared final.
-	minMissedForFinalLease = 2
-)
+// minMissedForFinalLease is the number of renewals in a row that a worker must have missed before its lease is declared final.
+const minMissedForFinalLease = 2
 
 // finalLeases are the leases that the leader's row declares final. This scheduler extends none of them from when it means to
 // declare it until a row without it has been written, so that a successor can rely on the row.
@@ -22,7 +16,6 @@
 	due      []chuteaction.FinalLease // to be declared by the next write; never modified
 	written  []chuteaction.FinalLease // declared by the latest write
 	declared []chuteaction.FinalLease // declared by the latest successful write
-	complete bool                     // due holds all workers with runs that this scheduler has not reached
 }
 
 // workers returns the workers whose leases must not be extended, or nil for none.
@@ -39,22 +32,6 @@
 	return workers
 }
 
-// updateFinalLeases finds, among the workers, those whose leases the next write of the leader's row declares final.
-func (t *transition) updateFinalLeases(workers []chutepool.Worker) {
-	if t.Now.Sub(t.LeaderSince) < finalLeaseDelay || !t.Environment.StoreClock.Known() {
-		return
-	}
-	t.finalLeases.complete = true
-	t.finalLeases.due = nil
-	for _, candidate := range workers {
-		w, ok := t.Pool.Get(candidate.ID)
-		if ok && leaseIsFinal(w) && t.Environment.StoreClock.ReadSince(w.LeaseExtendedAt) {
-			t.finalLeases.due = append(t.finalLeases.due, t.finalLease(w))
-		}
-	}
-	t.FinalLeases = t.finalLeases.workers()
-}
-
 // leaseIsFinal reports whether the worker's lease need not be extended: the worker does not answer, or leaves before the lease
 // expires.
 func leaseIsFinal(w chutepool.Worker) bool {
@@ -64,9 +41,10 @@
 	return !w.Contacted || w.MissedRenewals >= minMissedForFinalLease || chutemembership.LeavesAtShortNotice(w)
 }
 
+// finalLease returns the worker's lease with a bound of its end that is no later than the one declared before.
 func (t *transition) finalLease(w chutepool.Worker) chuteaction.FinalLease {
 	end := t.Environment.StoreClock.Latest(w.LeaseExpiryBound)
-	if former, ok := chuteaction.FinalLeaseOf(t.finalLeases.declared, w.ID); ok {
+	if former, ok := chuteaction.FinalLeaseOf(t.handover.finalLeases.declared, w.ID); ok {
 		return chuteaction.FinalLease{Worker: w.ID, End: min(former, end)}
 	}
 	if !t.FinalLeases[w.ID] {
@@ -79,33 +57,12 @@
 
 // FinalLeasesOutdated reports whether the leader's row declares the lease of a worker final that answers again.
 func (s State) FinalLeasesOutdated() bool {
-	for _, l := range s.finalLeases.declared {
+	leases := s.handover.finalLeases
+	for _, l := range leases.declared {
 		w, ok := s.runner.Pool.Get(l.Worker)
-		if _, due := chuteaction.FinalLeaseOf(s.finalLeases.due, l.Worker); ok && w.Contacted && w.RunCount() > 0 && !due {
+		if _, due := chuteaction.FinalLeaseOf(leases.due, l.Worker); ok && w.Contacted && w.RunCount() > 0 && !due {
 			return true
 		}
 	}
 	return false
 }
-
-// Leases returns what the next write of the leader's row tells of leases.
-func (s State) Leases() chuteaction.Leases {
-	leases := chuteaction.Leases{Final: s.finalLeases.due}
-	if !s.finalLeases.complete {
-		leases = s.takeoverLeases
-	}
-	return leases
-}
-
-// WithLeasesWritten returns the state after a write of the leader's row with the leases.
-func (s State) WithLeasesWritten(leases chuteaction.Leases) State {
-	s.finalLeases.written = leases.Final
-	s.runner.FinalLeases = s.finalLeases.workers()
-	return s
-}
-
-// handleLeasesRecorded applies the success of that write.
-func (t *transition) handleLeasesRecorded() {
-	t.finalLeases.declared = t.finalLeases.written
-	t.FinalLeases = t.finalLeases.workers()
-}
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -215,8 +215,7 @@
 		count++
 		w, ok := t.Pool.Get(task.Worker)
 		if !ok {
-			w = chutepool.NewWorker(chutepool.Listing{ID: task.Worker}, t.Now).WithUnlisted()
-			w.LeaseExpiryBound = t.inheritedLeaseEnd(task.Worker)
+			w = t.inheritedWorker(task.Worker)
 		}
 		run := chutepool.Run{
 			ID: chutegraph.RunID{Task: id, Number: task.Run}, Reserved: j.Step(id.StepID).Reserved(),
@@ -227,16 +226,26 @@
 	return count
 }
 
+// inheritedWorker returns a worker of which this scheduler knows only what earlier ones have told.
+func (t *transition) inheritedWorker(id chutetask.WorkerID) chutepool.Worker {
+	w := chutepool.NewWorker(chutepool.Listing{ID: id}, t.Now).WithUnlisted()
+	if address, ok := t.predecessor.Row.Handover.AddressOf(id); ok {
+		w.Address, w.AnsweredFrom = address, address
+	}
+	w.LeaseExpiryBound = t.inheritedLeaseEnd(id)
+	return w
+}
+
 // inheritedLeaseEnd returns when the lease expires of a worker that this scheduler has not reached. Earlier schedulers that the
 // worker may have heard last may renew it for a while after their latest writes.
 func (t *transition) inheritedLeaseEnd(worker chutetask.WorkerID) time.Time {
-	leases, clock := t.predecessor.Row.Leases, t.Environment.StoreClock
-	final, declared := chuteaction.FinalLeaseOf(leases.Final, worker)
+	told, clock := t.predecessor.Row.Handover, t.Environment.StoreClock
+	final, declared := chuteaction.FinalLeaseOf(told.FinalLeases, worker)
 	switch {
 	case declared && clock.Known():
-		return latest(clock.Time(final), t.LeaderSince.Add(finalLeaseDelay))
-	case leases.FormerEnd > 0 && clock.Known():
-		return latest(t.predecessorsLeaseEnd(), clock.Time(leases.FormerEnd))
+		return latest(clock.Time(final), t.LeaderSince.Add(handoverDelay))
+	case told.FormerLeaseEnd > 0 && clock.Known():
+		return latest(t.predecessorsLeaseEnd(), clock.Time(told.FormerLeaseEnd))
 	}
 	return t.predecessorsLeaseEnd()
 }
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -49,8 +49,7 @@
 	workersWatch       chuteaction.Token // subscription to the table of workers; 0 before it begins
 	hostsToken         chuteaction.Token
 	waves              chutewave.State
-	takeoverLeases     chuteaction.Leases // as the takeover wrote them
-	finalLeases        finalLeases
+	handover           handover
 	machineLists       chutemembership.MachineLists
 }
 
@@ -60,7 +59,7 @@
 	s := State{
 		runner: chuteledger.New(row.Epoch, bounds, t.Now),
 		schedulerState: schedulerState{
-			predecessor: predecessor, takeoverLeases: row.Leases, finalLeases: finalLeases{declared: row.Leases.Final},
+			predecessor: predecessor, handover: handover{takeover: row.Handover, finalLeases: finalLeases{declared: row.Handover.FinalLeases}},
 			planner:        chuteplanner.New(),
 			timed:          immutable.NewSortedMap[chutegraph.JobID, bool](nil),
 			cancelledEarly: immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
@@ -72,7 +71,7 @@
 	if predecessor.Row.Epoch == 0 || predecessor.Row.Released {
 		s.predecessorEndedBy = t.Now
 	}
-	s.runner.FinalLeases = s.finalLeases.workers()
+	s.runner.FinalLeases = s.handover.finalLeases.workers()
 	s.jobsWatch = t.NewToken()
 	t.Emit(chuteaction.WatchTable{Watch: s.jobsWatch, Table: chuteaction.TableJobs, PollTimeout: tablePollTimeout})
 	return s.readHosts(t).readProgress(t)
--- a/chutescheduler/successor_test.go
+++ b/chutescheduler/successor_test.go
@@ -32,7 +32,7 @@
 	predecessor.ObservedAt = s.now
 	bounds := chuteledger.Bounds{MaxLease: 6 * time.Second, UnconfirmedLimit: chuteleader.UnconfirmedLimit, HeartbeatInterval: 1500 * time.Millisecond}
 	s.handle(0, func(t *chuteaction.Transition, _ chuteledger.Environment) {
-		row := chuteaction.LeaderRow{Epoch: epoch, Leases: chuteaction.Leases{Final: predecessor.Row.Leases.Final}}
+		row := chuteaction.LeaderRow{Epoch: epoch, Handover: chuteaction.Handover{FinalLeases: predecessor.Row.Handover.FinalLeases}}
 		s.state = chutescheduler.New(t, row, predecessor, bounds)
 	})
 	return s
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -26,17 +26,17 @@
 	u.startDueOccurrences()
 	u.JudgeCrashes()
 	u.ticks++
-	var doubtful []chutepool.Worker
+	var concerning []chutepool.Worker
 	for i, w := range u.Pool.All() {
 		if (i+u.ticks)%ticksPerCheck == 0 {
 			u.checkWorker(w)
 		}
-		if leaseIsFinal(w) || chutemembership.Silent(u.Transition, w) {
-			doubtful = append(doubtful, w)
+		if u.concernsSuccessor(w) {
+			concerning = append(concerning, w)
 		}
 	}
-	u.machineLists = u.machineLists.Tick(u.Transition, doubtful)
-	u.updateFinalLeases(doubtful)
+	u.machineLists = u.machineLists.Tick(u.Transition, concerning)
+	u.updateHandover(concerning)
 	u.countPending()
 	u.waves = u.waves.Tick(u.Transition)
 	u.planner = u.planner.Plan(u.Transition)
