Allow for the age of the entry that tells a new leader when a worker leaves

A worker that leaves writes how much time is left with each heartbeat. A new leader counted that time from when it read the entry, so that it meant to stop the runs up to 1.5 s later than it could.

Change: of an entry whose age is unknown, as it was read with the whole list, a heartbeat interval is taken off.

--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -34,6 +34,7 @@
 	lostOrderRate   float64 // fraction of orders that get no answer and are executed late
 	failsRuns       bool    // every run fails
 	formerCapacity  []capacityPeriod
+	leavesAt        time.Time // when it leaves at short notice; zero if it doesn't
 }
 
 func (sm *simulation) addWorker(name string, i int) *fakeWorker {
@@ -62,6 +63,9 @@
 func (k *fakeWorker) publishListing() {
 	at := k.sim.now
 	k.heartbeatAt = at
+	if !k.leavesAt.IsZero() {
+		k.listing.TimeToLeave = max(time.Millisecond, k.leavesAt.Sub(at))
+	}
 	k.sim.store.put(k.key(), chuteaction.WorkerRow{Listing: k.listing})
 	k.sim.after(3*heartbeat, func() {
 		if _, listed := k.sim.store.rows[k.key()]; listed && k.heartbeatAt.Equal(at) {
--- a/chuteentry/successors_test.go
+++ b/chuteentry/successors_test.go
@@ -104,10 +104,39 @@
 }
 
 // leaveAtShortNotice drains the worker for two seconds; then it is gone, and its listing expires.
-func (k *fakeWorker) leaveAtShortNotice() {
-	k.listing.Draining, k.listing.TimeToLeave = true, 2*time.Second
+func (k *fakeWorker) leaveAtShortNotice() { k.leaveAfter(2 * time.Second) }
+
+// leaveAfter does so for the time.
+func (k *fakeWorker) leaveAfter(notice time.Duration) {
+	k.leavesAt = k.sim.now.Add(notice)
+	k.listing.Draining = true
 	k.publishListing()
-	k.sim.after(2*time.Second, func() { k.crash(time.Hour) })
+	k.sim.after(notice, func() { k.crash(time.Hour) })
+}
+
+// TestASuccessorStopsTheRunsOfALeavingWorkerInTime guards against runs that vanish with their worker, since the entry that tells when
+// it leaves was older than the next leader thought.
+func TestASuccessorStopsTheRunsOfALeavingWorkerInTime(t *testing.T) {
+	const notice = 4 * time.Second
+	for _, seed := range seeds(t, 12) {
+		sm := newSimulation(seed, 4, 4)
+		sm.run(4 * time.Second)
+		step := taskStep(1)
+		step.Checkpointing = true
+		j := sm.clients.submit("normal", time.Minute, step)
+		sm.run(2*time.Second + sm.jittered(time.Second))
+		leaves := sm.now.Add(notice)
+		sm.workerOf(j).leaveAfter(notice)
+		sm.run(500 * time.Millisecond)
+		sm.loseLeader()
+		sm.run(6 * time.Second)
+		for id, at := range j.startedAt {
+			if at.After(leaves) || j.starts[id] < 2 {
+				t.Errorf("seed %d: %s was started %d times, the last time %s after its worker had left", seed, id, j.starts[id], at.Sub(leaves))
+			}
+		}
+		sm.failOnViolations(t)
+	}
 }
 
 // TestSuccessiveLeadersRunNothingTwice guards against leases that a leader extends although its row declares them final, and leases
--- a/chutemembership/listing.go
+++ b/chutemembership/listing.go
@@ -20,7 +20,7 @@
 	}
 	if !known {
 		w = chutepool.NewWorker(listing, t.Now).WithHeartbeat(int64(version), writtenAfter)
-		t.PutWorker(w)
+		t.PutWorker(leavingEarlier(t, w, writtenAfter))
 		t.Log(component, "worker listed", "", "worker", w.ID, "zone", w.Zone, "rack", w.Rack, "draining", w.Draining)
 		return
 	}
@@ -40,6 +40,9 @@
 		return
 	}
 	w = w.WithListing(listing, t.Now)
+	if startsDraining {
+		w = leavingEarlier(t, w, writtenAfter)
+	}
 	t.PutWorker(w)
 	if startsDraining {
 		t.Count("worker-draining", "listed")
@@ -47,6 +50,15 @@
 	}
 }
 
+// leavingEarlier returns a worker whose entry says for the first time when it may leave. Of an entry of unknown age, that time has
+// passed in part: a draining worker writes with each heartbeat how much is left.
+func leavingEarlier(t *chuterunner.Transition, w chutepool.Worker, writtenAfter time.Duration) chutepool.Worker {
+	if writtenAfter == 0 && !w.LeavesAt.IsZero() {
+		w.LeavesAt = w.LeavesAt.Add(-t.Bounds.HeartbeatInterval)
+	}
+	return w
+}
+
 // applyIncarnation applies the incarnation in the entry of a worker, which may show a restart. It reports whether the entry is
 // that of the worker's present incarnation.
 func applyIncarnation(t *chuterunner.Transition, w chutepool.Worker, incarnation int64) bool {
