Start no task of a scheduled job for which its row has no room

Cause: shown by the record of the case and by a test. The progress of the job outgrows a row of the store (75,366 bytes in the simulation), each write of the leader holds that row and is refused, and each successor builds the same one. The check at the hand-in counts one active occurrence; a done task kept its worker until its whole occurrence was finished.

Test: TestOverlappingOccurrencesOutgrowNoRow, on a fake store that refuses such rows now.

--- a/chuteentry/fakeclients_test.go
+++ b/chuteentry/fakeclients_test.go
@@ -26,6 +26,7 @@
 	queue        string
 	spec         chutegraph.Spec
 	duration     time.Duration
+	firstStep    time.Duration // duration of the tasks of the first step, if it is another; 0 if not
 	acceptedAt   time.Time
 	cancelledAt  time.Time // zero until the cancellation is acknowledged
 	doneAt       map[chutegraph.TaskID]time.Time
@@ -41,6 +42,14 @@
 	startsBeyondByAny map[chutegraph.TaskID]int // starts by any host after maxCrashes crashes
 }
 
+// durationOf returns how long a task of the step works.
+func (j *fakeJob) durationOf(step int) time.Duration {
+	if step == 0 && j.firstStep > 0 {
+		return j.firstStep
+	}
+	return j.duration
+}
+
 // isDeadly reports whether the task crashes the worker if that starts it.
 func (j *fakeJob) isDeadly(k *fakeWorker, id chutegraph.TaskID) bool {
 	return j.crashesWorker != nil && j.crashesWorker(k, id)
--- a/chuteentry/fakerun_test.go
+++ b/chuteentry/fakerun_test.go
@@ -80,7 +80,7 @@
 		k.sim.after(100*time.Millisecond, func() { k.endRun(r, chutetask.EndFailed) })
 		return
 	}
-	k.sim.after(r.job.duration, func() {
+	k.sim.after(r.job.durationOf(r.id.Task.Step), func() {
 		if !k.dead {
 			k.endRun(r, chutetask.EndDone)
 		}
--- a/chuteentry/fakestore_test.go
+++ b/chuteentry/fakestore_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuterow"
 )
 
 // fakeStore keeps rows and their history. It can be down, lose answers and commit writes late.
@@ -116,8 +118,28 @@
 	return true
 }
 
+// tooLarge reports whether the store refuses a row for its size.
+func tooLarge(r chuteaction.Row) bool {
+	progress, ok := r.Value.(chuteaction.ProgressRow)
+	tasks := 0
+	for _, steps := range progress.Occurrences {
+		for _, s := range steps {
+			tasks += len(s)
+		}
+	}
+	if !ok || tasks < 500 { // it is small in any case
+		return false
+	}
+	body, err := chuterow.Encode(progress)
+	return err != nil || len(body) > chutegraph.MaxRowBytes
+}
+
 func (s *fakeStore) commit(f chuteaction.WriteRows) chuteaction.RowsWritten {
 	written := chuteaction.RowsWritten{Token: f.Token, Outcome: chuteaction.StoreDone}
+	if slices.ContainsFunc(f.Put, tooLarge) {
+		written.Outcome = chuteaction.StoreRefused
+		return written
+	}
 	for _, c := range f.Conditions {
 		row, ok := s.rows[c.RowKey]
 		if ok {
--- a/chuteentry/rowsize_test.go
+++ b/chuteentry/rowsize_test.go
@@ -8,6 +8,7 @@
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuterow"
+	"monsoonchute.example/monsoonchute/chutetask"
 )
 
 // TestProgressFitsInARowHoweverManyTasksMeetCrashes guards against a row that the store refuses again and again, so that nothing
@@ -41,3 +42,42 @@
 		}
 	}
 }
+
+// TestOverlappingOccurrencesOutgrowNoRow guards against a scheduled job whose progress the store refuses for its size, so that no job
+// of anybody goes on.
+func TestOverlappingOccurrencesOutgrowNoRow(t *testing.T) {
+	long := taskStep(0)
+	long.After = []int{0}
+	wide := chutegraph.Step{Count: 71, Request: chutecapacity.Resources{Processor: 10, Memory: 1}}
+	gang := wide
+	gang.Gang = true
+	cases := []struct {
+		name        string
+		steps       []chutegraph.Step
+		first, last time.Duration // durations of the tasks
+	}{
+		{"a long task after many", []chutegraph.Step{wide, long}, 50 * time.Millisecond, 15 * time.Second},
+		{"long gangs", []chutegraph.Step{gang, long}, 8 * time.Second, time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			sm := newSimulation(1, 3, 8)
+			sm.run(4 * time.Second)
+			j := sm.clients.newJob("low", c.last, c.steps...)
+			j.firstStep = c.first
+			j.spec.Recurrence = chutegraph.Recurrence{Count: 80, Start: time.Duration(sm.now.UnixNano()) + time.Second, Interval: 250 * time.Millisecond}
+			sm.clients.trySubmit(j, 0)
+			var others []*fakeJob
+			for range 20 {
+				others = append(others, sm.clients.submit("urgent", 500*time.Millisecond, taskStep(1)))
+				sm.run(time.Second)
+			}
+			sm.checkRowSizes(t)
+			sm.run(10 * time.Second)
+			sm.checkRecorded(t, chutetask.PhaseCompleted, others...)
+			sm.runUntil(10*time.Minute, func() bool { return sm.ended(j) })
+			sm.checkRecorded(t, chutetask.PhaseCompleted, j)
+			sm.failOnViolations(t)
+		})
+	}
+}
--- a/chuteplanner/demand.go
+++ b/chuteplanner/demand.go
@@ -59,7 +59,11 @@
 func (p *pass) appendDemand(list []rankedDemand, j chutetask.Job, id chutegraph.StepID, indexes []int) []rankedDemand {
 	step := j.Step(id)
 	tasks := j.Tasks(id)
-	if len(indexes) == 0 || step.Gang && len(indexes) < len(tasks) || !j.StepReady(id) {
+	if len(indexes) == 0 || !j.StepReady(id) {
+		return list
+	}
+	indexes = indexes[:p.startsWithinRow(j, step, len(indexes))]
+	if len(indexes) == 0 || step.Gang && len(indexes) < len(tasks) {
 		return list
 	}
 	priority := p.Priority(j)
@@ -80,3 +84,24 @@
 	}
 	return append(list, rankedDemand{demand: d, order: j.AcceptanceOrder})
 }
+
+// startsWithinRow returns how many of so many tasks of the step may start so that the job's progress still fits in a row of the
+// store. Only a scheduled job can outgrow it, when its occurrences overlap; others are refused when they are handed in.
+func (p *pass) startsWithinRow(j chutetask.Job, step chutegraph.Step, count int) int {
+	if j.Spec.Occurrences() == 1 {
+		return count
+	}
+	room, known := p.rowRoom[j.ID]
+	if !known {
+		room = chutegraph.MaxRowBytes - j.SizeBound()
+	}
+	starts := min(count, max(0, room)/chutetask.RunBytes)
+	if step.Gang && starts < count {
+		starts = 0
+	}
+	if starts < count {
+		p.Count("start-waits", "row-full")
+	}
+	p.rowRoom[j.ID] = room - starts*chutetask.RunBytes
+	return starts
+}
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -19,7 +19,7 @@
 	if since < minPlanInterval || !t.PlanDue && since < maxPlanInterval || !p.workersContacted(t) {
 		return p
 	}
-	current := &pass{Transition: t, Planner: p, quarantineWaits: New().quarantineDueSince}
+	current := &pass{Transition: t, Planner: p, rowRoom: make(map[chutegraph.JobID]int), quarantineWaits: New().quarantineDueSince}
 	current.PlanDue = false
 	current.plannedAt = current.Now
 	current.plan()
--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -53,6 +53,7 @@
 	*chuterunner.Transition
 	Planner
 	guaranteed map[chutegraph.JobID]bool // jobs that their workspaces' guarantees cover
+	rowRoom    map[chutegraph.JobID]int  // bytes left in the rows of the scheduled jobs that have been looked at
 	// quarantineWaits becomes quarantineDueSince after the pass.
 	quarantineWaits *immutable.SortedMap[chutegraph.StepID, time.Time]
 }
--- a/chuterow/size_test.go
+++ b/chuterow/size_test.go
@@ -78,7 +78,7 @@
 		}
 		j.Occurrences[id.Occurrence][id.Step][id.Index] = task
 	})
-	return chuteaction.ProgressRow{Job: j.ID, Progress: j.WithoutFinishedDetails()}
+	return chuteaction.ProgressRow{Job: j.ID, Progress: j.WithoutDoneDetails()}
 }
 
 // TestAnAcceptedSubmissionFitsInARow guards against a job that the store refuses however often the client comes back.
--- a/chutescheduler/batch.go
+++ b/chutescheduler/batch.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		b.jobs = append(b.jobs, id)
-		rows = append(rows, chuteaction.Row{RowKey: chuteaction.ProgressKey(id), Value: chuteaction.ProgressRow{Job: id, Progress: j.WithoutFinishedDetails()}})
+		rows = append(rows, chuteaction.Row{RowKey: chuteaction.ProgressKey(id), Value: chuteaction.ProgressRow{Job: id, Progress: j.WithoutDoneDetails()}})
 		s = s.withRunsRecording(j)
 	}
 	if s.runner.Dirty.Len() == 0 {
