Search no runs to evict for demands that the workers could not hold

Cause: a planning pass makes 24 searches for runs to evict at most, in the order of the demands; a task that can run nowhere spends one in each pass, for ever. Shown by two tests in which nothing but such demands stands before the one that waits.

Change: a search is made only for a demand that the workers could hold if they were empty.

Tests: TestAGuaranteeIsReclaimedBesideUrgentJobsThatNobodyCanRun failed before, and TestDemandsThatNoWorkerCouldHoldLeaveTheSearchesToOthers with labels and with anti-affinity.

--- a/chuteentry/guarantee_test.go
+++ b/chuteentry/guarantee_test.go
@@ -110,3 +110,27 @@
 	}
 	sm.failOnViolations(t)
 }
+
+// TestAGuaranteeIsReclaimedBesideUrgentJobsThatNobodyCanRun guards against urgent jobs that wait for ever and take each search for runs
+// to evict from the jobs behind them.
+func TestAGuaranteeIsReclaimedBesideUrgentJobsThatNobodyCanRun(t *testing.T) {
+	sm := newSimulation(1, 2, 4)
+	sm.run(3 * time.Second)
+	sm.clients.key = "guest"
+	for range 8 {
+		sm.clients.submit("low", 20*time.Second, chutegraph.Step{Count: 16, Request: taskStep(1).Request})
+	}
+	sm.clients.key = "key"
+	for range 30 { // they need no accelerators, so that the guarantee covers them as well
+		step := taskStep(0)
+		step.Label = "nowhere"
+		sm.clients.submit("urgent", time.Second, step)
+	}
+	sm.run(3 * time.Second)
+	guaranteed := sm.clients.submit("urgent", time.Second, gangStep(1, 8))
+	sm.run(reclaimBound)
+	if _, ok := guaranteed.startDelay(); !ok {
+		t.Errorf("the job within the guarantee has not started whole within %s", reclaimBound)
+	}
+	sm.failOnViolations(t)
+}
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -69,7 +69,7 @@
 		p.startOrKeep(d, claim)
 		return true
 	}
-	if d.MayPreempt && p.preemptAttempts < maxPreemptAttempts {
+	if d.MayPreempt && p.preemptAttempts < maxPreemptAttempts && p.fitsEmpty(d) {
 		for _, a := range []availability{freeAfterStops, freeAfterEnds} {
 			if placed, ok := p.place(d, a); ok {
 				p.nominate(d, placed)
@@ -92,6 +92,12 @@
 	return false
 }
 
+// fitsEmpty reports whether the workers could hold all waiting tasks of the demand if nothing ran there.
+func (p *pass) fitsEmpty(d Demand) bool {
+	_, ok := p.place(d, wholeCapacity)
+	return ok
+}
+
 // start decides to start each waiting task on its worker and reserves the capacity.
 func (p *pass) start(d Demand, placed []int) {
 	for i, w := range placed {
--- a/chuteplacement/plan_test.go
+++ b/chuteplacement/plan_test.go
@@ -285,3 +285,32 @@
 		})
 	}
 }
+
+// TestDemandsThatNoWorkerCouldHoldLeaveTheSearchesToOthers guards against a guarantee that is not reclaimed while many urgent tasks wait
+// that can run nowhere.
+func TestDemandsThatNoWorkerCouldHoldLeaveTheSearchesToOthers(t *testing.T) {
+	cases := map[string]func(*chutegraph.Step){
+		"label":      func(s *chutegraph.Step) { s.Label = "z" },
+		"processor":  func(s *chutegraph.Step) { s.Request.Processor = 200_000 },
+		"wide gang":  func(s *chutegraph.Step) { s.Gang, s.Count = true, 100 },
+		"anti-share": func(s *chutegraph.Step) { s.Gang, s.Count, s.AntiAffinity = true, 3, 1 },
+	}
+	for name, hopeless := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var demands []chuteplacement.Demand
+			for i := range 30 {
+				demands = append(demands, demand(fmt.Sprintf("hopeless%d", i), 0, 1, 1, hopeless))
+			}
+			for i := range demands {
+				demands[i].Indexes = nil
+				for k := range demands[i].Step.Count {
+					demands[i].Indexes = append(demands[i].Indexes, k)
+				}
+			}
+			demands = append(demands, guaranteed(demand("covered", 0, 1, 8, nil)))
+			groups := []chuteplacement.RunGroup{group("low", 1, 1, 8, 0), group("low", 1, 1, 8, 1)}
+			is.Equal(len(describe(chuteplacement.Plan(chuteplacement.View{Workers: workers(0, 0), RunGroups: groups, Demands: demands}))), 1)
+		})
+	}
+}
