Tell a worker's processes apart by its steady clock where its time of day went back

An answer that names an earlier start counted as a late answer of an earlier process, while the worker was in contact, and was dropped without being a missed renewal.

Change: an answer by whose steady clock its process has certainly started after the known one is of a later process. For such a worker the steady clock goes before the time of day in both directions. An entry of a lost worker without runs counts whatever its time says.

--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -34,7 +34,8 @@
 	lostOrderRate   float64 // fraction of orders that get no answer and are executed late
 	failsRuns       bool    // every run fails
 	formerCapacity  []capacityPeriod
-	leavesAt        time.Time // when it leaves at short notice; zero if it doesn't
+	clockBehind     time.Duration // by which its time of day is behind the true one
+	leavesAt        time.Time     // when it leaves at short notice; zero if it doesn't
 }
 
 func (sm *simulation) addWorker(name string, i int) *fakeWorker {
@@ -103,7 +104,7 @@
 	k.crash(time.Hour)
 	k.dead = false
 	k.startedAt = k.sim.now
-	k.listing.Incarnation = k.startedAt.UnixMilli()
+	k.listing.Incarnation = k.startedAt.Add(-k.clockBehind).UnixMilli()
 	k.listing.Draining = false
 	k.highestEpoch, k.lastEndNumber = 0, 0
 	k.ends = nil
--- a/chutemembership/listing.go
+++ b/chutemembership/listing.go
@@ -15,6 +15,10 @@
 // time on the store's clock, which is 0 if nothing is known of it.
 func ApplyListing(t *chuterunner.Transition, listing chutepool.Listing, version chuteaction.RowVersion, writtenAfter time.Duration) {
 	w, known := t.Pool.Get(listing.ID)
+	if known && w.Lost && w.RunCount() == 0 && listing.Incarnation < w.Incarnation && int64(version) > w.ListingVersion {
+		w = w.WithIncarnation(0) // a later process after its clock was set back, as the former one is lost
+		t.PutWorker(w)
+	}
 	if w.Incarnation == 0 {
 		listing.Incarnation = 0 // unknown until the worker answers, since another writer may have written the entry
 	}
@@ -65,6 +69,8 @@
 	switch {
 	case incarnation < w.Incarnation: // written before a restart
 		return false
+	case incarnation > w.Incarnation && w.SetBack: // or that, since the clock was set back; the worker's answers tell
+		return false
 	case incarnation > w.Incarnation && !mayHaveRestartedAt(w, incarnation, t.Now):
 		MarkUnlisted(t, w.ID, RemovalMalformed)
 		return false
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -48,6 +48,8 @@
 	RestartFoundAt   time.Time        // when its present incarnation became known; zero for the first
 	Maintained       bool             // the maintenance of its machine was ordered, which ends it
 	RestartSeen      bool             // its clock shows a restart that its incarnation does not show yet
+	StartedBefore    time.Time        // its present process had started by then, by its steady clock; zero if unknown
+	SetBack          bool             // its present process says that it has started earlier than the one before: its clock was set
 	runs             *immutable.SortedMap[chutegraph.RunID, Run]
 	quarantined      int // number of runs in quarantine
 	reserved         chutecapacity.Resources
@@ -65,6 +67,20 @@
 	return c.Reading + now.Sub(c.ReadAt)
 }
 
+// maxDrift is the share by which a worker's clock may run fast or slow, with a margin.
+const maxDrift = 0.03
+
+// startedBefore returns a time by which the clock's process had certainly started.
+func (c Clock) startedBefore() time.Time {
+	return c.ReadAt.Add(-time.Duration(float64(c.Reading) / (1 + maxDrift)))
+}
+
+// StartedAfter returns a time after which a process has certainly started whose clock had the reading when it answered a request of
+// the given time.
+func StartedAfter(sentAt time.Time, reading time.Duration) time.Time {
+	return sentAt.Add(-time.Duration(float64(reading) * (1 + maxDrift)))
+}
+
 // NewWorker returns a worker that has not been contacted.
 func NewWorker(listing Listing, now time.Time) Worker {
 	w := Worker{KnownSince: now, runs: immutable.NewSortedMap[chutegraph.RunID, Run](runOrder{})}
@@ -73,6 +89,8 @@
 
 // WithIncarnation returns the worker after a restart of its process: what it runs is unknown.
 func (w Worker) WithIncarnation(incarnation int64) Worker {
+	w.SetBack = incarnation < w.Incarnation
+	w.StartedBefore = time.Time{}
 	w.Incarnation = incarnation
 	w.Contacted, w.Lost, w.RestartSeen = false, false, false
 	w.HandledEnd, w.RecordedEnd, w.AcknowledgedEnd = 0, 0, 0
@@ -118,6 +136,9 @@
 	}
 	w.ReportClock = max(w.ReportClock, clock)
 	w.Clock = Clock{Reading: clock, ReadAt: now}
+	if started := w.Clock.startedBefore(); clock > 0 && (w.StartedBefore.IsZero() || started.Before(w.StartedBefore)) {
+		w.StartedBefore = started
+	}
 	w.MissedRenewals, w.Lost, w.PresumedEnded = 0, false, false
 	w.RestartSeen = false
 	w.AnsweredAt = now
--- a/chuterenewal/renewal.go
+++ b/chuterenewal/renewal.go
@@ -81,16 +81,16 @@
 
 // applyRenewal applies the worker's report in its answer to a renewal.
 func applyRenewal(t *chuterunner.Transition, w chutepool.Worker, e chuteaction.LeaseRenewed) {
-	if w.Incarnation != 0 && e.Incarnation != 0 && e.Incarnation < w.Incarnation {
-		if w.Contacted || !e.SentAt.After(w.RestartFoundAt) {
-			t.PutWorker(w)
-			return // late answer of an earlier incarnation
-		}
-		w = refuteIncarnation(t, w, e.Incarnation)
-	}
-	if w.Incarnation != 0 && e.Incarnation > w.Incarnation {
+	switch originOf(w, e) {
+	case sameProcess:
+	case earlierProcess:
+		t.PutWorker(w)
+		return
+	case laterProcess:
 		t.ApplyIncarnation(w, e.Incarnation)
 		w, _ = t.Pool.Get(w.ID)
+	case refutedProcess:
+		w = refuteIncarnation(t, w, e.Incarnation)
 	}
 	if w.MissedRenewals > 0 || !w.Contacted {
 		t.Log(component, "worker answers renewals", "", "worker", w.ID, "missed", w.MissedRenewals, "running", len(e.Running), "ended", len(e.Ended))
@@ -117,6 +117,31 @@
 	endAbsentRuns(t, w.ID, e)
 }
 
+// origin is the process of a worker that has given an answer, compared with the one that is known.
+type origin int
+
+const (
+	sameProcess    origin = iota // the known one, or an unknown one where none is known
+	earlierProcess               // an earlier one, so that the answer is late
+	laterProcess                 // a later one: the worker has restarted
+	refutedProcess               // one that is still there, although an entry told of a restart since
+)
+
+// originOf returns which process of the worker has given the answer. Processes are numbered by the time of day of their start. Where
+// that was set back, the worker's steady clock tells which process started later; an answer that it says nothing of counts as late.
+func originOf(w chutepool.Worker, e chuteaction.LeaseRenewed) origin {
+	later := e.Clock > 0 && !w.StartedBefore.IsZero() && chutepool.StartedAfter(e.SentAt, e.Clock).After(w.StartedBefore)
+	switch {
+	case w.Incarnation == 0 || e.Incarnation == 0 || e.Incarnation == w.Incarnation:
+		return sameProcess
+	case e.Incarnation > w.Incarnation && !w.SetBack, later:
+		return laterProcess
+	case e.Incarnation > w.Incarnation || w.Contacted || !e.SentAt.After(w.RestartFoundAt):
+		return earlierProcess
+	}
+	return refutedProcess
+}
+
 // refuteIncarnation records that a worker has not restarted, although its entry said so: asked after that, it answers as its
 // former incarnation.
 func refuteIncarnation(t *chuterunner.Transition, w chutepool.Worker, incarnation int64) chutepool.Worker {
@@ -125,6 +150,6 @@
 	chutecrash.Withdraw(t.Transition, w.ID, incarnation)
 	draining, leavesAt := w.Draining, w.LeavesAt
 	w = w.WithIncarnation(incarnation)
-	w.Draining, w.LeavesAt = draining, leavesAt
+	w.Draining, w.LeavesAt, w.SetBack = draining, leavesAt, false
 	return w
 }
