Move what schedulers tell each other of workers into chutehandover

Change: chutehandover.State holds the handover; chutescheduler asks it what to write and which leases not to extend. FinalLeasesOutdated is HandoverOutdated. No behaviour changes.

--- a/chuteentry/leading.go
+++ b/chuteentry/leading.go
@@ -110,7 +110,7 @@
 		t.write(rows)
 	case t.state.stopping:
 		t.release()
-	case silent || scheduler.FinalLeasesOutdated():
+	case silent || scheduler.HandoverOutdated():
 		t.write(nil)
 	}
 }
--- a/chutescheduler/finallease.go
+++ b/chutehandover/finallease.go
@@ -1,9 +1,10 @@
-package chutescheduler
+package chutehandover
 
 import (
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutemembership"
 	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
@@ -41,10 +42,10 @@
 	return !w.Contacted || w.MissedRenewals >= minMissedForFinalLease || chutemembership.LeavesAtShortNotice(w)
 }
 
-// finalLease returns the worker's lease with a bound of its end that is no later than the one declared before.
-func (t *transition) finalLease(w chutepool.Worker) chuteaction.FinalLease {
+// leaseOf returns the worker's lease with a bound of its end that is no later than the one declared before.
+func (f finalLeases) leaseOf(t *chuterunner.Transition, w chutepool.Worker) chuteaction.FinalLease {
 	end := t.Environment.StoreClock.Latest(w.LeaseExpiryBound)
-	if former, ok := chuteaction.FinalLeaseOf(t.handover.finalLeases.declared, w.ID); ok {
+	if former, ok := chuteaction.FinalLeaseOf(f.declared, w.ID); ok {
 		return chuteaction.FinalLease{Worker: w.ID, End: min(former, end)}
 	}
 	if !t.FinalLeases[w.ID] {
@@ -54,15 +55,3 @@
 	}
 	return chuteaction.FinalLease{Worker: w.ID, End: end}
 }
-
-// FinalLeasesOutdated reports whether the leader's row declares the lease of a worker final that answers again.
-func (s State) FinalLeasesOutdated() bool {
-	leases := s.handover.finalLeases
-	for _, l := range leases.declared {
-		w, ok := s.runner.Pool.Get(l.Worker)
-		if _, due := chuteaction.FinalLeaseOf(leases.due, l.Worker); ok && w.Contacted && w.RunCount() > 0 && !due {
-			return true
-		}
-	}
-	return false
-}
--- a/chutescheduler/batch.go
+++ b/chutescheduler/batch.go
@@ -99,7 +99,8 @@
 // HandleCommit handles the write's success: it starts the runs recorded, and workers may delete the ends recorded.
 func (s State) HandleCommit(t *chuteaction.Transition, environment chuteledger.Environment) State {
 	u := s.transition(t, environment)
-	u.handleHandoverRecorded()
+	u.handover = u.handover.WithRecorded()
+	u.FinalLeases = u.handover.NotExtended()
 	b := u.batch
 	u.batch = batch{}
 	for _, e := range b.ends {
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -6,6 +6,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecrash"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutehandover"
 	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -243,7 +244,7 @@
 	final, declared := chuteaction.FinalLeaseOf(told.FinalLeases, worker)
 	switch {
 	case declared && clock.Known():
-		return latest(clock.Time(final), t.LeaderSince.Add(handoverDelay))
+		return latest(clock.Time(final), t.LeaderSince.Add(chutehandover.Delay))
 	case told.FormerLeaseEnd > 0 && clock.Known():
 		return latest(t.predecessorsLeaseEnd(), clock.Time(told.FormerLeaseEnd))
 	}
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -7,6 +7,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutehandover"
 	"monsoonchute.example/monsoonchute/chuteleader"
 	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutemembership"
@@ -49,7 +50,7 @@
 	workersWatch       chuteaction.Token // subscription to the table of workers; 0 before it begins
 	hostsToken         chuteaction.Token
 	waves              chutewave.State
-	handover           handover
+	handover           chutehandover.State
 	machineLists       chutemembership.MachineLists
 }
 
@@ -59,7 +60,7 @@
 	s := State{
 		runner: chuteledger.New(row.Epoch, bounds, t.Now),
 		schedulerState: schedulerState{
-			predecessor: predecessor, handover: handover{takeover: row.Handover, finalLeases: finalLeases{declared: row.Handover.FinalLeases}},
+			predecessor: predecessor, handover: chutehandover.New(row.Handover),
 			planner:        chuteplanner.New(),
 			timed:          immutable.NewSortedMap[chutegraph.JobID, bool](nil),
 			cancelledEarly: immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
@@ -71,7 +72,7 @@
 	if predecessor.Row.Epoch == 0 || predecessor.Row.Released {
 		s.predecessorEndedBy = t.Now
 	}
-	s.runner.FinalLeases = s.handover.finalLeases.workers()
+	s.runner.FinalLeases = s.handover.NotExtended()
 	s.jobsWatch = t.NewToken()
 	t.Emit(chuteaction.WatchTable{Watch: s.jobsWatch, Table: chuteaction.TableJobs, PollTimeout: tablePollTimeout})
 	return s.readHosts(t).readProgress(t)
@@ -104,6 +105,23 @@
 	}
 }
 
+// Handover returns what the next write of the leader's row tells a successor.
+func (s State) Handover() chuteaction.Handover {
+	return s.handover.Next()
+}
+
+// HandoverOutdated reports whether the leader's row tells what no longer holds, and should be written soon.
+func (s State) HandoverOutdated() bool {
+	return s.handover.Outdated(s.runner.Pool)
+}
+
+// WithHandoverWritten returns the state after the start of a write of the leader's row that tells the handover.
+func (s State) WithHandoverWritten(written chuteaction.Handover) State {
+	s.handover = s.handover.WithWritten(written)
+	s.runner.FinalLeases = s.handover.NotExtended()
+	return s
+}
+
 // Epoch returns the epoch under which the scheduler sends orders.
 func (s State) Epoch() int64 {
 	return s.runner.Epoch
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -5,6 +5,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecrash"
+	"monsoonchute.example/monsoonchute/chutehandover"
 	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutemembership"
 	"monsoonchute.example/monsoonchute/chutepool"
@@ -31,12 +32,13 @@
 		if (i+u.ticks)%ticksPerCheck == 0 {
 			u.checkWorker(w)
 		}
-		if u.concernsSuccessor(w) {
+		if chutehandover.Concerns(u.Transition, w) {
 			concerning = append(concerning, w)
 		}
 	}
 	u.machineLists = u.machineLists.Tick(u.Transition, concerning)
-	u.updateHandover(concerning)
+	u.handover = u.handover.Tick(u.Transition, concerning)
+	u.FinalLeases = u.handover.NotExtended()
 	u.countPending()
 	u.waves = u.waves.Tick(u.Transition)
 	u.planner = u.planner.Plan(u.Transition)
