Move the checks of a new job and what a job waits for into chuteadmission

Change: chuteadmission.Rejection, FollowsDocument and Causes; chutecore no longer needs chuteshard for the one question whether a refusal follows the document. No behaviour changes.

--- a/chutecore/call.go
+++ b/chutecore/call.go
@@ -10,12 +10,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"monsoonchute.example/monsoonchute/chuteaccelerator"
+	"monsoonchute.example/monsoonchute/chuteadmission"
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chutedocument"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chutejob"
 	"monsoonchute.example/monsoonchute/chuteresult"
-	"monsoonchute.example/monsoonchute/chuteshard"
 	"monsoonchute.example/monsoonchute/chutetopology"
 )
 
@@ -53,7 +53,7 @@
 	arrived := arrivedCall{origin: chuteevent.Origin{ID: e.ID}, requestID: e.RequestID, call: call, arrivedAt: t.now}
 	call, shard, refusal := t.assignShard(call)
 	if refusal != nil {
-		if !chuteshard.FollowsDocument(refusal.Code) || !t.deferCall(arrived) {
+		if !chuteadmission.FollowsDocument(refusal.Code) || !t.deferCall(arrived) {
 			t.answer(e.ID, chutecall.ResultReply{Result: *refusal})
 		}
 		return
--- a/chuteshard/call.go
+++ b/chuteshard/call.go
@@ -3,13 +3,12 @@
 import (
 	"slices"
 
-	"monsoonchute.example/monsoonchute/chuteaccelerator"
+	"monsoonchute.example/monsoonchute/chuteadmission"
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chutegang"
 	"monsoonchute.example/monsoonchute/chutejob"
 	"monsoonchute.example/monsoonchute/chuteresult"
-	"monsoonchute.example/monsoonchute/chutetopology"
 )
 
 // maxListed is the maximum number of jobs in one reply to ListJobs.
@@ -41,8 +40,8 @@
 		t.answerDuplicate(from, j, call.Spec)
 		return
 	}
-	if refusal, ok := t.rejection(call.Spec); ok {
-		t.outdated = FollowsDocument(refusal.Code)
+	if refusal, ok := chuteadmission.Rejection(t.Transition, call.Spec); ok {
+		t.outdated = chuteadmission.FollowsDocument(refusal.Code)
 		t.Count("job-refused", refusal.Code.String())
 		t.Answer(from, chutecall.ResultReply{Result: refusal})
 		return
@@ -68,44 +67,6 @@
 	t.Answer(from, chutecall.JobReply{Result: chuteresult.New(chuteresult.Accepted, "job %s was accepted before", j.ID), Job: j})
 }
 
-// rejection returns why a job with the specification cannot be accepted, and false if it can.
-func (t *transition) rejection(spec chutejob.Spec) (chuteresult.Result, bool) {
-	if err := spec.Check(); err != nil {
-		return chuteresult.FromError(err), true
-	}
-	w, ok := t.Environment.Document.Workspace(spec.Workspace)
-	if !ok {
-		return chuteresult.New(chuteresult.NotFound, "workspace: %q is not in the document", spec.Workspace), true
-	}
-	if w.Quota > 0 && spec.Shape.Total() > w.Quota {
-		return chuteresult.New(chuteresult.OverQuota, "shape: %s holds %d accelerators, the quota of %s is %d",
-			spec.Shape, spec.Shape.Total(), w.Name, w.Quota), true
-	}
-	team, ok := t.Environment.Document.Team(w.Team)
-	if ok && team.Quota > 0 && spec.Shape.Total() > team.Quota {
-		return chuteresult.New(chuteresult.OverQuota, "shape: %s holds %d accelerators, the quota of team %s is %d",
-			spec.Shape, spec.Shape.Total(), team.Name, team.Quota), true
-	}
-	if !t.fitsEmpty(spec.Shape) {
-		return chuteresult.New(chuteresult.NeverFits, "shape: %s fits no part of shard %d, even when empty", spec.Shape, t.State.Shard), true
-	}
-	if !t.Environment.StoreUp {
-		return chuteresult.New(chuteresult.StoreUnavailable, "job: cannot be recorded now"), true
-	}
-	return chuteresult.Result{}, false
-}
-
-// FollowsDocument reports whether a refusal of a job with the code rests on the document in force.
-func FollowsDocument(code chuteresult.Code) bool {
-	return code == chuteresult.NotFound || code == chuteresult.OverQuota || code == chuteresult.NeverFits
-}
-
-// fitsEmpty reports whether the shape fits the topology of the shard when nothing runs there.
-func (t *transition) fitsEmpty(shape chutetopology.Shape) bool {
-	_, ok := chuteaccelerator.New(t.Environment.Topology).Place(shape)
-	return ok
-}
-
 // answerUnknown answers a call about a job that this owner does not know. Without a valid lease another owner may have
 // accepted it.
 func (t *transition) answerUnknown(from chuteevent.Origin, id chutejob.ID) {
@@ -136,6 +97,16 @@
 	t.Answer(from, chutecall.JobReply{Result: chuteresult.Result{Code: chuteresult.Done}, Job: j})
 }
 
+// explain answers with the causes that keep a job waiting.
+func (t *transition) explain(from chuteevent.Origin, id chutejob.ID) {
+	j, ok := t.acceptedJob(id)
+	if !ok {
+		t.answerUnknown(from, id)
+		return
+	}
+	t.Answer(from, chutecall.ExplainReply{Job: j, Causes: chuteadmission.Causes(t.Transition, j)})
+}
+
 func (t *transition) list(from chuteevent.Origin) {
 	jobs := append(t.State.Live(), t.State.Ended()...)
 	jobs = slices.DeleteFunc(jobs, chutejob.Job.Rejected)
