Keep a suspect off the worker that failed it while another can be emptied

Change: the workers that a quarantine may use leave out those on which a run of the job was the latest to fail, if the others could hold its tasks once they are empty; these are then emptied as for any quarantine.

Tests: TestASuspectWaitsForAnotherWorkerThanTheOneItFailedOn failed before (1 start on the failing worker).

--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -232,8 +232,30 @@
 }
 
 // quarantineWorkers returns the workers on which a quarantined task of the demand may start: those without runs, or all as if they
-// had none.
+// had none. Where others could hold its tasks, they are without those on which a run of its job was the latest to fail: a start
+// there would spend the task's crash budget and show nothing of it.
 func (p *pass) quarantineWorkers(d chuteplacement.Demand, taken map[chutetask.WorkerID]bool, empty bool) []chuteplacement.Worker {
+	workers := p.workersAlone(taken, empty)
+	if !slices.ContainsFunc(workers, func(w chuteplacement.Worker) bool { return p.failedLast(w, d.ID.Job) }) {
+		return workers
+	}
+	withoutFailed := func(all []chuteplacement.Worker) []chuteplacement.Worker {
+		return slices.DeleteFunc(slices.Clone(all), func(w chuteplacement.Worker) bool { return p.failedLast(w, d.ID.Job) })
+	}
+	if len(placeAlone(d, withoutFailed(p.workersAlone(taken, false)))) == 0 {
+		return workers
+	}
+	return withoutFailed(workers)
+}
+
+// failedLast reports whether a run of the job was the latest to fail on the worker.
+func (p *pass) failedLast(worker chuteplacement.Worker, job chutegraph.JobID) bool {
+	w, ok := p.Pool.Get(worker.ID)
+	return ok && w.FailureStreak > 0 && w.LastFailedJob == job
+}
+
+// workersAlone returns the workers without runs, or all as if they had none, that may hold a quarantine and are not taken.
+func (p *pass) workersAlone(taken map[chutetask.WorkerID]bool, empty bool) []chuteplacement.Worker {
 	var workers []chuteplacement.Worker
 	for _, w := range p.Pool.All() {
 		if !w.Usable(p.Now) || !p.MayStartOn(w) || w.InQuarantine() || taken[w.ID] {
@@ -248,9 +270,6 @@
 		if !w.CrashedAt.IsZero() && p.Now.Sub(w.CrashedAt) < crashMemory {
 			worker.Penalty += crashPenalty
 		}
-		if w.FailureStreak > 0 && w.LastFailedJob == d.ID.Job { // a start there would spend the task's crash budget in vain
-			worker.Penalty += crashPenalty
-		}
 		workers = append(workers, worker)
 	}
 	return workers
