Log why a step waits for capacity while nothing of its job runs

Cause: the users' record shows accepted jobs that stood, and no line of ours tells why a step waits. Change: twice a second the planner looks at steps of whose jobs nothing runs; each that has waited a second is logged every three seconds, eight at a time, with the reason: no room, the rack, runs that are not confirmed, workers that can't be used (counted by obstacle), or room that is kept for others. MayStartOn now names the obstacle. Decisions are unchanged.

--- a/chuteledger/state.go
+++ b/chuteledger/state.go
@@ -131,16 +131,6 @@
 	return chuteaction.WorkerTarget{Worker: w.ID, Address: w.Address, Epoch: t.Epoch}
 }
 
-// maxListAge is the age of the list of workers beyond which nothing starts, since workers may have shrunk or begun to
-// drain.
-const maxListAge = 3 * time.Second
-
-// MayStartOn reports whether new runs may start on the worker.
-func (t *Transition) MayStartOn(w chutepool.Worker) bool {
-	return w.Listed && !w.Draining && !w.Lost && !t.Environment.EvacuatedZones[w.Zone] && !t.Cordoned[w.ID] && !t.FinalLeases[w.ID] &&
-		t.Now.Sub(t.ListedAt) <= maxListAge
-}
-
 // MayOrderStart reports whether the start order of a run that the worker has capacity reserved for may be sent now.
 func (t *Transition) MayOrderStart(w chutepool.Worker) bool {
 	return t.MayStartOn(w) && !w.Overcommitted()
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -34,6 +34,7 @@
 	p.updateWaiting(demands)
 	plan := p.planQuarantine(quarantined)
 	p.planSpareQuarantine(plan, p.planBeside(append(demands, plan.beside...), plan.taken))
+	p.reportWaits(demands)
 	p.quarantineDueSince = p.quarantineWaits
 }
 
--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -30,6 +30,7 @@
 	waitingSince *immutable.SortedMap[chutegraph.StepID, time.Time]
 	// quarantineDueSince is the time since when tasks of each step have waited for a quarantine.
 	quarantineDueSince *immutable.SortedMap[chutegraph.StepID, time.Time]
+	waits              waitReport
 }
 
 // New returns the state of a planner that has not planned yet.
--- a/chuteplanner/usable.go
+++ b/chuteplanner/usable.go
@@ -1,6 +1,7 @@
 package chuteplanner
 
 import (
+	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -10,7 +11,7 @@
 func (p *pass) usableWorkers(taken map[chutetask.WorkerID]bool) []chuteplacement.Worker {
 	var workers []chuteplacement.Worker
 	for _, w := range p.Pool.All() {
-		if !w.Usable(p.Now) || !p.MayStartOn(w) || taken[w.ID] || w.InQuarantine() {
+		if taken[w.ID] || p.obstacle(w) != "" {
 			continue
 		}
 		workers = append(workers, p.placementWorker(w))
@@ -18,6 +19,24 @@
 	return workers
 }
 
+// obstacle returns what keeps tasks off the worker that may share one, in kebab case, or an empty text.
+func (p *pass) obstacle(w chutepool.Worker) string {
+	o := p.StartObstacle(w)
+	switch {
+	case o != chuteledger.ObstacleNone:
+		return o.String()
+	case !w.Contacted:
+		return "not-reached"
+	case w.MissedRenewals > 0:
+		return "silent"
+	case !w.Usable(p.Now):
+		return "cooldown"
+	case w.InQuarantine():
+		return "quarantine"
+	}
+	return ""
+}
+
 func (p *pass) placementWorker(w chutepool.Worker) chuteplacement.Worker {
 	return chuteplacement.Worker{
 		ID: w.ID, Service: w.Service, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.Free(),
--- /dev/null
+++ b/chuteplanner/waits_test.go
@@ -0,0 +1,68 @@
+package chuteplanner_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chuterunner"
+)
+
+// fill gives every worker of the zones a run in the phase that takes all its capacity.
+func (s *scheduler) fill(phase chutepool.RunPhase, zones ...string) {
+	id := chutegraph.RunID{Task: chutegraph.TaskID{StepID: chutegraph.StepID{Job: "00000000000000bb"}}, Number: 1}
+	for _, w := range s.state.Pool.All() {
+		for _, zone := range zones {
+			if w.Zone == zone {
+				run := chutepool.Run{ID: id, Reserved: w.Capacity}.WithPhase(phase, s.now)
+				s.state.Pool = s.state.Pool.With(w.WithRun(run))
+			}
+		}
+	}
+}
+
+// waitReason returns the reason that the planner logs for the step in the next passes.
+func (s *scheduler) waitReason() string {
+	for range 4 {
+		s.now = s.now.Add(time.Second)
+		s.state.ListedAt = s.now
+		t := chuterunner.NewTransition(chuteaction.NewTransition(s.now, 0), s.state, s.environment)
+		s.planner, s.state = s.planner.Plan(t), t.State
+		for _, effect := range t.Effects {
+			if line, ok := effect.(chuteaction.LogLine); ok && strings.HasPrefix(line.Text, "step waits for capacity") {
+				return line.Fields[1].Value
+			}
+		}
+	}
+	return ""
+}
+
+func TestAStepThatWaitsIsLoggedWithTheReason(t *testing.T) {
+	all := []string{"zone-0", "zone-1", "zone-2", "zone-3"}
+	for reason, prepare := range map[string]func(*scheduler){
+		"no-room":          func(s *scheduler) { s.fill(chutepool.RunStarted, all...) },
+		"unconfirmed-runs": func(s *scheduler) { s.fill(chutepool.RunStopping, all...) },
+		"unusable-workers": func(s *scheduler) {
+			s.fill(chutepool.RunStarted, all[1:]...)
+			s.environment.EvacuatedZones = map[string]bool{"zone-0": true}
+		},
+		"too-large": func(s *scheduler) {
+			for _, w := range s.state.Pool.All() {
+				w.Capacity.Processor--
+				s.state.Pool = s.state.Pool.With(w)
+			}
+		},
+		"": func(*scheduler) {},
+	} {
+		is := is.New(t)
+		s := newScheduler(chutegraph.Step{Count: 2, Gang: true})
+		s.environment.Catalog.Queues[0].Approval = nil
+		prepare(s)
+		is.Equal(s.waitReason(), reason)
+	}
+}
