Let jobs of which nothing runs use capacity that is kept for a gang

Cause: a gang of lower priority that has waited for 4 s, or its estimate, reserves workers for as long as it waits, up to half of a service; everything after it in the order stood beside them while they emptied. After a loss of the leader there is a backlog, and the new leader's reservations begin 4 s later. TestAJobThatCouldRunDoesNotStandBesideCapacityKeptForAGang failed before: 0 tasks run after 3 s, not 1. Change: a step of whose job nothing has run for 2 s may use reserved capacity, with one task or its gang; the further tasks of jobs that run, which are most of what a reservation holds back, still may not.

--- a/chuteplacement/pass.go
+++ b/chuteplacement/pass.go
@@ -28,6 +28,7 @@
 	free       chutecapacity.Resources // free now
 	afterStops chutecapacity.Resources // free once all runs that are being stopped have ended
 	afterEnds  chutecapacity.Resources // free once the runs that are expected to end soon have ended as well
+	kept       chutecapacity.Resources // kept for a demand that waits, and so not free for others
 }
 
 type rack struct {
@@ -40,6 +41,7 @@
 
 const (
 	freeNow        availability = iota
+	freeIfNotKept               // as if nothing were kept for demands that wait
 	freeAfterStops              // all runs that are being stopped have ended
 	freeAfterEnds               // the runs that are expected to end soon have ended as well
 	wholeCapacity               // nothing runs on the worker
@@ -77,6 +79,8 @@
 	switch a {
 	case freeNow:
 		return w.free
+	case freeIfNotKept:
+		return w.free.Plus(w.kept)
 	case freeAfterStops:
 		return w.afterStops
 	case freeAfterEnds:
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -48,12 +48,13 @@
 	p.scheduleEach(d)
 }
 
-// scheduleEach schedules the waiting tasks one by one until one doesn't fit.
+// scheduleEach schedules the waiting tasks one by one until one doesn't fit. After the first, something of the job runs.
 func (p *pass) scheduleEach(d Demand) {
 	for i := range d.Indexes {
 		if !p.scheduleTogether(d.single(i)) {
 			return
 		}
+		d.Stands = false
 	}
 }
 
@@ -61,7 +62,7 @@
 // either free now or free once other runs have ended.
 func (p *pass) scheduleTogether(d Demand) bool {
 	claim := p.releaseClaim(d)
-	if placed, ok := p.place(d, freeNow); ok {
+	if placed, ok := p.placeNow(d); ok {
 		p.start(d, placed)
 		return true
 	}
@@ -92,6 +93,15 @@
 	return false
 }
 
+// placeNow returns a worker with free capacity for each waiting task of the demand, and false if not all of them fit.
+func (p *pass) placeNow(d Demand) ([]int, bool) {
+	placed, ok := p.place(d, freeNow)
+	if !ok && d.Stands {
+		return p.place(d, freeIfNotKept)
+	}
+	return placed, ok
+}
+
 // fitsEmpty reports whether the workers could hold all waiting tasks of the demand if nothing ran there.
 func (p *pass) fitsEmpty(d Demand) bool {
 	_, ok := p.place(d, wholeCapacity)
@@ -149,7 +159,7 @@
 		return false // a demand that is too large for every rack may be spread over several
 	case constrained(failed) || failed.Priority > d.Priority:
 		return false
-	case d.MayPreempt && !failed.MayPreempt || d.Guaranteed && !failed.Guaranteed:
+	case d.MayPreempt && !failed.MayPreempt || d.Guaranteed && !failed.Guaranteed || d.Stands && !failed.Stands:
 		return false
 	case failed.Step.Gang && (!d.Step.Gang || len(failed.Indexes) > len(d.Indexes)):
 		return false
--- a/chuteplacement/reservation.go
+++ b/chuteplacement/reservation.go
@@ -5,9 +5,9 @@
 	"slices"
 )
 
-// reserveWhileWaiting reserves capacity for all waiting tasks of the demand, so that later demands can't take it. It
-// takes the set of workers on which the fewest accelerators must still become free. It returns false if no set could hold
-// the demand when empty.
+// reserveWhileWaiting reserves capacity for all waiting tasks of the demand, so that later demands can't take it, unless nothing
+// of their jobs has run for long. It takes the set of workers on which the fewest accelerators must still become free. It
+// returns false if no set could hold the demand when empty.
 func (p *pass) reserveWhileWaiting(d Demand) bool {
 	var best []int
 	for _, workers := range p.scopes(d) {
@@ -17,6 +17,9 @@
 		}
 	}
 	p.reserve(d, best)
+	for _, w := range best {
+		p.workers[w].kept = p.workers[w].kept.Plus(d.Step.Reserved())
+	}
 	return best != nil
 }
 
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -32,6 +32,7 @@
 	demands, quarantined := p.demands()
 	p.nominated = make(map[chutegraph.StepID]map[int]chutetask.WorkerID)
 	p.updateWaiting(demands)
+	p.markStanding(demands)
 	plan := p.planQuarantine(quarantined)
 	p.planSpareQuarantine(plan, p.planBeside(append(demands, plan.beside...), plan.taken))
 	p.reportWaits(demands)
--- a/chuteplanner/waits.go
+++ b/chuteplanner/waits.go
@@ -16,6 +16,9 @@
 const (
 	// waitReportInterval is the time between two reports on steps that wait.
 	waitReportInterval = 500 * time.Millisecond
+	// maxStanding is the longest time for which a step of a job of which nothing runs waits beside capacity that is kept for
+	// others, less the time between two reports.
+	maxStanding = 2 * time.Second
 	// minReportedWait is how long a step has waited when it is reported first.
 	minReportedWait = time.Second
 	// waitRepeatInterval is the time after which a step that goes on waiting is reported again.
@@ -72,6 +75,14 @@
 	p.waits = waitReport{at: p.Now, steps: steps}
 }
 
+// markStanding marks the demands of jobs of which nothing has run for so long that they may use capacity that is kept for others.
+func (p *pass) markStanding(demands []chuteplacement.Demand) {
+	for i, d := range demands {
+		wait, known := p.waits.steps[d.ID]
+		demands[i].Stands = known && p.Now.Sub(wait.since) >= maxStanding && p.nothingRuns(d.ID.Job)
+	}
+}
+
 // nothingRuns reports whether no task of the job has a run.
 func (p *pass) nothingRuns(id chutegraph.JobID) bool {
 	j, ok := p.Live.Get(id)
--- a/chuteplanner/waits_test.go
+++ b/chuteplanner/waits_test.go
@@ -8,9 +8,11 @@
 	"github.com/matryer/is"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterunner"
+	"monsoonchute.example/monsoonchute/chutetask"
 )
 
 // fill gives every worker of the zones a run in the phase that takes all its capacity.
@@ -66,3 +68,35 @@
 		is.Equal(s.waitReason(), reason)
 	}
 }
+
+func TestAJobThatCouldRunDoesNotStandBesideCapacityKeptForAGang(t *testing.T) {
+	const maxStanding = 3 * time.Second
+	is := is.New(t)
+	s := newScheduler(chutegraph.Step{Count: workerCount, Gang: true})
+	s.environment.Catalog.Queues[0].Approval = nil
+	s.fill(chutepool.RunStarted, "zone-0") // so that the gang waits
+	s.pass(10 * time.Second)
+	step := chutegraph.Step{Count: 3, Request: chutecapacity.Resources{Processor: 1000}}
+	small := chutetask.Submission{ID: "00000000000000cc", Queue: "queue", Spec: chutegraph.Spec{Steps: []chutegraph.Step{step}}}
+	s.state.Live = s.state.Live.Set(small.ID, chutetask.New(small, 2, s.now).WithOccurrenceBegun(0))
+	s.pass(maxStanding)
+	running := 0
+	j, _ := s.state.Job(small.ID)
+	j.ForEachTask(func(_ chutegraph.TaskID, task chutetask.Task) {
+		if task.Phase == chutetask.TaskActive {
+			running++
+		}
+	})
+	is.Equal(running, 1) // the rest stays kept, now that something of the job runs
+}
+
+// pass runs planning passes for the time.
+func (s *scheduler) pass(duration time.Duration) {
+	const interval = 100 * time.Millisecond
+	for range duration / interval {
+		s.now = s.now.Add(interval)
+		s.state.ListedAt, s.state.PlanDue = s.now, true
+		t := chuterunner.NewTransition(chuteaction.NewTransition(s.now, 0), s.state, s.environment)
+		s.planner, s.state = s.planner.Plan(t), t.State
+	}
+}
