Reserve the workers for a gang by the resource that it lacks

What callers saw: a gang that needs much memory kept workers with free accelerators and taken memory, which it could not use before their runs ended, while others stood. Cause: the workers were chosen, and what they lack was counted, by accelerators alone. Change: they are chosen by the scarcest resource that the gang needs, and what lacks is counted in tasks. Evidence: the new case of TestPlan failed before, as the task beside the gang went to a worker that the gang could have used.

--- a/chuteplacement/plan_test.go
+++ b/chuteplacement/plan_test.go
@@ -56,6 +56,17 @@
 
 func sameRackGang(s *chutegraph.Step) { s.Gang, s.SameRack = true, true }
 
+// memoryGang makes the step a gang of which each task needs nearly all of a worker's memory.
+func memoryGang(s *chutegraph.Step) { s.Gang, s.Request.Memory = true, 500000 }
+
+// withMemory returns the workers with so much free memory.
+func withMemory(list []chuteplacement.Worker, free ...int) []chuteplacement.Worker {
+	for i, memory := range free {
+		list[i].Free.Memory = memory
+	}
+	return list
+}
+
 func reserving(d chuteplacement.Demand) chuteplacement.Demand {
 	d.NeedsReservation = true
 	return d
@@ -168,6 +179,11 @@
 			[]chuteplacement.Demand{reserving(demand("a", 1, 2, 8, sameRackGang)), demand("b", 2, 5, 4, nil)},
 			[]string{"b>w1", "b>w6"},
 		},
+		{
+			"capacity is reserved on the workers with the most memory for a gang that needs memory", withMemory(workers(8, 4, 4), 100000, 512000, 300000), nil,
+			[]chuteplacement.Demand{reserving(demand("a", 1, 2, 1, memoryGang)), demand("b", 2, 3, 4, nil)},
+			[]string{"b>w0", "b>w0"},
+		},
 		{
 			"urgent work evicts no urgent work", workers(0),
 			[]chuteplacement.RunGroup{group("x", 0, 1, 8, 0)},
--- a/chuteplacement/reservation.go
+++ b/chuteplacement/reservation.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"slices"
+
+	"monsoonchute.example/monsoonchute/chutecapacity"
 )
 
 // reserveWhileWaiting reserves capacity for all waiting tasks of the demand, so that later demands can't take it, unless nothing
-// of their jobs has run for long. It takes the set of workers on which the fewest accelerators must still become free. It
-// returns false if no set could hold the demand when empty.
+// of their jobs has run for long. It takes the set of workers that can start the most tasks at once. It returns false if no set
+// could hold the demand when empty.
 func (p *pass) reserveWhileWaiting(d Demand) bool {
 	var best []int
 	for _, workers := range p.scopes(d) {
@@ -23,13 +25,13 @@
 	return best != nil
 }
 
-// emptiestWorkers returns a worker for each waiting task, the workers with the most free accelerators first. It fills
+// emptiestWorkers returns a worker for each waiting task, the workers with the largest free share first. It fills
 // their whole capacity as if nothing ran there, and returns false if this doesn't hold all tasks.
 func (p *pass) emptiestWorkers(d Demand, workers []int) ([]int, bool) {
 	need := d.Step.Reserved()
 	order := slices.Clone(workers)
 	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Compare(p.workers[b].afterStops.Accelerators, p.workers[a].afterStops.Accelerators)
+		return cmp.Compare(p.workers[b].freeShare(need), p.workers[a].freeShare(need))
 	})
 	var chosen []int
 	for _, w := range order {
@@ -44,15 +46,31 @@
 	return chosen, len(chosen) == len(d.Indexes)
 }
 
-// missing returns the number of accelerators that must still become free on the workers before the demand fits.
+// freeShare returns the free share of the needed resource of which the least is free once all runs that are being stopped have
+// ended.
+func (w workerState) freeShare(need chutecapacity.Resources) float64 {
+	share := 1.0
+	for _, r := range []struct{ need, free, capacity int }{
+		{need.Processor, w.afterStops.Processor, w.Capacity.Processor},
+		{need.Memory, w.afterStops.Memory, w.Capacity.Memory},
+		{need.Accelerators, w.afterStops.Accelerators, w.Capacity.Accelerators},
+	} {
+		if r.need > 0 {
+			share = min(share, ratio(r.free, r.capacity))
+		}
+	}
+	return share
+}
+
+// missing returns the number of tasks for which capacity must still become free on the workers.
 func (p *pass) missing(d Demand, chosen []int) int {
-	need := make(map[int]int)
+	tasks := make(map[int]int)
 	for _, w := range chosen {
-		need[w] += d.Step.Request.Accelerators
+		tasks[w]++
 	}
 	missing := 0
-	for w, n := range need {
-		missing += max(0, n-p.workers[w].afterStops.Accelerators)
+	for w, n := range tasks {
+		missing += n - d.Step.Reserved().Copies(p.workers[w].afterStops, n)
 	}
 	return missing
 }
