Move what a new scheduler takes over to chutetakeover

Change: the predecessor, how long its leases last, and the runs and crashes that are inherited from it are a package of their own; the scheduler keeps a value of it. Nothing else changes.

--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -1,14 +1,10 @@
 package chutescheduler
 
 import (
-	"time"
-
 	"monsoonchute.example/monsoonchute/chuteaction"
-	"monsoonchute.example/monsoonchute/chutecrash"
 	"monsoonchute.example/monsoonchute/chutegraph"
-	"monsoonchute.example/monsoonchute/chutehandover"
 	"monsoonchute.example/monsoonchute/chuteledger"
-	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chutetakeover"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
@@ -36,7 +32,7 @@
 	}
 	u := s.transition(t, environment)
 	u.hasHosts = true
-	u.checkPredecessor(e.Rows)
+	u.predecessor = u.predecessor.WithHosts(u.Transition, e.Rows)
 	u.mergeProgress()
 	return u.state()
 }
@@ -44,37 +40,10 @@
 // HandleHosts handles changed rows of the entry hosts.
 func (s State) HandleHosts(t *chuteaction.Transition, environment chuteledger.Environment, rows []chuteaction.Row) State {
 	u := s.transition(t, environment)
-	u.checkPredecessor(rows)
+	u.predecessor = u.predecessor.WithHosts(u.Transition, rows)
 	return u.state()
 }
 
-// checkPredecessor checks whether the predecessor's process has ended, in which case nobody renews leases under its epoch any
-// more. It has ended if a later row of its host names another process.
-func (t *transition) checkPredecessor(rows []chuteaction.Row) {
-	if !t.predecessorEndedBy.IsZero() {
-		return
-	}
-	for _, r := range rows {
-		row, ok := r.Value.(chuteaction.HostRow)
-		if ok && row.Host == t.predecessor.Row.Host && row.Process != t.predecessor.Row.Process && r.Version > t.predecessor.Version {
-			t.predecessorEndedBy = t.Now
-			t.Log(component, "process of the former leader has ended", "", "former", row.Host, "since-takeover", t.Now.Sub(t.LeaderSince))
-			t.shortenInheritedLeases()
-			return
-		}
-	}
-}
-
-// shortenInheritedLeases applies what is known now of the predecessor to the workers that this scheduler has not reached.
-func (t *transition) shortenInheritedLeases() {
-	for _, w := range t.Pool.All() {
-		if end := t.inheritedLeaseEnd(w.ID); w.AnsweredAt.IsZero() && end.Before(w.LeaseExpiryBound) {
-			w.LeaseExpiryBound = end
-			t.PutWorker(w)
-		}
-	}
-}
-
 // HandleForwarded handles rows of submitted and cancelled jobs that another host has recorded.
 func (s State) HandleForwarded(t *chuteaction.Transition, environment chuteledger.Environment, rows []chuteaction.Row) State {
 	u := s.transition(t, environment)
@@ -166,7 +135,7 @@
 	}
 	t.progress = nil
 	t.Log(component, "jobs and their progress read", "", "live", t.Live.Len(), "ended", t.Ended.Len(), "runs", runs,
-		"former", t.predecessor.Row.Host, "former-ended", !t.predecessorEndedBy.IsZero())
+		"former", t.predecessor.Host(), "former-ended", t.predecessor.Ended())
 	t.workersWatch = t.NewToken()
 	t.Emit(chuteaction.WatchTable{
 		Watch: t.workersWatch, Table: chuteaction.TableWorkers, MinInterval: workersPollInterval, PollTimeout: tablePollTimeout,
@@ -195,69 +164,8 @@
 	if cancelled && row.Phase != j.Phase {
 		t.PutJob(j)
 	}
-	t.inheritCrashes(j)
-	return t.inheritRuns(j)
-}
-
-// inheritCrashes notes what an earlier scheduler recorded of crashes under the tasks of a job.
-func (t *transition) inheritCrashes(j chutetask.Job) {
-	j.ForEachTask(func(id chutegraph.TaskID, task chutetask.Task) {
-		chutecrash.Inherit(t.Transition.Transition, id, task.Crashes)
-	})
-}
-
-// inheritRuns reserves capacity for a job's recorded runs, running or with start orders in flight, and counts them.
-func (t *transition) inheritRuns(j chutetask.Job) int {
-	count := 0
-	j.ForEachTask(func(id chutegraph.TaskID, task chutetask.Task) {
-		if task.Phase != chutetask.TaskActive {
-			return
-		}
-		count++
-		w, ok := t.Pool.Get(task.Worker)
-		if !ok {
-			w = t.inheritedWorker(task.Worker)
-		}
-		run := chutepool.Run{
-			ID: chutegraph.RunID{Task: id, Number: task.Run}, Reserved: j.Step(id.StepID).Reserved(),
-			Priority: j.Priority, StartUnanswered: true, Inherited: true, Checkpoint: task.Checkpoint, Quarantined: task.Quarantined,
-		}.WithPhase(chutepool.RunOrdered, t.Now)
-		t.PutWorker(w.WithRun(run))
-	})
-	return count
-}
-
-// inheritedWorker returns a worker of which this scheduler knows only what earlier ones have told.
-func (t *transition) inheritedWorker(id chutetask.WorkerID) chutepool.Worker {
-	w := chutepool.NewWorker(chutepool.Listing{ID: id}, t.Now).WithUnlisted()
-	if address, ok := t.predecessor.Row.Handover.AddressOf(id); ok {
-		w.Address, w.AnsweredFrom = address, address
-	}
-	w.LeaseExpiryBound = t.inheritedLeaseEnd(id)
-	return w
-}
-
-// inheritedLeaseEnd returns when the lease expires of a worker that this scheduler has not reached. Earlier schedulers that the
-// worker may have heard last may renew it for a while after their latest writes.
-func (t *transition) inheritedLeaseEnd(worker chutetask.WorkerID) time.Time {
-	told, clock := t.predecessor.Row.Handover, t.Environment.StoreClock
-	final, declared := chuteaction.FinalLeaseOf(told.FinalLeases, worker)
-	switch {
-	case declared && clock.Known():
-		return latest(clock.Time(final), t.LeaderSince.Add(chutehandover.Delay))
-	case told.FormerLeaseEnd > 0 && clock.Known():
-		return latest(t.predecessorsLeaseEnd(), clock.Time(told.FormerLeaseEnd))
-	}
-	return t.predecessorsLeaseEnd()
-}
-
-// predecessorsLeaseEnd returns when the leases expire that the predecessor has granted.
-func (t *transition) predecessorsLeaseEnd() time.Time {
-	if !t.predecessorEndedBy.IsZero() {
-		return t.predecessorEndedBy.Add(t.Bounds.LongestLease())
-	}
-	granted := t.predecessor.ObservedAt.Add(t.Bounds.LongestUnconfirmedLease())
-	return latest(granted, t.LeaderSince.Add(t.Bounds.LongestLease()))
+	chutetakeover.InheritCrashes(t.Transition, j)
+	return t.predecessor.InheritRuns(t.Transition, j)
 }
 
 // cancelJob ends a job whose cancellation the client recorded, and stops its runs. The cancellation may have overtaken its
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -15,6 +15,7 @@
 	"monsoonchute.example/monsoonchute/chuteplanner"
 	"monsoonchute.example/monsoonchute/chuterenewal"
 	"monsoonchute.example/monsoonchute/chuterunner"
+	"monsoonchute.example/monsoonchute/chutetakeover"
 	"monsoonchute.example/monsoonchute/chutetask"
 	"monsoonchute.example/monsoonchute/chutewave"
 )
@@ -29,29 +30,28 @@
 
 // schedulerState is the part of State that chuteledger.State does not hold.
 type schedulerState struct {
-	batch              batch
-	predecessor        chuteleader.Predecessor                                 // the scheduler that led before this one
-	predecessorEndedBy time.Time                                               // by then the predecessor's process had certainly ended; zero if that is not known
-	progress           []chuteaction.Row                                       // rows to merge once all submissions are known
-	unmerged           *immutable.SortedMap[chutegraph.JobID, chuteaction.Row] // progress of jobs without a submission, or malformed
-	cancelledEarly     *immutable.SortedMap[chutegraph.JobID, bool]            // cancelled jobs without a submission
-	hasHosts           bool                                                    // the process of every host has been read
-	hasProgress        bool                                                    // the progress of all jobs has been read
-	hasJobs            bool                                                    // all submissions have been read
-	hasWorkers         bool                                                    // all workers have been read
-	timed              *immutable.SortedMap[chutegraph.JobID, bool]            // live jobs whose occurrences start at set times
-	ticks              int                                                     // ticks so far; they select the workers to check
-	pending            map[string]int                                          // pending jobs by queue; the map is never modified
-	countedAt          time.Time                                               // when the pending jobs were last counted
-	malformed          *immutable.SortedMap[chutetask.WorkerID, bool]          // entries that name no worker, as logged
-	planner            chuteplanner.Planner
-	progressToken      chuteaction.Token
-	jobsWatch          chuteaction.Token // subscription to the table of jobs
-	workersWatch       chuteaction.Token // subscription to the table of workers; 0 before it begins
-	hostsToken         chuteaction.Token
-	waves              chutewave.State
-	handover           chutehandover.State
-	machineLists       chutemembership.MachineLists
+	batch          batch
+	predecessor    chutetakeover.Predecessor                               // the scheduler that led before this one
+	progress       []chuteaction.Row                                       // rows to merge once all submissions are known
+	unmerged       *immutable.SortedMap[chutegraph.JobID, chuteaction.Row] // progress of jobs without a submission, or malformed
+	cancelledEarly *immutable.SortedMap[chutegraph.JobID, bool]            // cancelled jobs without a submission
+	hasHosts       bool                                                    // the process of every host has been read
+	hasProgress    bool                                                    // the progress of all jobs has been read
+	hasJobs        bool                                                    // all submissions have been read
+	hasWorkers     bool                                                    // all workers have been read
+	timed          *immutable.SortedMap[chutegraph.JobID, bool]            // live jobs whose occurrences start at set times
+	ticks          int                                                     // ticks so far; they select the workers to check
+	pending        map[string]int                                          // pending jobs by queue; the map is never modified
+	countedAt      time.Time                                               // when the pending jobs were last counted
+	malformed      *immutable.SortedMap[chutetask.WorkerID, bool]          // entries that name no worker, as logged
+	planner        chuteplanner.Planner
+	progressToken  chuteaction.Token
+	jobsWatch      chuteaction.Token // subscription to the table of jobs
+	workersWatch   chuteaction.Token // subscription to the table of workers; 0 before it begins
+	hostsToken     chuteaction.Token
+	waves          chutewave.State
+	handover       chutehandover.State
+	machineLists   chutemembership.MachineLists
 }
 
 // New returns the scheduler that has taken over with the leader's row. It begins to read hosts and the progress of all jobs,
@@ -60,7 +60,7 @@
 	s := State{
 		runner: chuteledger.New(row.Epoch, bounds, t.Now),
 		schedulerState: schedulerState{
-			predecessor: predecessor, handover: chutehandover.New(row.Handover),
+			predecessor: chutetakeover.New(predecessor, t.Now), handover: chutehandover.New(row.Handover),
 			planner:        chuteplanner.New(),
 			timed:          immutable.NewSortedMap[chutegraph.JobID, bool](nil),
 			cancelledEarly: immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
@@ -69,9 +69,6 @@
 			waves:          chutewave.New(),
 		},
 	}
-	if predecessor.Row.Epoch == 0 || predecessor.Row.Released {
-		s.predecessorEndedBy = t.Now
-	}
 	s.runner.FinalLeases = s.handover.NotExtended()
 	s.jobsWatch = t.NewToken()
 	t.Emit(chuteaction.WatchTable{Watch: s.jobsWatch, Table: chuteaction.TableJobs, PollTimeout: tablePollTimeout})
