--- a/chuteplanner/usable.go
+++ b/chutecandidate/candidate.go
@@ -1,4 +1,4 @@
-package chuteplanner
+package chutecandidate
 
 import (
 	"monsoonchute.example/monsoonchute/chuteledger"
@@ -7,21 +7,21 @@
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
-// usableWorkers returns the workers on which tasks may start, without those taken by quarantines.
-func (p *pass) usableWorkers(taken map[chutetask.WorkerID]bool) []chuteplacement.Worker {
+// Usable returns the workers on which tasks may start beside others, without those that are taken.
+func Usable(t *chuteledger.Transition, taken map[chutetask.WorkerID]bool) []chuteplacement.Worker {
 	var workers []chuteplacement.Worker
-	for _, w := range p.Pool.All() {
-		if taken[w.ID] || p.obstacle(w) != "" {
+	for _, w := range t.Pool.All() {
+		if taken[w.ID] || Obstacle(t, w) != "" {
 			continue
 		}
-		workers = append(workers, p.placementWorker(w))
+		workers = append(workers, Worker(t, w))
 	}
 	return workers
 }
 
-// obstacle returns what keeps tasks off the worker that may share one, in kebab case, or an empty text.
-func (p *pass) obstacle(w chutepool.Worker) string {
-	o := p.StartObstacle(w)
+// Obstacle returns what keeps tasks that run beside others off the worker, in kebab case, or an empty text.
+func Obstacle(t *chuteledger.Transition, w chutepool.Worker) string {
+	o := t.StartObstacle(w)
 	switch {
 	case o != chuteledger.ObstacleNone:
 		return o.String()
@@ -29,7 +29,7 @@
 		return "not-reached"
 	case w.MissedRenewals > 0:
 		return "silent"
-	case !w.Usable(p.Now):
+	case !w.Usable(t.Now):
 		return "cooldown"
 	case w.InQuarantine():
 		return "quarantine"
@@ -37,10 +37,11 @@
 	return ""
 }
 
-func (p *pass) placementWorker(w chutepool.Worker) chuteplacement.Worker {
+// Worker returns the worker as the placement sees it.
+func Worker(t *chuteledger.Transition, w chutepool.Worker) chuteplacement.Worker {
 	return chuteplacement.Worker{
 		ID: w.ID, Service: w.Service, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.Free(),
-		Stopping: w.Stopping(), Penalty: p.penalty(w),
+		Stopping: w.Stopping(), Penalty: penalty(t, w),
 	}
 }
 
@@ -54,12 +55,12 @@
 )
 
 // penalty returns the penalty that is added to the worker's score; placement prefers the lowest score.
-func (p *pass) penalty(w chutepool.Worker) float64 {
+func penalty(t *chuteledger.Transition, w chutepool.Worker) float64 {
 	switch {
-	case p.Speeds.Slow(w.ID, p.Now):
+	case t.Speeds.Slow(w.ID, t.Now):
 		return slowPenalty
-	case p.Now.Before(w.ColdUntil):
+	case t.Now.Before(w.ColdUntil):
 		return coldPenalty
 	}
-	return speedWeight * max(0, 1.3-p.Speeds.Speed(w.ID, p.Now))
+	return speedWeight * max(0, 1.3-t.Speeds.Speed(w.ID, t.Now))
 }
--- a/chuteplacement/place.go
+++ b/chuteplacement/place.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"monsoonchute.example/monsoonchute/chutecapacity"
 )
 
 // place returns a worker for each waiting task of the demand, and false if not all of them fit.
@@ -108,7 +106,7 @@
 			if !need.Fits(left) || !p.antiAffinityAllows(d, i, taken[i]) {
 				continue
 			}
-			score := unusedShare(left.Minus(need), p.workers[i].Capacity) + p.workers[i].Penalty
+			score := left.Minus(need).UnusedShare(p.workers[i].Capacity) + p.workers[i].Penalty
 			if best < 0 || score < bestScore {
 				best, bestScore = i, score
 			}
@@ -141,18 +139,3 @@
 func (p *pass) antiAffinityAllows(d Demand, worker, taken int) bool {
 	return d.Step.AntiAffinity == 0 || d.TasksByWorker[p.workers[worker].ID]+taken < d.Step.AntiAffinity
 }
-
-// processorWeight is the weight of unused processor time relative to that of unused accelerators.
-const processorWeight = 0.1
-
-// unusedShare returns the weighted share of a worker's capacity that stays unused, from 0 to 1 + processorWeight.
-func unusedShare(left, capacity chutecapacity.Resources) float64 {
-	return ratio(left.Accelerators, capacity.Accelerators) + processorWeight*ratio(left.Processor, capacity.Processor)
-}
-
-func ratio(part, whole int) float64 {
-	if whole <= 0 {
-		return 0
-	}
-	return float64(part) / float64(whole)
-}
--- a/chuteplacement/reservation.go
+++ b/chuteplacement/reservation.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"monsoonchute.example/monsoonchute/chutecapacity"
 )
 
 // reserveWhileWaiting reserves capacity for all waiting tasks of the demand, so that later demands can't take it, unless nothing
@@ -31,7 +29,8 @@
 	need := d.Step.Reserved()
 	order := slices.Clone(workers)
 	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Compare(p.workers[b].freeShare(need), p.workers[a].freeShare(need))
+		x, y := p.workers[a], p.workers[b]
+		return cmp.Compare(need.ScarcestShare(y.afterStops, y.Capacity), need.ScarcestShare(x.afterStops, x.Capacity))
 	})
 	var chosen []int
 	for _, w := range order {
@@ -46,22 +45,6 @@
 	return chosen, len(chosen) == len(d.Indexes)
 }
 
-// freeShare returns the free share of the needed resource of which the least is free once all runs that are being stopped have
-// ended.
-func (w workerState) freeShare(need chutecapacity.Resources) float64 {
-	share := 1.0
-	for _, r := range []struct{ need, free, capacity int }{
-		{need.Processor, w.afterStops.Processor, w.Capacity.Processor},
-		{need.Memory, w.afterStops.Memory, w.Capacity.Memory},
-		{need.Accelerators, w.afterStops.Accelerators, w.Capacity.Accelerators},
-	} {
-		if r.need > 0 {
-			share = min(share, ratio(r.free, r.capacity))
-		}
-	}
-	return share
-}
-
 // missing returns the number of tasks for which capacity must still become free on the workers.
 func (p *pass) missing(d Demand, chosen []int) int {
 	tasks := make(map[int]int)
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -5,6 +5,8 @@
 	"math"
 	"time"
 
+	"monsoonchute.example/monsoonchute/chutecandidate"
+
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutepool"
@@ -32,10 +34,12 @@
 	demands, quarantined := p.demands()
 	p.nominated = make(map[chutegraph.StepID]map[int]chutetask.WorkerID)
 	p.updateWaiting(demands)
-	p.markStanding(demands)
+	for i, d := range demands {
+		demands[i].Stands = p.waits.Stands(p.Transition.Transition, d)
+	}
 	plan := p.planQuarantine(quarantined)
 	p.planSpareQuarantine(plan, p.planBeside(append(demands, plan.beside...), plan.taken))
-	p.reportWaits(demands)
+	p.waits = p.waits.Next(p.Transition.Transition, demands)
 	p.quarantineDueSince = p.quarantineWaits
 }
 
@@ -45,7 +49,7 @@
 	if len(demands) == 0 {
 		return nil
 	}
-	view := chuteplacement.View{Now: p.Now, Workers: p.usableWorkers(taken), Demands: demands}
+	view := chuteplacement.View{Now: p.Now, Workers: chutecandidate.Usable(p.Transition.Transition, taken), Demands: demands}
 	if chuteplacement.NeedsRunGroups(view) {
 		view = p.withRunGroups(view)
 	}
--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"monsoonchute.example/monsoonchute/chutewait"
+
 	"github.com/benbjohnson/immutable"
 
 	"monsoonchute.example/monsoonchute/chuteapproval"
@@ -30,7 +32,7 @@
 	waitingSince *immutable.SortedMap[chutegraph.StepID, time.Time]
 	// quarantineDueSince is the time since when tasks of each step have waited for a quarantine.
 	quarantineDueSince *immutable.SortedMap[chutegraph.StepID, time.Time]
-	waits              waitReport
+	waits              chutewait.Report
 }
 
 // New returns the state of a planner that has not planned yet.
--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"monsoonchute.example/monsoonchute/chutecandidate"
+
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
@@ -264,7 +266,7 @@
 		if empty && w.RunCount() > 0 || p.hasLongRunning(w) {
 			continue
 		}
-		worker := p.placementWorker(w)
+		worker := chutecandidate.Worker(p.Transition.Transition, w)
 		worker.Free, worker.Stopping = w.Capacity, chutecapacity.Resources{}
 		worker.Penalty += loadPenalty * w.Load()
 		if !w.CrashedAt.IsZero() && p.Now.Sub(w.CrashedAt) < crashMemory {
--- /dev/null
+++ b/chutewait/view.go
@@ -0,0 +1,88 @@
+package chutewait
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"monsoonchute.example/monsoonchute/chutecandidate"
+	"monsoonchute.example/monsoonchute/chuteledger"
+	"monsoonchute.example/monsoonchute/chuteplacement"
+	"monsoonchute.example/monsoonchute/chutepool"
+)
+
+const component = "scheduler" // these lines are logged as part of the scheduler
+
+// minUnconfirmedAge is the time from which a run counts as unconfirmed that its worker has not confirmed, or not ended.
+const minUnconfirmedAge = time.Second
+
+// view is the capacity that is looked at to find out why steps wait.
+type view struct {
+	usable      []chuteplacement.Worker // with the capacity that is free on them
+	confirmed   []chuteplacement.Worker // the same without what unconfirmed runs reserve
+	listed      []chuteplacement.Worker // all workers in the list
+	unconfirmed int                     // number of unconfirmed runs on usable workers
+	unusable    map[string]int          // number of listed workers that can't be used, by the obstacle
+}
+
+func newView(t *chuteledger.Transition) *view {
+	v := &view{unusable: make(map[string]int)}
+	for _, w := range t.Pool.All() {
+		if !w.Listed {
+			continue
+		}
+		worker := chutecandidate.Worker(t, w)
+		v.listed = append(v.listed, worker)
+		if obstacle := chutecandidate.Obstacle(t, w); obstacle != "" {
+			v.unusable[obstacle]++
+			continue
+		}
+		v.usable = append(v.usable, worker)
+		for _, r := range w.Runs() {
+			if r.Phase != chutepool.RunStarted && t.Now.Sub(r.PhaseSince) >= minUnconfirmedAge {
+				v.unconfirmed++
+				worker.Free = worker.Free.Plus(r.Reserved)
+			}
+		}
+		v.confirmed = append(v.confirmed, worker)
+	}
+	return v
+}
+
+// reason returns why the demand waits, in kebab case.
+func (v *view) reason(d chuteplacement.Demand) string {
+	switch {
+	case chuteplacement.Fits(v.usable, d):
+		return "kept-for-others"
+	case chuteplacement.FitsAcrossRacks(v.usable, d):
+		return "rack"
+	case chuteplacement.Fits(v.confirmed, d):
+		return "unconfirmed-runs"
+	case chuteplacement.Fits(v.listed, d):
+		return "unusable-workers"
+	case !chuteplacement.FitsEmpty(v.usable, d):
+		return "too-large"
+	}
+	return "no-room"
+}
+
+// log logs why the demand waits.
+func (v *view) log(t *chuteledger.Transition, d chuteplacement.Demand, waited time.Duration) {
+	reason := v.reason(d)
+	t.Count("step-waits", reason)
+	t.Log(component, "step waits for capacity", d.ID.Job, "step", d.ID, "reason", reason, "waited", waited, "priority", d.Priority,
+		"tasks", len(d.Indexes), "accelerators", d.Step.Request.Accelerators, "gang", d.Step.Gang, "same-rack", d.Step.SameRack,
+		"usable", len(v.usable), "unusable", v.obstacles(), "unconfirmed-runs", v.unconfirmed,
+		"fits-twice", chuteplacement.FitsTwice(v.usable, d))
+}
+
+// obstacles returns the numbers of workers that can't be used, by the obstacle.
+func (v *view) obstacles() string {
+	var counts []string
+	for _, obstacle := range slices.Sorted(maps.Keys(v.unusable)) {
+		counts = append(counts, fmt.Sprintf("%s=%d", obstacle, v.unusable[obstacle]))
+	}
+	return strings.Join(counts, " ")
+}
