Stop a gang that never started if one of its workers is silent

Callers saw jobs that wait beside idle workers after a takeover. Cause: members of a recorded gang on workers that have answered waited for the worker of the last one, until its lease had expired. Now the gang is stopped 2 s after the takeover: members that never started are refused by their workers from then on, and the gang gets another run number once the silent worker has answered or is lost, as before. A done end that it lists later still completes the gang.

--- a/chuterenewal/absent.go
+++ b/chuterenewal/absent.go
@@ -52,13 +52,15 @@
 
 // resumeRun starts or stops a run that an earlier scheduler recorded and the worker does not list. A member of a gang
 // waits until the workers of all members have reported what they run, since the end of one member ends the whole gang.
-// If the gang has worked, the member has run before, and the gang is stopped.
+// If one of them is silent for long, or the gang has worked, so that the member has run before, the gang is stopped.
 func resumeRun(t *chuterunner.Transition, id chutetask.WorkerID, r chutepool.Run) {
 	w, _ := t.Pool.Get(id)
 	j, _ := t.Job(r.ID.Task.Job)
 	switch {
 	case !t.StartStillDue(w, r):
 		t.StopRun(id, r.ID, "not-resumed")
+	case !t.GangReported(j, r.ID.Task.StepID) && t.Now.Sub(t.LeaderSince) >= maxGangWait:
+		t.AbandonStart(w, r, "gang-member-silent")
 	case !t.GangReported(j, r.ID.Task.StepID):
 		w.ReportDue = true
 		w.RenewAfter = t.Now.Add(resumeRetryDelay)
@@ -70,6 +72,9 @@
 	}
 }
 
+// maxGangWait is how long after its takeover a scheduler waits for the workers of a gang to report what they run.
+const maxGangWait = 2 * time.Second
+
 // endAbsentRun ends a run that its worker had confirmed and does not list any more. If the worker's process has started after
 // that, the worker has crashed under the run, in an incarnation of which no answer or entry told.
 func endAbsentRun(t *chuterunner.Transition, w chutepool.Worker, r chutepool.Run, e chuteaction.LeaseRenewed) {
