Count the time that a job stands from when capacity is reserved beside it

Cause: the form before opened reserved capacity to every job of which nothing had run for 2 s. In a backlog these are all, so that a gang starved: TestLargeGangStartsAmongManySmallTasks failed (0 of 3 members within 15 s). Change: the 2 s count from when the job has waited beside a reservation, so that each reservation is kept strictly at first.

--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -54,7 +54,7 @@
 		if !p.scheduleTogether(d.single(i)) {
 			return
 		}
-		d.Stands = false
+		d.MayUseReserved = false
 	}
 }
 
@@ -96,7 +96,7 @@
 // placeNow returns a worker with free capacity for each waiting task of the demand, and false if not all of them fit.
 func (p *pass) placeNow(d Demand) ([]int, bool) {
 	placed, ok := p.place(d, freeNow)
-	if !ok && d.Stands {
+	if !ok && d.MayUseReserved {
 		return p.place(d, freeIfNotKept)
 	}
 	return placed, ok
@@ -159,7 +159,7 @@
 		return false // a demand that is too large for every rack may be spread over several
 	case constrained(failed) || failed.Priority > d.Priority:
 		return false
-	case d.MayPreempt && !failed.MayPreempt || d.Guaranteed && !failed.Guaranteed || d.Stands && !failed.Stands:
+	case d.MayPreempt && !failed.MayPreempt || d.Guaranteed && !failed.Guaranteed || d.MayUseReserved && !failed.MayUseReserved:
 		return false
 	case failed.Step.Gang && (!d.Step.Gang || len(failed.Indexes) > len(d.Indexes)):
 		return false
--- a/chuteplacement/reservation.go
+++ b/chuteplacement/reservation.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// reserveWhileWaiting reserves capacity for all waiting tasks of the demand, so that later demands can't take it, unless nothing
-// of their jobs has run for long. It takes the set of workers that can start the most tasks at once. It returns false if no set
+// reserveWhileWaiting reserves capacity for all waiting tasks of the demand, so that later demands can't take it, unless they may
+// use what is reserved. It takes the set of workers that can start the most tasks at once. It returns false if no set
 // could hold the demand when empty.
 func (p *pass) reserveWhileWaiting(d Demand) bool {
 	var best []int
--- a/chuteplacement/view.go
+++ b/chuteplacement/view.go
@@ -58,7 +58,7 @@
 	Nominated        map[int]chutetask.WorkerID    // worker whose capacity an earlier pass nominated for a task, by its index
 	Guaranteed       bool                          // its workspace's guarantee covers it: if need be, runs of equal priority are evicted as well
 	NeedsReservation bool                          // it has waited so long that capacity is reserved for it
-	Stands           bool                          // nothing of its job has run for so long that it may use capacity that is reserved for others
+	MayUseReserved   bool                          // it may use capacity that is reserved for others, for one task or its gang
 }
 
 // Decision is a result of a planning pass: a Start, an Evict or a Nominate.
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -34,9 +34,7 @@
 	demands, quarantined := p.demands()
 	p.nominated = make(map[chutegraph.StepID]map[int]chutetask.WorkerID)
 	p.updateWaiting(demands)
-	for i, d := range demands {
-		demands[i].Stands = p.waits.Stands(p.Transition.Transition, d)
-	}
+	p.openReservations(demands)
 	plan := p.planQuarantine(quarantined)
 	p.planSpareQuarantine(plan, p.planBeside(append(demands, plan.beside...), plan.taken))
 	p.waits = p.waits.Next(p.Transition.Transition, demands)
--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -33,6 +33,7 @@
 	// quarantineDueSince is the time since when tasks of each step have waited for a quarantine.
 	quarantineDueSince *immutable.SortedMap[chutegraph.StepID, time.Time]
 	waits              chutewait.Report
+	standing           standing
 }
 
 // New returns the state of a planner that has not planned yet.
--- a/chutetask/job.go
+++ b/chutetask/job.go
@@ -122,6 +122,18 @@
 	return j
 }
 
+// AnyActive reports whether any task of the job has a run.
+func (j Job) AnyActive() bool {
+	for _, steps := range j.Occurrences {
+		for _, tasks := range steps {
+			if slices.ContainsFunc(tasks, func(t Task) bool { return t.Phase == TaskActive }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ForEachTask calls visit for each task of the occurrences that have begun.
 func (j Job) ForEachTask(visit func(chutegraph.TaskID, Task)) {
 	for occurrence, steps := range j.Occurrences {
--- a/chutewait/report.go
+++ b/chutewait/report.go
@@ -6,15 +6,11 @@
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chuteplacement"
-	"monsoonchute.example/monsoonchute/chutetask"
 )
 
 const (
 	// reportInterval is the time between two reports on steps that wait.
 	reportInterval = 500 * time.Millisecond
-	// maxStanding is the longest time for which a step of a job of which nothing runs waits beside capacity that is kept for
-	// others, less the time between two reports.
-	maxStanding = 2 * time.Second
 	// minLoggedWait is how long a step has waited when it is logged first.
 	minLoggedWait = time.Second
 	// repeatInterval is the time after which a step that goes on waiting is logged again.
@@ -49,7 +45,7 @@
 	steps := make(map[chutegraph.StepID]stepWait)
 	logged := 0
 	for _, d := range demands {
-		if !nothingRuns(t, d.ID.Job) {
+		if j, ok := t.Live.Get(d.ID.Job); !ok || j.AnyActive() {
 			continue
 		}
 		wait, known := r.steps[d.ID]
@@ -68,19 +64,3 @@
 	}
 	return Report{at: t.Now, steps: steps}
 }
-
-// Stands reports whether nothing of the demand's job has run for so long that it may use capacity that is kept for others.
-func (r Report) Stands(t *chuteledger.Transition, d chuteplacement.Demand) bool {
-	wait, known := r.steps[d.ID]
-	return known && t.Now.Sub(wait.since) >= maxStanding && nothingRuns(t, d.ID.Job)
-}
-
-// nothingRuns reports whether no task of the job has a run.
-func nothingRuns(t *chuteledger.Transition, id chutegraph.JobID) bool {
-	j, ok := t.Live.Get(id)
-	active := false
-	j.ForEachTask(func(_ chutegraph.TaskID, task chutetask.Task) {
-		active = active || task.Phase == chutetask.TaskActive
-	})
-	return ok && !active
-}
