chuteplacement: let a gang start that can't use one rack while an equal one waits for a rack

A gang with same_rack waits for a rack that could hold it when empty, and goes to several racks if there is none. A pass that found no rack for one gang skipped every later one of the same shape, also one that may use other workers only (approval, label, data rack, anti-affinity, an excluded worker) so that no rack could ever hold it: it stood beside free workers for as long as the first waited. Only a gang without such limits is now taken to fail like the first. The new case of TestPlan failed before (nothing started).

--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -169,7 +169,7 @@
 
 // sameShape reports whether both demands need the same number of equal tasks in one rack.
 func sameShape(a, b Demand) bool {
-	return b.Step.SameRack && len(a.Indexes) == len(b.Indexes) && a.Step.Reserved() == b.Step.Reserved()
+	return b.Step.SameRack && !constrained(b) && len(a.Indexes) == len(b.Indexes) && a.Step.Reserved() == b.Step.Reserved()
 }
 
 // constrained reports whether the demand excludes some workers of its service.
--- a/chuteplacement/plan_test.go
+++ b/chuteplacement/plan_test.go
@@ -227,6 +227,15 @@
 			[]chuteplacement.Demand{demand("a", 1, 4, 8, sameRackGang), demand("b", 1, 5, 8, sameRackGang)},
 			[]string{"b>w0", "b>w4", "b>w5", "b>w6", "b>w8"},
 		},
+		{
+			"a gang that no rack could hold with approved workers does not wait for the rack of an equal one", workers(8, 0, 0, 0, 8, 0, 0, 0), nil,
+			[]chuteplacement.Demand{demand("a", 1, 2, 8, sameRackGang), func() chuteplacement.Demand {
+				d := demand("b", 1, 2, 8, sameRackGang)
+				d.Tickets = map[chutetask.WorkerID]string{"w0": "ticket", "w4": "ticket"}
+				return d
+			}()},
+			[]string{"b>w0", "b>w4"},
+		},
 		{
 			"a task runs in the rack of its data", workers(8, 8, 8, 8, 1), nil,
 			[]chuteplacement.Demand{demand("a", 1, 1, 1, func(s *chutegraph.Step) { s.DataRack = "r0" })},
