chuteplacement: schedule demands that have claims, whatever was found for others before

An urgent task keeps the capacity that runs were stopped for by a claim, which each pass renews when it comes to the task. A pass skipped the task if an earlier one that needs no more had found nothing, or if an earlier task of its step had: the claim kept its capacity from all others for that pass although it was free, and was then dropped, so that runs may be stopped for the task once more. What a claim releases when its task starts elsewhere is left to the next pass, so that earlier demands have it first.

--- a/chuteplacement/nominate.go
+++ b/chuteplacement/nominate.go
@@ -73,6 +73,14 @@
 	return true
 }
 
+// anyClaimed reports whether nominated capacity is kept for a waiting task of the demand.
+func (p *pass) anyClaimed(d Demand) bool {
+	return slices.ContainsFunc(d.Indexes, func(i int) bool {
+		_, ok := p.claims[chutegraph.TaskID{StepID: d.ID, Index: i}]
+		return ok
+	})
+}
+
 // releaseClaim gives up the claims of the demand's waiting tasks, and returns their workers, or nil if there are none.
 func (p *pass) releaseClaim(d Demand) []int {
 	if !p.claimed(d) {
--- a/chuteplacement/nominate_test.go
+++ b/chuteplacement/nominate_test.go
@@ -41,6 +41,15 @@
 	is.True(len(describe(chuteplacement.Plan(view))) > 0) // without nominations, the first demand takes what the second waits for
 }
 
+// TestADemandStartsOnItsClaimBehindOneThatFoundNothing guards against claims that are dropped since an earlier demand found no capacity.
+func TestADemandStartsOnItsClaimBehindOneThatFoundNothing(t *testing.T) {
+	is := is.New(t)
+	d := demand("claims", 0, 2, 8, nil)
+	d.Nominated = map[int]chutetask.WorkerID{1: "w0"}
+	view := chuteplacement.View{Workers: workers(8, 0), Demands: []chuteplacement.Demand{demand("first", 0, 1, 8, nil), d}}
+	is.Equal(describe(chuteplacement.Plan(view)), []string{"claims>w0"})
+}
+
 // TestAClaimOnSeveralRacksStarts guards against a gang that a guarantee covers and that keeps its claim on workers of
 // several racks for good, because it asks for one rack.
 func TestAClaimOnSeveralRacksStarts(t *testing.T) {
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -38,7 +38,7 @@
 
 // schedule finds workers for the waiting tasks of a demand, for all of a gang or for as many as fit otherwise.
 func (p *pass) schedule(d Demand) {
-	if !d.NeedsReservation && p.knownUnplaceable(d) {
+	if !d.NeedsReservation && !p.anyClaimed(d) && p.knownUnplaceable(d) {
 		return
 	}
 	if d.Step.Gang {
@@ -48,11 +48,13 @@
 	p.scheduleEach(d)
 }
 
-// scheduleEach schedules the waiting tasks one by one until one doesn't fit. After the first, something of the job runs.
+// scheduleEach schedules the waiting tasks one by one until one doesn't fit, and of the others those with a claim. After the first,
+// something of the job runs.
 func (p *pass) scheduleEach(d Demand) {
+	fits := true
 	for i := range d.Indexes {
-		if !p.scheduleTogether(d.single(i)) {
-			return
+		if single := d.single(i); fits || p.claimed(single) {
+			fits = p.scheduleTogether(single) && fits
 		}
 		d.MayUseReserved = false
 	}
