chuteapproval: let a step of which all workers were refused wait before it asks again

A step asks for approval in batches of workers, and once all had been refused it asked for all of them again, at once. At most four requests are without an answer, and steps ask in the order of their jobs' ids, so that four steps that no worker may run took every turn: steps of jobs with higher ids were never asked for and stood beside free workers without end, under any leader. Such a step now waits 2 s before it starts over. A step that could not ask anyone yet does not wait. The new test failed before: with five such steps and one that has workers, that one had not started after 20 passes.

--- a/chuteapproval/approval.go
+++ b/chuteapproval/approval.go
@@ -17,6 +17,8 @@
 	maxPendingRequests = 4
 	// approvalRetryDelay is the wait after a request that got no answer.
 	approvalRetryDelay = 300 * time.Millisecond
+	// allRefusedDelay is the wait after all workers have been refused.
+	allRefusedDelay = 2 * time.Second
 )
 
 // approval is the state of the approval of workers for a step.
--- a/chuteapproval/request.go
+++ b/chuteapproval/request.go
@@ -60,14 +60,20 @@
 
 // requestApproval requests approval for workers that no request has named yet, the one with the most free capacity
 // first. Once all have been named, it requests it again for those that were approved before, since the rules of the
-// approval service don't change.
+// approval service don't change. If none were, other steps ask first.
 func (l *lookup) requestApproval(j chutetask.Job, id chutegraph.StepID, a approval) {
 	if !l.mayRequest(a) {
 		return
 	}
 	workers := l.workersToRequest(j, a)
 	if len(workers) == 0 {
+		refused := len(a.requested) > 0 && len(a.tickets) == 0
 		a.requested = nil
+		if refused {
+			a.retryAt = l.Now.Add(allRefusedDelay)
+			l.state.approvals = l.state.approvals.Set(id, a)
+			return
+		}
 		workers = l.workersToRequest(j, a)
 	}
 	l.sendRequest(id, a, workers)
--- a/chuteplanner/approval_test.go
+++ b/chuteplanner/approval_test.go
@@ -30,12 +30,13 @@
 	state       chuteledger.State
 	planner     chuteplanner.Planner
 	environment chuteledger.Environment
+	refused     map[chutegraph.JobID]bool // jobs for which no worker is approved
 	now         time.Time
 }
 
 func newScheduler(step chutegraph.Step) *scheduler {
 	now := time.Unix(1_800_000_000, 0)
-	s := &scheduler{now: now, planner: chuteplanner.New(), state: chuteledger.New(1, chuteledger.Bounds{}, now)}
+	s := &scheduler{now: now, refused: make(map[chutegraph.JobID]bool), planner: chuteplanner.New(), state: chuteledger.New(1, chuteledger.Bounds{}, now)}
 	s.environment.Catalog.Queues = []chutecatalog.Queue{{Name: "queue", Service: "service", Priority: 1, Approval: &chutecatalog.Approval{}}}
 	step.Request = chutecapacity.Resources{Processor: 1000}
 	for i := range workerCount {
@@ -61,17 +62,17 @@
 	for _, effect := range t.Effects {
 		if request, ok := effect.(chuteaction.RequestApproval); ok {
 			asked += len(request.Workers)
-			s.planner = s.planner.HandleStepApproved(t, approve(request))
+			s.planner = s.planner.HandleStepApproved(t, s.approve(request))
 		}
 	}
 	s.state = t.State
 	return asked
 }
 
-func approve(request chuteaction.RequestApproval) chuteaction.StepApproved {
+func (s *scheduler) approve(request chuteaction.RequestApproval) chuteaction.StepApproved {
 	approved := chuteaction.StepApproved{Step: request.Step, Answered: true, Validity: ticketValidity, Tickets: make(map[chutetask.WorkerID]string)}
 	for _, id := range request.Workers {
-		if last := id[len(id)-1]; last == '1' || last == '5' {
+		if last := id[len(id)-1]; !s.refused[request.Step.Job] && (last == '1' || last == '5') {
 			approved.Tickets[id] = "ticket"
 		}
 	}
@@ -122,3 +123,20 @@
 	}
 	is.Equal(asked, workerCount)
 }
+
+// TestStepsThatNobodyMayRunLeaveRequestsToOthers guards against a step that is never asked for since refused ones ask again without end.
+func TestStepsThatNobodyMayRunLeaveRequestsToOthers(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(chutegraph.Step{Count: 1})
+	j, _ := s.state.Job(testID)
+	for i := range 5 {
+		refused := j.Submission
+		refused.ID = chutegraph.JobID(fmt.Sprintf("%016x", i))
+		s.refused[refused.ID] = true
+		s.state.Live = s.state.Live.Set(refused.ID, chutetask.New(refused, int64(i), s.now).WithOccurrenceBegun(0))
+	}
+	for range 20 {
+		s.plan()
+	}
+	is.Equal(s.started(), 1)
+}
