--- a/chuteplacement/skip_test.go
+++ b/chuteplacement/skip_test.go
@@ -37,7 +37,7 @@
 				released = released || claimed && claim != d.Worker
 			case chuteplacement.Nominate:
 				take(d.Task, d.Worker)
-			case chuteplacement.Evict, chuteplacement.Hold:
+			case chuteplacement.Evict:
 			}
 		}
 		for _, d := range view.Demands {
