Let jobs that have stood use workers that are emptied for a quarantine

What callers would see: as with reservations, jobs stand beside idle workers, here those that are emptied for a task under which workers have crashed. Cause, the same class: the workers are taken from all others until the last of them has no run left, and a suspect gang's own size is not compared with the share of quarantines, so that a gang of 40 takes 40 workers of which 30 are idle. Change: a job of which nothing runs and that has stood for 2 s may start a task, or its gang, there; the rest stays kept. Evidence: the case 'a suspect gang for which workers are emptied' failed before, 0 tasks run after 3 s. Result: it passes; the tests of crashes and quarantines in chuteentry pass but for TestGangsWithSeveralDeadlyMembersAreStoppedAmidRestarts, which is red before, too.

--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -34,9 +34,13 @@
 	demands, quarantined := p.demands()
 	p.nominated = make(map[chutegraph.StepID]map[int]chutetask.WorkerID)
 	p.updateWaiting(demands)
-	p.openReservations(demands)
 	plan := p.planQuarantine(quarantined)
-	p.planSpareQuarantine(plan, p.planBeside(append(demands, plan.beside...), plan.taken))
+	p.openReservations(demands, len(plan.emptied) > 0)
+	waiting := p.planBeside(append(demands, plan.beside...), plan.taken)
+	if len(plan.emptied) > 0 {
+		p.startOnEmptied(demands)
+	}
+	p.planSpareQuarantine(plan, waiting)
 	p.waits = p.waits.Next(p.Transition.Transition, demands)
 	p.quarantineDueSince = p.quarantineWaits
 }
--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -90,6 +90,7 @@
 // quarantinePlan is what a pass decides about the tasks that need quarantine before it places others.
 type quarantinePlan struct {
 	taken    map[chutetask.WorkerID]bool // workers that other tasks must not use
+	emptied  []chutetask.WorkerID        // those of them that are not empty yet, or of which a gang needs more
 	beside   []chuteplacement.Demand     // demands that rather run beside others
 	deferred []chuteplacement.Demand     // demands for which the share of quarantines is taken
 }
@@ -108,8 +109,12 @@
 			plan.beside = append(plan.beside, d)
 		case full:
 			plan.deferred = append(plan.deferred, d)
-		case !p.emptyWorkers(d, plan.taken): // all have runs without end
-			plan.beside = append(plan.beside, d)
+		default:
+			emptied := p.emptyWorkers(d, plan.taken)
+			plan.emptied = append(plan.emptied, emptied...)
+			if len(emptied) == 0 { // all have runs without end
+				plan.beside = append(plan.beside, d)
+			}
 		}
 	}
 	return plan
@@ -128,16 +133,32 @@
 	return len(starts) > 0
 }
 
-// emptyWorkers takes the workers that empty soonest for the demand, and reports whether there are any.
-func (p *pass) emptyWorkers(d chuteplacement.Demand, taken map[chutetask.WorkerID]bool) bool {
-	emptied := placeAlone(d, p.quarantineWorkers(d, taken, false))
-	for _, s := range emptied {
+// emptyWorkers takes the workers that empty soonest for the demand, and returns them.
+func (p *pass) emptyWorkers(d chuteplacement.Demand, taken map[chutetask.WorkerID]bool) []chutetask.WorkerID {
+	var emptied []chutetask.WorkerID
+	for _, s := range placeAlone(d, p.quarantineWorkers(d, taken, false)) {
 		taken[s.Worker] = true
+		emptied = append(emptied, s.Worker)
 	}
 	if len(emptied) > 0 {
 		p.waitForQuarantine(d, "no-empty-worker")
 	}
-	return len(emptied) > 0
+	return emptied
+}
+
+// startOnEmptied starts a task, or the gang, of each demand whose job has stood for long, also on workers that are being emptied.
+func (p *pass) startOnEmptied(demands []chuteplacement.Demand) {
+	for _, d := range demands {
+		if !d.MayUseReserved || !p.nothingRuns(d.ID.Job) {
+			continue
+		}
+		if !d.Step.Gang {
+			d.Indexes = d.Indexes[:1]
+		}
+		for _, s := range placeAlone(d, chutecandidate.Usable(p.Transition.Transition, nil)) {
+			p.assign(s, false)
+		}
+	}
 }
 
 // planSpareQuarantine starts tasks for which the share of quarantines is taken on workers that are still empty now that others
--- a/chuteplanner/waiting.go
+++ b/chuteplanner/waiting.go
@@ -45,9 +45,10 @@
 	p.waitingSince = updated
 }
 
-// openReservations lets the demands of jobs that have stood for long use reserved capacity.
-func (p *pass) openReservations(demands []chuteplacement.Demand) {
-	if !slices.ContainsFunc(demands, func(d chuteplacement.Demand) bool { return d.NeedsReservation }) {
+// openReservations lets the demands of jobs that have stood for long use capacity that is reserved for gangs, or on workers that
+// are emptied for quarantines.
+func (p *pass) openReservations(demands []chuteplacement.Demand, emptied bool) {
+	if !emptied && !slices.ContainsFunc(demands, func(d chuteplacement.Demand) bool { return d.NeedsReservation }) {
 		p.standing = standing{}
 		return
 	}
--- a/chuteplanner/waits_test.go
+++ b/chuteplanner/waits_test.go
@@ -11,6 +11,7 @@
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chutequarantine"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -69,25 +70,42 @@
 	}
 }
 
+// suspectGang records crashes under the gang, so that it needs a quarantine.
+func (s *scheduler) suspectGang() {
+	var crashes chutequarantine.Record
+	for run := 1; run <= 2; run++ {
+		crashes = crashes.WithCrash(chutequarantine.Crash{Run: run, Worker: "gone", Began: true, Confirmed: true, At: s.now})
+	}
+	j, _ := s.state.Job(testID)
+	s.state.Live = s.state.Live.Set(testID, j.WithCrashes(chutegraph.TaskID{StepID: chutegraph.StepID{Job: testID}}, crashes))
+}
+
 func TestAJobThatCouldRunDoesNotStandBesideCapacityKeptForAGang(t *testing.T) {
 	const maxStanding = 3 * time.Second
-	is := is.New(t)
-	s := newScheduler(chutegraph.Step{Count: workerCount, Gang: true})
-	s.environment.Catalog.Queues[0].Approval = nil
-	s.fill(chutepool.RunStarted, "zone-0") // so that the gang waits
-	s.pass(10 * time.Second)
-	step := chutegraph.Step{Count: 3, Request: chutecapacity.Resources{Processor: 1000}}
-	small := chutetask.Submission{ID: "00000000000000cc", Queue: "queue", Spec: chutegraph.Spec{Steps: []chutegraph.Step{step}}}
-	s.state.Live = s.state.Live.Set(small.ID, chutetask.New(small, 2, s.now).WithOccurrenceBegun(0))
-	s.pass(maxStanding)
-	running := 0
-	j, _ := s.state.Job(small.ID)
-	j.ForEachTask(func(_ chutegraph.TaskID, task chutetask.Task) {
-		if task.Phase == chutetask.TaskActive {
-			running++
-		}
-	})
-	is.Equal(running, 1) // the rest stays kept, now that something of the job runs
+	for name, prepare := range map[string]func(*scheduler){
+		"a gang that waits": func(*scheduler) {}, "a suspect gang for which workers are emptied": (*scheduler).suspectGang,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScheduler(chutegraph.Step{Count: workerCount, Gang: true})
+			s.environment.Catalog.Queues[0].Approval = nil
+			prepare(s)
+			s.fill(chutepool.RunStarted, "zone-0") // so that the gang waits
+			s.pass(10 * time.Second)
+			step := chutegraph.Step{Count: 3, Request: chutecapacity.Resources{Processor: 1000}}
+			small := chutetask.Submission{ID: "00000000000000cc", Queue: "queue", Spec: chutegraph.Spec{Steps: []chutegraph.Step{step}}}
+			s.state.Live = s.state.Live.Set(small.ID, chutetask.New(small, 2, s.now).WithOccurrenceBegun(0))
+			s.pass(maxStanding)
+			running := 0
+			j, _ := s.state.Job(small.ID)
+			j.ForEachTask(func(_ chutegraph.TaskID, task chutetask.Task) {
+				if task.Phase == chutetask.TaskActive {
+					running++
+				}
+			})
+			is.Equal(running, 1) // the rest stays kept, now that something of the job runs
+		})
+	}
 }
 
 // pass runs planning passes for the time.
