Soak: kill leaders in series beside 48 workers and check that no job stands

The soak checked only that jobs end; a job that stands for seconds beside free workers and moves later passed. A larger scale (9 hosts, 48 workers, gangs and plain tasks of three priorities) now kills leaders 0 to 100 ms after their takeovers, two to six in a row, and checks all the time that no accepted job has nothing running for 3 s, in calm, with room for two copies as seen on the workers.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -102,34 +102,34 @@
 	}
 }
 
-// checkCapacity reports starts after which the running tasks of a worker need more accelerators than it has.
+// checkCapacity reports starts after which the running tasks of a worker need more than it has.
 func (r *soakRun) checkCapacity(executions []standin.Execution) {
 	capacities := make(map[string][]standin.Capacity)
 	for _, w := range r.platform.Workers() {
 		capacities[w.ID()] = w.Capacities()
 	}
 	for _, e := range executions {
-		used := 0
+		used := standin.Resources{}
 		for _, other := range executions {
 			id, _, _ := strings.Cut(other.Task, ".")
 			overlaps := other.StartedAt <= e.StartedAt && (other.EndedAt == 0 || other.EndedAt > e.StartedAt)
 			if j := r.ledger.jobs[id]; j != nil && other.Worker == e.Worker && overlaps {
-				used += j.gpu
+				used = used.Plus(j.need, 1)
 			}
 		}
-		if used > usableCapacity(capacities[e.Worker], e.StartedAt) {
-			r.ledger.reportViolation("task %s was started at %s on worker %s, which then had %d accelerators in use", e.Task, e.StartedAt, e.Worker, used)
+		if usableCapacity(capacities[e.Worker], e.StartedAt).Copies(used) == 0 {
+			r.ledger.reportViolation("task %s was started at %s on worker %s, which then had %+v in use", e.Task, e.StartedAt, e.Worker, used)
 		}
 	}
 }
 
-// usableCapacity returns the most accelerators that a worker has had since capacityGrace before a time.
-func usableCapacity(capacities []standin.Capacity, at time.Duration) int {
-	most := 0
+// usableCapacity returns the most of each resource that a worker has had since capacityGrace before a time.
+func usableCapacity(capacities []standin.Capacity, at time.Duration) standin.Resources {
+	most := standin.Resources{}
 	for i, c := range capacities {
 		replaced := i+1 < len(capacities) && capacities[i+1].Since < at-capacityGrace
 		if c.Since <= at && !replaced {
-			most = max(most, c.Accelerators)
+			most = most.Max(c.Resources)
 		}
 	}
 	return most
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -11,39 +11,8 @@
 	"strings"
 	"sync"
 	"time"
-
-	"monsoonchute.example/monsoonchute/platform/standin"
 )
 
-// jobKind describes a kind of job that clients submit.
-type jobKind struct {
-	queue string
-	spec  string
-	steps string
-	tasks []int // number of tasks of each step
-	gpu   int
-}
-
-var jobKinds = []jobKind{
-	{"u", "150", `[{"count":2,"cpu":1000,"gpu":1,"estimate_ms":150}]`, []int{2}, 1},
-	{"u", "300/3", `[{"count":3,"cpu":1000,"gpu":4,"estimate_ms":300,"gang":true}]`, []int{3}, 4},
-	{"a", "900", `[{"count":6,"cpu":1000,"gpu":2,"estimate_ms":900}]`, []int{6}, 2},
-	{"a", "600/4", `[{"count":4,"cpu":1000,"gpu":8,"estimate_ms":600,"gang":true}]`, []int{4}, 8},
-	{"a", "200", `[{"count":2,"cpu":1000,"gpu":1},{"count":3,"cpu":1000,"gpu":1,"after":[0]}]`, []int{2, 3}, 1},
-}
-
-// deadlyKinds are the kinds of jobs of which each task crashes the worker that starts it.
-var deadlyKinds = []jobKind{
-	{"a", standin.CrashSpec + "300ms", `[{"count":1,"cpu":1000,"gpu":1,"estimate_ms":300}]`, []int{1}, 1},
-	{"u", standin.CrashSpec + "1200ms", `[{"count":1,"cpu":1000,"gpu":4,"estimate_ms":300}]`, []int{1}, 4},
-	{"a", standin.CrashSpec + "700ms", `[{"count":2,"cpu":1000,"gpu":2,"estimate_ms":300,"gang":true}]`, []int{2}, 2},
-}
-
-// deadly reports whether the tasks of a job of the kind crash their workers.
-func (k jobKind) deadly() bool {
-	return strings.HasPrefix(k.spec, standin.CrashSpec)
-}
-
 // job is a submitted job as the clients know it.
 type job struct {
 	jobKind
@@ -101,13 +70,13 @@
 func (c *client) run(ctx context.Context) {
 	defer c.http.CloseIdleConnections()
 	for ctx.Err() == nil {
-		j := c.newJob(jobKinds[c.random.IntN(len(jobKinds))])
+		j := c.newJob(c.scale.randomKind(c.random))
 		c.submit(ctx, j)
-		if j.acceptedAt > 0 && c.random.IntN(6) == 0 {
+		if j.acceptedAt > 0 && c.random.IntN(c.scale.cancelled) == 0 {
 			c.cancel(j)
 		}
 		c.checkState(c.randomJob())
-		wait(ctx, time.Duration(c.random.IntN(1000))*time.Millisecond)
+		wait(ctx, time.Duration(c.random.IntN(c.scale.longestPauseMS))*time.Millisecond)
 	}
 }
 
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -45,18 +45,11 @@
 			wait(ctx, randomDuration(random, 300*time.Millisecond))
 		}
 	}},
-	{"link to the store", func(r *soakRun, ctx context.Context, _ *testing.T, random *rand.Rand) {
-		injectLinkFault(ctx, r.hosts[random.IntN(len(r.hosts))].storeLink, random)
-	}},
+	hostLinkFault,
 	{"link to a worker", func(r *soakRun, ctx context.Context, _ *testing.T, random *rand.Rand) {
 		injectLinkFault(ctx, r.workerLinks[random.IntN(len(r.workerLinks))], random)
 	}},
-	{"store", func(r *soakRun, ctx context.Context, _ *testing.T, random *rand.Rand) {
-		kinds := standin.StoreFaults()
-		r.platform.SetStoreFault(kinds[random.IntN(len(kinds))])
-		wait(ctx, randomDuration(random, 3*time.Second))
-		r.platform.SetStoreFault(standin.StoreHealthy)
-	}},
+	storeFault,
 	{"worker", func(r *soakRun, ctx context.Context, _ *testing.T, random *rand.Rand) {
 		worker := r.platform.Workers()[random.IntN(len(r.workerLinks))]
 		switch random.IntN(3) {
@@ -80,6 +73,17 @@
 	}},
 }
 
+var hostLinkFault = fault{"link to the store", func(r *soakRun, ctx context.Context, _ *testing.T, random *rand.Rand) {
+	injectLinkFault(ctx, r.hosts[random.IntN(len(r.hosts))].storeLink, random)
+}}
+
+var storeFault = fault{"store", func(r *soakRun, ctx context.Context, _ *testing.T, random *rand.Rand) {
+	kinds := standin.StoreFaults()
+	r.platform.SetStoreFault(kinds[random.IntN(len(kinds))])
+	wait(ctx, randomDuration(random, 3*time.Second))
+	r.platform.SetStoreFault(standin.StoreHealthy)
+}}
+
 // sequence is a sequence of faults that are injected beside the others.
 type sequence struct {
 	faults       []fault
@@ -128,7 +132,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.deadlyClients++
-	return r.newClient(clientCount+1+r.deadlyClients, seed)
+	return r.newClient(r.scale.clients+1+r.deadlyClients, seed)
 }
 
 // randomDuration returns a random duration that is shorter than the longest.
@@ -199,8 +203,11 @@
 	for ctx.Err() == nil {
 		f := faults[random.IntN(len(faults))]
 		own := rand.New(rand.NewPCG(random.Uint64(), 1))
-		r.recordFault(f.name)
-		group.Go(func() { f.inject(r, ctx, t, own) })
+		r.beginFault(f.name)
+		group.Go(func() {
+			defer r.endFault()
+			f.inject(r, ctx, t, own)
+		})
 		wait(ctx, randomDuration(random, longestPause))
 	}
 	group.Wait()
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -21,7 +21,6 @@
 	gracePeriod = 6 * time.Second
 	// gracePeriodMargin is the time by which a planned stop may exceed the grace period as seen from a busy machine.
 	gracePeriodMargin = time.Second
-	maxLeaseDuration  = 3 * time.Second
 )
 
 // host is an entry host that runs as a separate process.
@@ -83,7 +82,7 @@
 }
 
 // newHost writes the settings file of a host and starts the host.
-func newHost(t *testing.T, binary, logs string, number int, storeAddress string) *host {
+func newHost(t *testing.T, binary, logs string, number int, storeAddress string, s scale) *host {
 	t.Helper()
 	port := freePorts(t)
 	h := &host{
@@ -93,11 +92,11 @@
 	h.settingsPath = filepath.Join(t.TempDir(), "boot.json")
 	h.logPath = filepath.Join(logs, h.name+".log")
 	text, err := json.Marshal(map[string]any{
-		"node_name": h.name, "zone": fmt.Sprintf("z-%d", number%2), "ip": "127.0.0.1",
+		"node_name": h.name, "zone": fmt.Sprintf("z-%d", number%s.zones), "ip": "127.0.0.1",
 		"bind_addresses": map[string]string{"front": h.front, "ready": fmt.Sprintf("127.0.0.1:%d", port+1)},
 		"port_range":     []int{port + 2, port + 3}, "orders": "request", "heartbeat_ms": 1500,
 		"limits":   map[string]any{"cpu_share": 1, "cores": 1, "memory_mb": 284},
-		"bounds":   map[string]any{"grace_s": gracePeriod.Seconds(), "max_hold_ms": maxLeaseDuration.Milliseconds(), "gang_timeout_ms": 3000, "stop_timeout_ms": 200},
+		"bounds":   map[string]any{"grace_s": gracePeriod.Seconds(), "max_hold_ms": s.maxLease.Milliseconds(), "gang_timeout_ms": 3000, "stop_timeout_ms": 200},
 		"platform": map[string]any{"address": h.storeLink.address(), "form": "table"},
 	})
 	if err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,14 +20,8 @@
 )
 
 const (
-	hostCount   = 5
-	workerCount = 8
-	clientCount = 4
 	// startTimeout is the longest time that the hosts may take to serve their first request.
 	startTimeout = 20 * time.Second
-	// endTimeout is the time after the last fault within which every job must have ended. It covers the longest time
-	// for which a former leader may have renewed the lease of an unreachable worker, the longest lease, and the work.
-	endTimeout = 40 * time.Second
 )
 
 // failedSeeds are the seeds that have failed once, each with the fault that it found.
@@ -40,6 +34,7 @@
 
 // soakRun is the state of the run of one seed.
 type soakRun struct {
+	scale       scale
 	platform    *standin.Platform
 	hosts       []*host
 	workerLinks []*proxy // proxies in front of the workers
@@ -53,14 +48,28 @@
 	served         map[string]bool // keys of the queues that a process has served, see checkConfiguration
 	deadlyClients  int             // number of clients of deadly jobs so far
 	injectedFaults []string        // start time and name of each
+	activeFaults   int
+	lastFaultEnd   time.Duration
+	leader         *host // the host that took over last
+	takeovers      int
+	standing       map[string]*standing // by job
+	notes          []string             // what a violation needs to be understood
 }
 
-func (r *soakRun) recordFault(name string) {
+func (r *soakRun) beginFault(name string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.activeFaults++
 	r.injectedFaults = append(r.injectedFaults, fmt.Sprintf("%s %s", r.platform.Since().Round(time.Millisecond), name))
 }
 
+func (r *soakRun) endFault() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.activeFaults--
+	r.lastFaultEnd = r.platform.Since()
+}
+
 func (r *soakRun) randomHost() *host {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -90,30 +99,30 @@
 	return list
 }
 
-// faultDuration returns the time for which faults are injected: MONSOONCHUTE_SOAK_SECONDS, or 10 seconds.
-func faultDuration() time.Duration {
+// faultDuration returns the time for which faults are injected: MONSOONCHUTE_SOAK_SECONDS, or the given time.
+func faultDuration(standard time.Duration) time.Duration {
 	if n, err := strconv.Atoi(os.Getenv("MONSOONCHUTE_SOAK_SECONDS")); err == nil {
 		return time.Duration(n) * time.Second
 	}
-	return 10 * time.Second
+	return standard
 }
 
 // TestSoak injects random faults into entry hosts that run as processes, and checks the invariants from outside.
 func TestSoak(t *testing.T) {
-	runSeeds(t, seeds(t, append(slices.Clone(failedSeeds), 1)...), deadlyJobs)
+	runSeeds(t, seeds(t, append(slices.Clone(failedSeeds), 1)...), small, deadlyJobs)
 }
 
 // TestSoakWithRestarts does so while many workers restart at once.
 func TestSoakWithRestarts(t *testing.T) {
-	runSeeds(t, seeds(t, 1), restarts)
+	runSeeds(t, seeds(t, 1), small, restarts)
 }
 
 // TestSoakWithRestartsAndDeadlyJobs does so while deadly jobs crash workers as well.
 func TestSoakWithRestartsAndDeadlyJobs(t *testing.T) {
-	runSeeds(t, seeds(t, 1), deadlyAndRestart)
+	runSeeds(t, seeds(t, 1), small, deadlyAndRestart)
 }
 
-func runSeeds(t *testing.T, seeds []uint64, sequences []sequence) {
+func runSeeds(t *testing.T, seeds []uint64, s scale, sequences []sequence) {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -128,26 +137,26 @@
 			if os.Getenv("MONSOONCHUTE_SEEDS") != "" {
 				t.Parallel()
 			}
-			runSeed(t, binary, seed, sequences)
+			runSeed(t, binary, seed, s, sequences)
 		})
 	}
 }
 
-func runSeed(t *testing.T, binary string, seed uint64, sequences []sequence) {
+func runSeed(t *testing.T, binary string, seed uint64, sc scale, sequences []sequence) {
 	t.Helper()
 	logs, err := os.MkdirTemp("", "monsoonchute-soak-")
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := newSoakRun(t, binary, logs, seed)
-	ctx, cancel := context.WithTimeout(r.ctx, faultDuration())
+	r := newSoakRun(t, binary, logs, seed, sc)
+	ctx, cancel := context.WithTimeout(r.ctx, faultDuration(sc.faultTime))
 	defer cancel()
 	group := conc.NewWaitGroup()
-	for i := range clientCount {
+	for i := range sc.clients {
 		c := r.newClient(i, seed)
 		group.Go(func() { c.run(ctx) })
 	}
-	checker := r.newClient(clientCount, seed)
+	checker := r.newClient(sc.clients, seed)
 	group.Go(func() {
 		for ctx.Err() == nil {
 			checker.checkConfiguration()
@@ -157,11 +166,20 @@
 	for i, s := range sequences {
 		group.Go(func() { r.injectFaults(ctx, t, rand.New(rand.NewPCG(seed, uint64(2+i))), s.faults, s.longestPause) })
 	}
-	r.injectFaults(ctx, t, rand.New(rand.NewPCG(seed, 0)), faults, 700*time.Millisecond)
+	random := rand.New(rand.NewPCG(seed, 0))
+	endWatch := func() {}
+	if sc.leadersInSeries {
+		endWatch = r.watch()
+		r.killLeadersInSeries(ctx, t, random)
+	} else {
+		r.injectFaults(ctx, t, random, faults, 700*time.Millisecond)
+	}
 	group.Wait()
-	r.awaitEnds(checker, endTimeout)
+	r.awaitEnds(checker, sc.endTimeout)
+	endWatch()
 	r.checkExecutions()
 	t.Log("calls and faults:", r.ledger.counts, len(r.injectedFaults), "faults,", len(r.platform.Executions()), "runs")
+	t.Log(strings.Join(r.notes, "\n"))
 	if len(r.ledger.violations) == 0 {
 		_ = os.RemoveAll(logs)
 		return
@@ -172,7 +190,7 @@
 }
 
 // newSoakRun starts the platform, the workers behind their proxies and the hosts, and waits until all hosts serve.
-func newSoakRun(t *testing.T, binary, logs string, seed uint64) *soakRun {
+func newSoakRun(t *testing.T, binary, logs string, seed uint64, sc scale) *soakRun {
 	t.Helper()
 	platform, cleanUp, err := standin.New()
 	if err != nil {
@@ -182,12 +200,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	r := &soakRun{
+		scale: sc, standing: make(map[string]*standing),
 		platform: platform, ctx: ctx, version: 3, served: make(map[string]bool), random: rand.New(rand.NewPCG(seed, 99)),
 		ledger: &ledger{jobs: make(map[string]*job), counts: make(map[string]int)},
 	}
 	platform.Put("op", "config", standin.Config(r.version))
-	for i := range workerCount {
-		worker, err := platform.AddWorker(i)
+	for i := range sc.workers {
+		worker, err := sc.addWorker(platform, i)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -195,10 +214,10 @@
 		worker.SetAddress(link.address())
 		r.workerLinks = append(r.workerLinks, link)
 	}
-	for i := range hostCount {
-		r.hosts = append(r.hosts, newHost(t, binary, logs, i, platform.StoreAddress()))
+	for i := range sc.hosts {
+		r.hosts = append(r.hosts, newHost(t, binary, logs, i, platform.StoreAddress(), sc))
 	}
-	c := r.newClient(clientCount+1, seed)
+	c := r.newClient(sc.clients+1, seed)
 	until := platform.Since() + startTimeout
 	for _, h := range r.hosts {
 		for status := 0; status != 200; status, _ = c.call(h, "GET", "/a/", "") {
