Soak: keep the arithmetic of resources with the checks that need it

The sums and comparisons serve only the soak's checks, so they go into its test files; the stand-in keeps what workers have.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -114,10 +114,10 @@
 			id, _, _ := strings.Cut(other.Task, ".")
 			overlaps := other.StartedAt <= e.StartedAt && (other.EndedAt == 0 || other.EndedAt > e.StartedAt)
 			if j := r.ledger.jobs[id]; j != nil && other.Worker == e.Worker && overlaps {
-				used = used.Plus(j.need, 1)
+				used = plus(used, j.need, 1)
 			}
 		}
-		if usableCapacity(capacities[e.Worker], e.StartedAt).Copies(used) == 0 {
+		if !covers(usableCapacity(capacities[e.Worker], e.StartedAt), used) {
 			r.ledger.reportViolation("task %s was started at %s on worker %s, which then had %+v in use", e.Task, e.StartedAt, e.Worker, used)
 		}
 	}
@@ -129,7 +129,7 @@
 	for i, c := range capacities {
 		replaced := i+1 < len(capacities) && capacities[i+1].Since < at-capacityGrace
 		if c.Since <= at && !replaced {
-			most = most.Max(c.Resources)
+			most = largest(most, c.Resources)
 		}
 	}
 	return most
--- a/soak/standing_test.go
+++ b/soak/standing_test.go
@@ -101,7 +101,7 @@
 			ended[e.Task] = true
 		case "":
 			running[id] = true
-			used[e.Worker] = used[e.Worker].Plus(r.needOf(id), 1)
+			used[e.Worker] = plus(used[e.Worker], r.needOf(id), 1)
 		}
 	}
 	var turns []turn
@@ -114,9 +114,9 @@
 	for _, w := range r.platform.Workers() {
 		capacities := w.Capacities()
 		all := capacities[len(capacities)-1].Resources
-		left.total, left.used = left.total.Plus(all, 1), left.used.Plus(used[w.ID()], 1)
+		left.total, left.used = plus(left.total, all, 1), plus(left.used, used[w.ID()], 1)
 		if w.Ready() {
-			left.workers = append(left.workers, freeWorker{w.ID(), w.Place().Rack, all.Plus(used[w.ID()], -1), all})
+			left.workers = append(left.workers, freeWorker{w.ID(), w.Place().Rack, plus(all, used[w.ID()], -1), all})
 		}
 	}
 	return turns, left
@@ -177,7 +177,7 @@
 }
 
 func tasksOn(u turn, free standin.Resources) int {
-	if n := free.Copies(u.need); u.spread == 0 || n < u.spread {
+	if n := copiesIn(free, u.need); u.spread == 0 || n < u.spread {
 		return n
 	}
 	return u.spread
