Know the end of the lease of a worker whose job comes late

What callers would see: a task that runs twice. Cause: the end of an inherited lease was noted only where the worker was not yet known; a worker that was listed before its job's submission came had none, so that it counted as lost at once when silent. Change: the end is noted for every worker that has not answered when a run of an earlier scheduler is found there.

--- a/chutetakeover/runs.go
+++ b/chutetakeover/runs.go
@@ -27,6 +27,9 @@
 		if !ok {
 			w = p.unreachedWorker(t, task.Worker)
 		}
+		if w.LeaseExpiryBound.IsZero() && w.AnsweredAt.IsZero() { // listed before the job became known
+			w.LeaseExpiryBound = p.leaseEnd(t, task.Worker)
+		}
 		run := chutepool.Run{
 			ID: chutegraph.RunID{Task: id, Number: task.Run}, Reserved: j.Step(id.StepID).Reserved(),
 			Priority: j.Priority, StartUnanswered: true, Inherited: true, Checkpoint: task.Checkpoint, Quarantined: task.Quarantined,
@@ -42,6 +45,5 @@
 	if address, ok := p.leader.Row.Handover.AddressOf(id); ok {
 		w.Address, w.AnsweredFrom = address, address
 	}
-	w.LeaseExpiryBound = p.leaseEnd(t, id)
 	return w
 }
