Count the time that a job stands from when there is room for it

Cause: the 2 s counted for every waiting job from the first reservation on, so that all had stood by the time at which a gang's turn came. Change: four times a second, at most 64 steps are found that would start if nothing were kept for others, on the free capacity of all usable workers; the 2 s count from there. While less than half of each resource is in use they may use any rack. Demands that run beside others rather than in quarantine count too, and only the first gang of a service that needs a reservation is placed though an equal one failed.

--- a/chuteplacement/fit.go
+++ b/chuteplacement/fit.go
@@ -1,6 +1,31 @@
 package chuteplacement
 
-import "slices"
+import (
+	"slices"
+
+	"monsoonchute.example/monsoonchute/chutegraph"
+)
+
+// Fitting returns the steps of the first demands, at most limit, that would start on the workers if nothing were kept for others, each
+// by itself and in any rack or not.
+func Fitting(workers []Worker, demands []Demand, anyRack bool, limit int) []chutegraph.StepID {
+	p := newPass(View{Workers: workers})
+	var fitting []chutegraph.StepID
+	for _, d := range demands {
+		if len(fitting) == limit {
+			break
+		}
+		d = d.inAnyRack(anyRack)
+		switch {
+		case p.knownUnplaceable(d):
+		case p.fits(d, freeNow):
+			fitting = append(fitting, d.ID)
+		default:
+			p.unplaced = append(p.unplaced, d)
+		}
+	}
+	return fitting
+}
 
 // Fits reports whether a task of the demand, or its whole gang, would start on the workers if nothing were kept for others.
 func Fits(workers []Worker, d Demand) bool {
@@ -9,8 +34,7 @@
 
 // FitsAcrossRacks reports whether it would if it could use any rack.
 func FitsAcrossRacks(workers []Worker, d Demand) bool {
-	d.Step.SameRack, d.Step.DataRack = false, ""
-	return Fits(workers, d)
+	return Fits(workers, d.inAnyRack(true))
 }
 
 // FitsTwice reports whether two tasks of the demand, or its gang twice, would start on the workers if these could use any rack.
@@ -35,3 +59,11 @@
 	_, ok := p.place(d, a)
 	return ok
 }
+
+// inAnyRack returns the demand without its wishes for a rack, if it may use any.
+func (d Demand) inAnyRack(allowed bool) Demand {
+	if allowed {
+		d.Step.SameRack, d.Step.DataRack = false, ""
+	}
+	return d
+}
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -38,7 +38,7 @@
 
 // schedule finds workers for the waiting tasks of a demand, for all of a gang or for as many as fit otherwise.
 func (p *pass) schedule(d Demand) {
-	if !d.NeedsReservation && !p.anyClaimed(d) && p.knownUnplaceable(d) {
+	if (!d.NeedsReservation || p.reserved[d.Service]) && !p.anyClaimed(d) && p.knownUnplaceable(d) {
 		return
 	}
 	if d.Step.Gang {
@@ -99,7 +99,7 @@
 func (p *pass) placeNow(d Demand) ([]int, bool) {
 	placed, ok := p.place(d, freeNow)
 	if !ok && d.MayUseReserved {
-		return p.place(d, freeIfNotKept)
+		return p.place(d.inAnyRack(d.MayUseAnyRack), freeIfNotKept)
 	}
 	return placed, ok
 }
--- a/chuteplacement/view.go
+++ b/chuteplacement/view.go
@@ -59,6 +59,7 @@
 	Guaranteed       bool                          // its workspace's guarantee covers it: if need be, runs of equal priority are evicted as well
 	NeedsReservation bool                          // it has waited so long that capacity is reserved for it
 	MayUseReserved   bool                          // it may use capacity that is reserved for others, for one task or its gang
+	MayUseAnyRack    bool                          // it may use any rack as well then
 }
 
 // Decision is a result of a planning pass: a Start, an Evict or a Nominate.
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -35,11 +35,13 @@
 	p.nominated = make(map[chutegraph.StepID]map[int]chutetask.WorkerID)
 	p.updateWaiting(demands)
 	plan := p.planQuarantine(quarantined)
-	p.openReservations(demands, len(plan.emptied) > 0)
-	waiting := p.planBeside(append(demands, plan.beside...), plan.taken)
+	demands = append(demands, plan.beside...)
+	p.openReservations(demands)
+	waiting := p.planBeside(demands, plan.taken)
 	if len(plan.emptied) > 0 {
 		p.startOnEmptied(demands)
 	}
+	p.findStanding(demands, len(plan.emptied) > 0)
 	p.planSpareQuarantine(plan, waiting)
 	p.waits = p.waits.Next(p.Transition.Transition, demands)
 	p.quarantineDueSince = p.quarantineWaits
--- a/chuteplanner/waiting.go
+++ b/chuteplanner/waiting.go
@@ -4,8 +4,11 @@
 	"slices"
 	"time"
 
+	"monsoonchute.example/monsoonchute/chutecapacity"
+
 	"github.com/benbjohnson/immutable"
 
+	"monsoonchute.example/monsoonchute/chutecandidate"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 )
@@ -14,16 +17,19 @@
 const minReservationWait = 4 * time.Second
 
 const (
-	// reservationHold is how long a job of which nothing runs stands beside reserved capacity before it may use it.
-	reservationHold = 2 * time.Second
+	// maxStanding is how long a job of which nothing runs stands beside capacity that is kept for others before it may use it.
+	maxStanding = 2 * time.Second
 	// standingInterval is the shortest time between two searches for such jobs.
 	standingInterval = 250 * time.Millisecond
+	// maxStandingSteps is the largest number of steps that a search finds.
+	maxStandingSteps = 64
 )
 
-// standing are the steps of jobs of which nothing runs that wait while capacity is reserved for others.
+// standing are the steps that would start if nothing were kept for others, while nothing of their jobs runs.
 type standing struct {
-	foundAt time.Time                       // time of the latest search; zero while no capacity is reserved
-	since   map[chutegraph.StepID]time.Time // never changed once stored
+	foundAt time.Time                       // time of the latest search; zero while nothing is kept
+	since   map[chutegraph.StepID]time.Time // since when each has stood; never changed once stored
+	anyRack bool                            // the workers are so empty that those which stand may use any rack
 }
 
 // updateWaiting records since when each gang waits, and marks the gangs that have waited long enough for a reservation:
@@ -45,35 +51,51 @@
 	p.waitingSince = updated
 }
 
-// openReservations lets the demands of jobs that have stood for long use capacity that is reserved for gangs, or on workers that
+// openReservations lets the demands of jobs that have stood for long use capacity that is kept for others.
+func (p *pass) openReservations(demands []chuteplacement.Demand) {
+	for i, d := range demands {
+		since, stands := p.standing.since[d.ID]
+		demands[i].MayUseReserved = stands && p.Now.Sub(since) >= maxStanding && p.nothingRuns(d.ID.Job)
+		demands[i].MayUseAnyRack = p.standing.anyRack
+	}
+}
+
+// findStanding finds, now and then, the steps that stand after a pass. Capacity may be kept for a gang, in a rack, or on workers that
 // are emptied for quarantines.
-func (p *pass) openReservations(demands []chuteplacement.Demand, emptied bool) {
-	if !emptied && !slices.ContainsFunc(demands, func(d chuteplacement.Demand) bool { return d.NeedsReservation }) {
+func (p *pass) findStanding(demands []chuteplacement.Demand, emptied bool) {
+	if !emptied && !slices.ContainsFunc(demands, keepsOrNeedsRack) {
 		p.standing = standing{}
 		return
 	}
-	if p.Now.Sub(p.standing.foundAt) >= standingInterval {
-		p.findStanding(demands)
+	if p.Now.Sub(p.standing.foundAt) < standingInterval {
+		return
 	}
-	for i, d := range demands {
-		since, stands := p.standing.since[d.ID]
-		demands[i].MayUseReserved = stands && p.Now.Sub(since) >= reservationHold && p.nothingRuns(d.ID.Job)
+	waiting := slices.DeleteFunc(slices.Clone(demands), func(d chuteplacement.Demand) bool { return !p.nothingRuns(d.ID.Job) })
+	found := make(map[chutegraph.StepID]time.Time)
+	workers := chutecandidate.Usable(p.Transition.Transition, nil)
+	anyRack := underHalfUsed(workers)
+	for _, id := range chuteplacement.Fitting(workers, waiting, anyRack, maxStandingSteps) {
+		found[id] = p.Now
+		if since, stands := p.standing.since[id]; stands {
+			found[id] = since
+		}
 	}
+	p.standing = standing{foundAt: p.Now, since: found, anyRack: anyRack}
 }
 
-// findStanding notes since when each job of which nothing runs has stood.
-func (p *pass) findStanding(demands []chuteplacement.Demand) {
-	found := make(map[chutegraph.StepID]time.Time)
-	for _, d := range demands {
-		if !p.nothingRuns(d.ID.Job) {
-			continue
-		}
-		found[d.ID] = p.Now
-		if since, stands := p.standing.since[d.ID]; stands {
-			found[d.ID] = since
-		}
+// underHalfUsed reports whether less than half of each resource of the workers is in use. A gang waits for a rack, in which it
+// runs faster, only while others need the rest.
+func underHalfUsed(workers []chuteplacement.Worker) bool {
+	var free, capacity chutecapacity.Resources
+	for _, w := range workers {
+		free, capacity = free.Plus(w.Free), capacity.Plus(w.Capacity)
 	}
-	p.standing = standing{foundAt: p.Now, since: found}
+	return capacity.Fits(free.Times(2))
+}
+
+// keepsOrNeedsRack reports whether capacity is kept for the demand, or it waits for a rack.
+func keepsOrNeedsRack(d chuteplacement.Demand) bool {
+	return d.NeedsReservation || d.Step.SameRack || d.Step.DataRack != ""
 }
 
 // nothingRuns reports whether no task of the job has a run.
