Check in simulations that no job with room waits, at any load, after chains of leaders

Cause: the check for idle tasks looked at jobs only once something of them had been recorded, and only while under half of the capacity was in use. A job that had never run, or one of a full service, could stand without a report.

Change: the check covers jobs that have not begun, labels and racks (a gang that a rack could hold must fit into racks twice), and, in histories that note their faults, any load once there was no fault for four seconds. It names the jobs that wait before the idle one.

--- a/chuteentry/cutoff_test.go
+++ b/chuteentry/cutoff_test.go
@@ -18,8 +18,14 @@
 	k.sim.after(span, func() { k.disconnected, k.offStore = false, false })
 }
 
-// fail ends the worker's process, which breaks the gangs of its runs, and starts it again after the time.
+// fail ends the worker's process, and starts it again after the time.
 func (k *fakeWorker) fail(down time.Duration) {
+	k.end()
+	k.sim.after(down, k.restart)
+}
+
+// end ends the worker's process for good, which breaks the gangs of its runs.
+func (k *fakeWorker) end() {
 	lost := k.sortedRuns()
 	k.crash(time.Hour)
 	for _, r := range lost {
@@ -27,7 +33,6 @@
 			k.sim.endGang(r, chutetask.EndLost)
 		}
 	}
-	k.sim.after(down, k.restart)
 }
 
 // gangEnds keeps the time of the first done end of each gang that its worker was allowed to delete.
--- a/chuteentry/fakehost_test.go
+++ b/chuteentry/fakehost_test.go
@@ -36,7 +36,7 @@
 	}
 	h.state = chuteentry.New(chuteentry.Settings{
 		Host: name, Process: h.process, RelayAddress: name, CPUShare: share, Jitter: time.Duration(sm.random.Int64N(int64(200 * time.Millisecond))),
-		Bounds: chuteledger.Bounds{MaxLease: maxLease, GangTimeout: gangTimeout, StopTimeout: stopTimeout, HeartbeatInterval: heartbeat},
+		Bounds: chuteledger.Bounds{MaxLease: sm.fleet.lease, GangTimeout: gangTimeout, StopTimeout: stopTimeout, HeartbeatInterval: heartbeat},
 	})
 	sm.hosts[name] = h
 	h.tick()
--- a/chuteentry/fakeorders_test.go
+++ b/chuteentry/fakeorders_test.go
@@ -28,7 +28,7 @@
 }
 
 func (k *fakeWorker) extendLease(leaseEnd time.Duration) {
-	at := k.startedAt.Add(min(leaseEnd, k.clock()+maxLease))
+	at := k.startedAt.Add(min(leaseEnd, k.clock()+k.sim.fleet.lease))
 	if at.After(k.leaseEnd) {
 		k.leaseEnd = at
 	}
--- a/chuteentry/fakerestart_test.go
+++ b/chuteentry/fakerestart_test.go
@@ -85,7 +85,10 @@
 func (sm *simulation) recorded(j *fakeJob) (chutetask.Job, bool) {
 	job := chutetask.New(chutetask.Submission{ID: j.id, Spec: j.spec}, 0, j.acceptedAt)
 	progress, ok := sm.store.rows[chuteaction.ProgressKey(j.id)].Value.(chuteaction.ProgressRow)
-	return job.WithProgress(progress.Progress), ok
+	if ok {
+		job = job.WithProgress(progress.Progress)
+	}
+	return job, ok
 }
 
 // ended reports whether all the jobs are recorded as ended.
--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -43,9 +43,9 @@
 		sim: sm, startedAt: sm.now, firstStartedAt: sm.now, runs: make(map[chutegraph.RunID]*fakeRun), expiredEnds: make(map[int64]bool),
 		endedAt: make(map[chutegraph.RunID]time.Time), highestEndedRun: make(map[chutegraph.TaskID]int),
 		listing: chutepool.Listing{
-			ID: chutetask.WorkerID(name), Service: "main", Address: name + ":1", Zone: fmt.Sprintf("zone-%d", i%3),
-			Rack: fmt.Sprintf("rack-%d", i/4), Labels: []string{"a", fmt.Sprintf("rack-%d", i/4)},
-			Capacity: fullCapacity(),
+			ID: chutetask.WorkerID(name), Service: "main", Address: name + ":1", Zone: fmt.Sprintf("zone-%d", i%sm.fleet.zones),
+			Rack: fmt.Sprintf("rack-%d", i/sm.fleet.rack), Labels: []string{"a", fmt.Sprintf("rack-%d", i/sm.fleet.rack)},
+			Capacity: sm.fleet.capacity,
 		},
 	}
 	k.listing.Incarnation = k.startedAt.UnixMilli()
--- a/chuteentry/simulation_test.go
+++ b/chuteentry/simulation_test.go
@@ -24,6 +24,8 @@
 	violations []string // violated invariants
 	logLines   []string // log lines of all hosts
 
+	fleet           fleet
+	calmFrom        time.Time // since when no fault is active; zero if the histories do not note their faults
 	machineService  fakeMachineService
 	maxOrderWait    time.Duration                               // longest time that a start order waits on its host
 	workerReturn    workerReturn                                // how workers come back after their tasks crashed them
@@ -59,9 +61,15 @@
 	maxStartsBeyond = 2
 )
 
+// newSimulation returns a simulation of so many hosts and workers.
 func newSimulation(seed uint64, hosts, workers int) *simulation {
+	return newSimulationOf(seed, hosts, workers, fleet{rack: 4, zones: 3, capacity: fullCapacity(), lease: maxLease})
+}
+
+// newSimulationOf does so with workers of the fleet.
+func newSimulationOf(seed uint64, hosts, workers int, fleet fleet) *simulation {
 	sm := &simulation{
-		now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
+		fleet: fleet, now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
 		workers: make(map[string]*fakeWorker), hosts: make(map[string]*fakeHost),
 	}
 	sm.store = newFakeStore(sm)
