Reproduce a gang for which workers without memory are kept

Cause: chuteplacement chooses the workers that it reserves for a gang by their free accelerators alone. Where memory is what the gang lacks, it keeps workers whose memory stays in use for long, and others go on taking the memory that becomes free elsewhere.

--- a/chuteentry/reservation_test.go
+++ b/chuteentry/reservation_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutegraph"
 )
 
 // TestJobsWithRoomDoNotWaitForAGangThatDoesNotFit guards against small jobs that stand beside idle workers, which are kept for a gang
@@ -56,3 +59,28 @@
 		})
 	}
 }
+
+// TestAGangIsGivenWorkersWithMemory guards against a gang that waits for workers with idle accelerators, of which others use the
+// memory.
+func TestAGangIsGivenWorkersWithMemory(t *testing.T) {
+	sm := newSimulation(1, 3, 8)
+	sm.run(4 * time.Second)
+	step := func(count, memory int) chutegraph.Step {
+		return chutegraph.Step{Count: count, Request: chutecapacity.Resources{Processor: 1000, Memory: memory, Accelerators: 1}}
+	}
+	sm.clients.submit("normal", time.Minute, step(4, 100_000))
+	for n := range 150 {
+		sm.after(time.Duration(n)*200*time.Millisecond, func() {
+			sm.clients.submit("low", time.Duration(500+n%7*100)*time.Millisecond, step(16, 15_000))
+		})
+	}
+	sm.run(2 * time.Second)
+	large := step(4, 68_000)
+	large.Gang = true
+	gang := sm.clients.submit("normal", time.Second, large)
+	sm.run(15 * time.Second)
+	if len(gang.doneAt) < 4 {
+		t.Errorf("%d of 4 members of the gang completed within 15 s", len(gang.doneAt))
+	}
+	sm.failOnViolations(t)
+}
