Move what only the log asks for to chutewait, and name reservations so

Change: whether a demand fits twice, in any rack or on empty workers is chutewait's; the capacity that is reserved is called a reservation; imports have three groups. Nothing else changes.

--- a/chuteplacement/fit.go
+++ b/chuteplacement/fit.go
@@ -1,10 +1,6 @@
 package chuteplacement
 
-import (
-	"slices"
-
-	"monsoonchute.example/monsoonchute/chutegraph"
-)
+import "monsoonchute.example/monsoonchute/chutegraph"
 
 // Fitting returns the steps of the first demands, at most limit, that would start on the workers if nothing were kept for others, each
 // by itself and in any rack or not.
@@ -18,7 +14,7 @@
 		d = d.inAnyRack(anyRack)
 		switch {
 		case p.knownUnplaceable(d):
-		case p.fits(d, freeNow):
+		case p.fits(d):
 			fitting = append(fitting, d.ID)
 		default:
 			p.unplaced = append(p.unplaced, d)
@@ -29,34 +25,14 @@
 
 // Fits reports whether a task of the demand, or its whole gang, would start on the workers if nothing were kept for others.
 func Fits(workers []Worker, d Demand) bool {
-	return newPass(View{Workers: workers}).fits(d, freeNow)
-}
-
-// FitsAcrossRacks reports whether it would if it could use any rack.
-func FitsAcrossRacks(workers []Worker, d Demand) bool {
-	return Fits(workers, d.inAnyRack(true))
-}
-
-// FitsTwice reports whether two tasks of the demand, or its gang twice, would start on the workers if these could use any rack.
-func FitsTwice(workers []Worker, d Demand) bool {
-	if !d.Step.Gang {
-		d = d.single(0)
-	}
-	d.Step.Gang = true
-	d.Indexes = append(slices.Clone(d.Indexes), d.Indexes...)
-	return FitsAcrossRacks(workers, d)
-}
-
-// FitsEmpty reports whether it would if nothing ran on the workers.
-func FitsEmpty(workers []Worker, d Demand) bool {
-	return newPass(View{Workers: workers}).fits(d, wholeCapacity)
+	return newPass(View{Workers: workers}).fits(d)
 }
 
-func (p *pass) fits(d Demand, a availability) bool {
+func (p *pass) fits(d Demand) bool {
 	if !d.Step.Gang {
 		d = d.single(0)
 	}
-	_, ok := p.place(d, a)
+	_, ok := p.place(d, freeNow)
 	return ok
 }
 
--- a/chuteplacement/pass.go
+++ b/chuteplacement/pass.go
@@ -25,10 +25,10 @@
 // workerState is a worker with the capacity that it has left during the pass.
 type workerState struct {
 	Worker
-	free       chutecapacity.Resources // free now
-	afterStops chutecapacity.Resources // free once all runs that are being stopped have ended
-	afterEnds  chutecapacity.Resources // free once the runs that are expected to end soon have ended as well
-	kept       chutecapacity.Resources // kept for a demand that waits, and so not free for others
+	free        chutecapacity.Resources // free now
+	afterStops  chutecapacity.Resources // free once all runs that are being stopped have ended
+	afterEnds   chutecapacity.Resources // free once the runs that are expected to end soon have ended as well
+	reservation chutecapacity.Resources // reserved for a demand that waits, and so not free for others
 }
 
 type rack struct {
@@ -40,11 +40,11 @@
 type availability int
 
 const (
-	freeNow        availability = iota
-	freeIfNotKept               // as if nothing were kept for demands that wait
-	freeAfterStops              // all runs that are being stopped have ended
-	freeAfterEnds               // the runs that are expected to end soon have ended as well
-	wholeCapacity               // nothing runs on the worker
+	freeNow           availability = iota
+	freeIfNotReserved              // as if nothing were reserved for demands that wait
+	freeAfterStops                 // all runs that are being stopped have ended
+	freeAfterEnds                  // the runs that are expected to end soon have ended as well
+	wholeCapacity                  // nothing runs on the worker
 )
 
 func newPass(view View) *pass {
@@ -79,8 +79,8 @@
 	switch a {
 	case freeNow:
 		return w.free
-	case freeIfNotKept:
-		return w.free.Plus(w.kept)
+	case freeIfNotReserved:
+		return w.free.Plus(w.reservation)
 	case freeAfterStops:
 		return w.afterStops
 	case freeAfterEnds:
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -99,7 +99,7 @@
 func (p *pass) placeNow(d Demand) ([]int, bool) {
 	placed, ok := p.place(d, freeNow)
 	if !ok && d.MayUseReserved {
-		return p.place(d.inAnyRack(d.MayUseAnyRack), freeIfNotKept)
+		return p.place(d.inAnyRack(d.MayUseAnyRack), freeIfNotReserved)
 	}
 	return placed, ok
 }
--- a/chuteplacement/reservation.go
+++ b/chuteplacement/reservation.go
@@ -18,7 +18,7 @@
 	}
 	p.reserve(d, best)
 	for _, w := range best {
-		p.workers[w].kept = p.workers[w].kept.Plus(d.Step.Reserved())
+		p.workers[w].reservation = p.workers[w].reservation.Plus(d.Step.Reserved())
 	}
 	return best != nil
 }
--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -3,14 +3,13 @@
 import (
 	"time"
 
-	"monsoonchute.example/monsoonchute/chutewait"
-
 	"github.com/benbjohnson/immutable"
 
 	"monsoonchute.example/monsoonchute/chuteapproval"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
+	"monsoonchute.example/monsoonchute/chutewait"
 )
 
 const (
--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chutecandidate"
-
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
--- a/chuteplanner/waiting.go
+++ b/chuteplanner/waiting.go
@@ -4,11 +4,10 @@
 	"slices"
 	"time"
 
-	"monsoonchute.example/monsoonchute/chutecapacity"
-
 	"github.com/benbjohnson/immutable"
 
 	"monsoonchute.example/monsoonchute/chutecandidate"
+	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 )
@@ -25,7 +24,8 @@
 	maxStandingSteps = 64
 )
 
-// standing are the steps that would start if nothing were kept for others, while nothing of their jobs runs.
+// standing are the steps that would start if nothing were kept for others (reserved for a gang, in a rack, or on workers that are
+// emptied), while nothing of their jobs runs.
 type standing struct {
 	foundAt time.Time                       // time of the latest search; zero while nothing is kept
 	since   map[chutegraph.StepID]time.Time // since when each has stood; never changed once stored
--- a/chutewait/view.go
+++ b/chutewait/view.go
@@ -56,13 +56,13 @@
 	switch {
 	case chuteplacement.Fits(v.usable, d):
 		return "kept-for-others"
-	case chuteplacement.FitsAcrossRacks(v.usable, d):
+	case fitsInAnyRack(v.usable, d):
 		return "rack"
 	case chuteplacement.Fits(v.confirmed, d):
 		return "unconfirmed-runs"
 	case chuteplacement.Fits(v.listed, d):
 		return "unusable-workers"
-	case !chuteplacement.FitsEmpty(v.usable, d):
+	case !chuteplacement.Fits(emptied(v.usable), d):
 		return "too-large"
 	}
 	return "no-room"
@@ -75,7 +75,7 @@
 	t.Log(component, "step waits for capacity", d.ID.Job, "step", d.ID, "reason", reason, "waited", waited, "priority", d.Priority,
 		"tasks", len(d.Indexes), "accelerators", d.Step.Request.Accelerators, "gang", d.Step.Gang, "same-rack", d.Step.SameRack,
 		"usable", len(v.usable), "unusable", v.obstacles(), "unconfirmed-runs", v.unconfirmed,
-		"fits-twice", chuteplacement.FitsTwice(v.usable, d))
+		"fits-twice", fitsTwice(v.usable, d))
 }
 
 // obstacles returns the numbers of workers that can't be used, by the obstacle.
@@ -86,3 +86,28 @@
 	}
 	return strings.Join(counts, " ")
 }
+
+// fitsInAnyRack reports whether the demand would start if it could use any rack.
+func fitsInAnyRack(workers []chuteplacement.Worker, d chuteplacement.Demand) bool {
+	d.Step.SameRack, d.Step.DataRack = false, ""
+	return chuteplacement.Fits(workers, d)
+}
+
+// fitsTwice reports whether two tasks of the demand, or its gang twice, would start if they could use any rack.
+func fitsTwice(workers []chuteplacement.Worker, d chuteplacement.Demand) bool {
+	if !d.Step.Gang {
+		d.Indexes = d.Indexes[:1]
+	}
+	d.Step.Gang = true
+	d.Indexes = append(slices.Clone(d.Indexes), d.Indexes...)
+	return fitsInAnyRack(workers, d)
+}
+
+// emptied returns the workers as if nothing ran on them.
+func emptied(workers []chuteplacement.Worker) []chuteplacement.Worker {
+	empty := slices.Clone(workers)
+	for i := range empty {
+		empty[i].Free = empty[i].Capacity
+	}
+	return empty
+}
