--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -87,7 +87,7 @@
 	}))
 	server := &http.Server{Handler: mux}
 	k.server = server
-	k.world.log.write("worker-up", "worker", k.id, "born", k.born)
+	k.world.log.write("worker-up", "worker", k.id, "address", k.address, "born", k.born)
 	go func() { _ = server.Serve(listener) }()
 	go k.live(server)
 	return nil
