Show that a takeover tells all hosts that no job is pending

Cause: the leader's row takes the count of pending jobs with each write, also before a new scheduler has counted. A job that was cancelled before the takeover is written at once, and all hosts answer by that row until the next write.

--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -51,6 +51,19 @@
 	return fmt.Errorf("job %s was not accepted", id)
 }
 
+// cancel cancels a job until that is answered with success.
+func (c *client) cancel(id string) error {
+	c.world.leaves(id)
+	for range 20 {
+		status, _ := c.call(http.MethodDelete, queuePath+id, nil)
+		if status >= 200 && status < 300 {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Errorf("the cancelling of job %s was not answered", id)
+}
+
 // state returns the state of a job as a host shows it, or the status of the answer.
 func (c *client) state(id string) string {
 	return c.stateIn(queuePath, id)
--- a/review/harness-2/pending.go
+++ b/review/harness-2/pending.go
@@ -90,14 +90,17 @@
 	}
 }
 
-// ask asks one host, ten times a second.
+// pollInterval is the time between two calls to a host.
+const pollInterval = 50 * time.Millisecond
+
+// ask asks one host.
 func (p *poll) ask(h *host, done chan struct{}) {
 	last := -1
 	for {
 		select {
 		case <-done:
 			return
-		case <-time.After(100 * time.Millisecond):
+		case <-time.After(pollInterval):
 		}
 		sent := time.Now()
 		answer, ok := h.pending()
--- a/review/harness-2/world.go
+++ b/review/harness-2/world.go
@@ -42,7 +42,6 @@
 	hosts   []*host
 
 	folder  string // of the hosts' settings and logs
-	grown   bool   // the case is on the grown site
 	servers []*http.Server
 
 	mutex sync.Mutex
@@ -54,6 +53,7 @@
 	steps    []step
 	accepted time.Time // zero before its acceptance was answered
 	begun    bool      // a worker has begun one of its tasks
+	left     bool      // its client has begun to cancel it
 }
 
 func newWorld(log *record) *world {
@@ -150,6 +150,15 @@
 	}
 }
 
+// leaves takes note that the client of a job cancels it.
+func (w *world) leaves(id string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if j := w.jobs[id]; j != nil {
+		j.left = true
+	}
+}
+
 // began takes note that a worker has begun a task.
 func (w *world) began(task string) {
 	id, _ := jobOf(task)
@@ -166,7 +175,7 @@
 	defer w.mutex.Unlock()
 	count := 0
 	for _, j := range w.jobs {
-		if !j.begun && !j.accepted.IsZero() && j.accepted.Before(before) {
+		if !j.begun && !j.left && !j.accepted.IsZero() && j.accepted.Before(before) {
 			count++
 		}
 	}
