--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -6,11 +6,11 @@
 	"github.com/benbjohnson/immutable"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
-	"monsoonchute.example/monsoonchute/chutecatalog"
 	"monsoonchute.example/monsoonchute/chuteclock"
 	"monsoonchute.example/monsoonchute/chuteintake"
 	"monsoonchute.example/monsoonchute/chuteleader"
 	"monsoonchute.example/monsoonchute/chuteledger"
+	"monsoonchute.example/monsoonchute/chuteoperator"
 	"monsoonchute.example/monsoonchute/chutescheduler"
 )
 
@@ -19,8 +19,6 @@
 	maxContactAge = 2500 * time.Millisecond
 	// maxContactGap is the longest time between two answers of the store that still counts as unbroken contact.
 	maxContactGap = 2 * time.Second
-	// operatorPollTimeout is how long the store holds a poll of the operators' table while nothing changes.
-	operatorPollTimeout = 1500 * time.Millisecond
 	// minPollInterval is the shortest time between two polls of the leaders' or the hosts' table.
 	minPollInterval = 400 * time.Millisecond
 	// leaderPollTimeout is how long the store holds a poll of the leaders' table while nothing changes.
@@ -54,19 +52,17 @@
 
 // State is the immutable state of an entry host.
 type State struct {
-	settings       Settings
-	token          chuteaction.Token
-	started        bool
-	catalog        chutecatalog.Catalog
-	waves          []chuteaction.WaveRow // copied on write
-	evacuatedZones map[string]bool       // zones in which nothing may start; copied on write
-	contactAt      time.Time             // time of the store's latest answer
-	contactSince   time.Time             // start of the current unbroken contact with the store
-	storeClock     chuteclock.Store
-	leader         chuteleader.State
-	intake         chuteintake.State
-	scheduler      *chutescheduler.State // nil unless this host leads
-	stopping       bool
+	settings     Settings
+	token        chuteaction.Token
+	started      bool
+	operators    chuteoperator.State
+	contactAt    time.Time // time of the store's latest answer
+	contactSince time.Time // start of the current unbroken contact with the store
+	storeClock   chuteclock.Store
+	leader       chuteleader.State
+	intake       chuteintake.State
+	scheduler    *chutescheduler.State // nil unless this host leads
+	stopping     bool
 	// hostRowWrite is the token of the latest write of this host's row, which replaces the row of hostRowVersion; a failed
 	// write is retried at hostRowRetryAt, which is zero while no retry is due.
 	hostRowWrite   chuteaction.Token
@@ -82,7 +78,7 @@
 	settings.Bounds.UnconfirmedLimit = chuteleader.UnconfirmedLimit
 	return State{
 		settings: settings, peerAddresses: immutable.NewSortedMap[string, string](nil),
-		hostRows: immutable.NewSortedMap[string, chuteaction.Row](nil), evacuatedZones: make(map[string]bool),
+		hostRows: immutable.NewSortedMap[string, chuteaction.Row](nil), operators: chuteoperator.New(),
 		leader: chuteleader.New(settings.Host, settings.Process, settings.Jitter).
 			WithLongestLeases(settings.Bounds.LongestLease(), settings.Bounds.LongestUnconfirmedLease()),
 		intake: chuteintake.New(),
@@ -92,7 +88,7 @@
 // Serving reports whether the host should receive new connections: it has a configuration, reaches the store and is
 // not stopping.
 func (s State) Serving(now time.Time) bool {
-	return s.catalog.Loaded() && !s.stopping && s.inContact(now)
+	return s.operators.Catalog().Loaded() && !s.stopping && s.inContact(now)
 }
 
 // Leads reports whether this host is the scheduler.
@@ -106,7 +102,7 @@
 
 func (s State) environment() chuteledger.Environment {
 	return chuteledger.Environment{
-		Catalog: s.catalog, EvacuatedZones: s.evacuatedZones, Waves: s.waves,
+		Catalog: s.operators.Catalog(), EvacuatedZones: s.operators.EvacuatedZones(), Waves: s.operators.Waves(),
 		ConfirmedAt: s.leader.ConfirmedAt(), ContactSince: s.contactSince, StoreClock: s.storeClock,
 	}
 }
@@ -116,5 +112,7 @@
 	if s.scheduler != nil && s.scheduler.Ready() {
 		pending = s.scheduler.Pending()
 	}
-	return chuteintake.View{Catalog: s.catalog, Pending: pending, StoreReachable: s.inContact(now)}
+	return chuteintake.View{
+		Catalog: s.operators.Catalog(), CatalogAge: s.operators.Age(now), Pending: pending, StoreReachable: s.inContact(now),
+	}
 }
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -5,6 +5,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chuteleader"
+	"monsoonchute.example/monsoonchute/chuteoperator"
 )
 
 // Step handles one event and returns the next state and the effects that the caller must carry out.
@@ -51,7 +52,7 @@
 	}
 	t.state.started = true
 	t.writeHostRow()
-	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableOperator, PollTimeout: operatorPollTimeout})
+	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableOperator, PollTimeout: chuteoperator.PollTimeout})
 	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableLeaders, MinInterval: minPollInterval, PollTimeout: leaderPollTimeout})
 	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableHosts, MinInterval: minPollInterval, PollTimeout: hostsPollTimeout})
 }
@@ -62,6 +63,7 @@
 		t.writeHostRow()
 	}
 	t.state.intake = t.state.intake.Tick(t.Transition)
+	t.state.operators = t.state.operators.Tick(t.Transition)
 	if t.state.stopping && t.state.scheduler == nil && t.state.leader.Role() == chuteleader.RoleFollower {
 		return
 	}
@@ -117,7 +119,7 @@
 	t.state.leader = t.state.leader.WithStoreClock(t.state.storeClock)
 	switch e.Table {
 	case chuteaction.TableOperator:
-		t.operatorChanged(e)
+		t.state.operators = t.state.operators.HandleTableChanged(t.Transition, e)
 	case chuteaction.TableLeaders:
 		t.state.leader = t.state.leader.HandleLeaderRows(t.Transition, e.Rows)
 		t.checkLeaderProcess()
--- a/chuteintake/arrive.go
+++ b/chuteintake/arrive.go
@@ -16,12 +16,12 @@
 	}
 	queue, jobID, ok := view.Catalog.Match(e.Host, e.Path)
 	if !ok {
-		return s.answer(t, c, chuteresult.New(chuteresult.UnknownQueue, "no queue for host %q and path %q", e.Host, e.Path), 0, nil)
+		return s.refuseByCatalog(t, c, view, chuteresult.New(chuteresult.UnknownQueue, "no queue for host %q and path %q", e.Host, e.Path))
 	}
 	c.queue = queue.Name
 	owner, known := view.Catalog.KeyOwner(e.Key)
 	if !known && !queue.Public {
-		return s.answer(t, c, chuteresult.New(chuteresult.UnknownKey, "version %d has no such key", view.Catalog.Version), 0, nil)
+		return s.refuseByCatalog(t, c, view, chuteresult.New(chuteresult.UnknownKey, "version %d has no such key", view.Catalog.Version))
 	}
 	if _, show := e.Call.(chuteaction.ShowJob); show && jobID == "" {
 		return s.answer(t, c, chuteresult.Result{Code: chuteresult.Done}, 0, chuteaction.QueueDepth{Pending: view.Pending[queue.Name]})
@@ -44,6 +44,12 @@
 	return s
 }
 
+// refuseByCatalog answers a call that the configuration does not allow.
+func (s State) refuseByCatalog(t *chuteaction.Transition, c call, view View, result chuteresult.Result) State {
+	t.Log(component, "call refused by the configuration", "", "code", result.Code, "version", view.Catalog.Version, "age", view.CatalogAge)
+	return s.answer(t, c, result, 0, nil)
+}
+
 func submission(id chutegraph.JobID, q chutecatalog.Queue, owner chutecatalog.Workspace, spec chutegraph.Spec) chutetask.Submission {
 	return chutetask.Submission{
 		ID: id, Queue: q.Name, Workspace: owner.Name, Service: q.Service, Priority: q.Priority, Attempts: q.Attempts,
--- a/chuteintake/state.go
+++ b/chuteintake/state.go
@@ -27,6 +27,7 @@
 // View is the state of the host that the intake needs for a call.
 type View struct {
 	Catalog        chutecatalog.Catalog
+	CatalogAge     time.Duration  // for how long there may have been a newer one that this host does not know
 	Pending        map[string]int // number of accepted jobs of which no task has started, by queue
 	StoreReachable bool           // the store has answered this host recently
 }
--- a/chuteledger/obstacle.go
+++ b/chuteledger/obstacle.go
@@ -50,7 +50,7 @@
 		return ObstacleMaintenance
 	case t.FinalLeases[w.ID]:
 		return ObstacleFinalLease
-	case t.Now.Sub(t.ListedAt) > maxListAge:
+	case t.List.Age(t.Now) > maxListAge:
 		return ObstacleListOld
 	}
 	return ObstacleNone
--- a/chuteledger/state.go
+++ b/chuteledger/state.go
@@ -6,6 +6,7 @@
 	"github.com/benbjohnson/immutable"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutefreshness"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteoutage"
 	"monsoonchute.example/monsoonchute/chutepool"
@@ -30,8 +31,7 @@
 	Cordoned    map[chutetask.WorkerID]bool // workers whose machines go down soon, which get no new runs; never modified
 	FinalLeases map[chutetask.WorkerID]bool // workers whose leases are not extended, and which get no new runs; never modified
 	PlanDue     bool                        // something has changed since the latest planning pass
-	ListedAt    time.Time                   // up to this time all changes of the list of workers are known
-	StoreClock  time.Duration               // the store's clock in that answer; 0 if unknown
+	List        chutefreshness.Freshness    // of the list of workers
 }
 
 // New returns the state of a scheduler that becomes leader now, without jobs and workers.
--- a/chutemembership/listing.go
+++ b/chutemembership/listing.go
@@ -125,17 +125,17 @@
 	w.ReportDue = true
 	w.PresumedEnded = removal != RemovalMalformed && hasLeft(t, w)
 	t.Log(component, "worker is no longer listed", "", "worker", id, "reason", removal, "runs", w.RunCount(),
-		"heartbeat", t.StoreClock-w.HeartbeatAfter, "answered", t.Now.Sub(w.AnsweredAt), "presumed-ended", w.PresumedEnded)
+		"heartbeat", t.List.StoreClock()-w.HeartbeatAfter, "answered", t.Now.Sub(w.AnsweredAt), "presumed-ended", w.PresumedEnded)
 	t.PutWorker(w)
 }
 
 // hasLeft reports whether a worker whose entry has disappeared has removed the entry itself at its end. An entry also
 // expires after several heartbeats that do not reach the store, while the worker goes on running and may answer orders.
 func hasLeft(t *chuterunner.Transition, w chutepool.Worker) bool {
-	if w.HeartbeatAfter == 0 || t.StoreClock < w.HeartbeatAfter {
+	if w.HeartbeatAfter == 0 || t.List.StoreClock() < w.HeartbeatAfter {
 		return false
 	}
-	silence := t.StoreClock - w.HeartbeatAfter // by the clock of the store, since answers may be late
+	silence := t.List.StoreClock() - w.HeartbeatAfter // by the clock of the store, since answers may be late
 	return w.Contacted && silence < maxHeartbeatsBeforeLeave*t.Bounds.HeartbeatInterval &&
 		t.Now.Sub(t.Environment.ContactSince) > reregistrationTime
 }
--- a/chuteentry/operator_test.go
+++ b/chuteoperator/change_test.go
@@ -1,4 +1,4 @@
-package chuteentry_test
+package chuteoperator_test
 
 import (
 	"runtime"
@@ -8,7 +8,7 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
-	"monsoonchute.example/monsoonchute/chuteentry"
+	"monsoonchute.example/monsoonchute/chuteoperator"
 )
 
 // memory returns how many bytes are in use, and how many have been allocated so far.
@@ -19,23 +19,22 @@
 	return stats.HeapAlloc, stats.TotalAlloc
 }
 
-// operatorChanged returns the state of a host after a change of the operators' table.
-func operatorChanged(s chuteentry.State, version int, values ...chuteaction.RowValue) chuteentry.State {
+// changed returns the state after a change of the operators' table.
+func changed(s chuteoperator.State, version int, values ...chuteaction.RowValue) chuteoperator.State {
 	event := chuteaction.TableChanged{Table: chuteaction.TableOperator}
 	for _, value := range values {
 		event.Rows = append(event.Rows, chuteaction.Row{Version: chuteaction.RowVersion(version), Value: value})
 	}
-	s, _ = chuteentry.Step(s, chuteaction.TimedEvent{At: time.Unix(1_800_000_000, 0), Event: event})
-	return s
+	return s.HandleTableChanged(chuteaction.NewTransition(time.Unix(1_800_000_000, 0), 0), event)
 }
 
 // TestAWaveThatIsWrittenAgainTakesNoFurtherMemory guards against hosts that run out of memory by one row that changes each second.
 func TestAWaveThatIsWrittenAgainTakesNoFurtherMemory(t *testing.T) {
 	const versions, size = 2000, 1 << 16
-	s := chuteentry.New(chuteentry.Settings{Host: "a", Process: "p"})
+	s := chuteoperator.New()
 	before, _ := memory()
 	for v := range versions {
-		s = operatorChanged(s, v+1, chuteaction.WaveRow{Wave: 1, Machines: []string{strings.Repeat("m", size)}, MaxDown: 1})
+		s = changed(s, v+1, chuteaction.WaveRow{Wave: 1, Machines: []string{strings.Repeat("m", size)}, MaxDown: 1})
 	}
 	after, _ := memory()
 	if after > before+versions*size/10 {
@@ -47,7 +46,7 @@
 // TestManyZonesAreTakenOutAtOnce guards against a host that stands still for many rows at once.
 func TestManyZonesAreTakenOutAtOnce(t *testing.T) {
 	const zones, bytesPerZone = 5000, 2000
-	s := chuteentry.New(chuteentry.Settings{Host: "a", Process: "p"})
+	s := chuteoperator.New()
 	var out, back []chuteaction.RowValue
 	for i := range zones {
 		zone := "odd " + strconv.Itoa(i)
@@ -55,7 +54,7 @@
 		back = append(back, chuteaction.EvacuationRow{Zone: zone, Ended: true})
 	}
 	_, before := memory()
-	s = operatorChanged(operatorChanged(s, 1, out...), 2, back...)
+	s = changed(changed(s, 1, out...), 2, back...)
 	_, after := memory()
 	if after > before+2*zones*bytesPerZone {
 		t.Errorf("%d bytes allocated for %d zones", after-before, zones)
--- a/chuteplanner/approval_test.go
+++ b/chuteplanner/approval_test.go
@@ -10,6 +10,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutecatalog"
+	"monsoonchute.example/monsoonchute/chutefreshness"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chuteplanner"
@@ -55,7 +56,7 @@
 // workers that the pass asked for.
 func (s *scheduler) plan() int {
 	s.now = s.now.Add(time.Second)
-	s.state.ListedAt = s.now
+	s.state.List = chutefreshness.New(s.now, 0)
 	t := chuterunner.NewTransition(chuteaction.NewTransition(s.now, 0), s.state, s.environment)
 	s.planner = s.planner.Plan(t)
 	asked := 0
--- a/chuteplanner/waits_test.go
+++ b/chuteplanner/waits_test.go
@@ -9,6 +9,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutefreshness"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chutequarantine"
@@ -33,7 +34,7 @@
 func (s *scheduler) waitReason() string {
 	for range 4 {
 		s.now = s.now.Add(time.Second)
-		s.state.ListedAt = s.now
+		s.state.List = chutefreshness.New(s.now, 0)
 		t := chuterunner.NewTransition(chuteaction.NewTransition(s.now, 0), s.state, s.environment)
 		s.planner, s.state = s.planner.Plan(t), t.State
 		for _, effect := range t.Effects {
@@ -113,7 +114,7 @@
 	const interval = 100 * time.Millisecond
 	for range duration / interval {
 		s.now = s.now.Add(interval)
-		s.state.ListedAt, s.state.PlanDue = s.now, true
+		s.state.List, s.state.PlanDue = chutefreshness.New(s.now, 0), true
 		t := chuterunner.NewTransition(chuteaction.NewTransition(s.now, 0), s.state, s.environment)
 		s.planner, s.state = s.planner.Plan(t), t.State
 	}
--- a/chuterunner/lost_test.go
+++ b/chuterunner/lost_test.go
@@ -55,7 +55,9 @@
 			is := is.New(t)
 			s := startedRun()
 			s.state.Bounds.HeartbeatInterval = 1500 * time.Millisecond
-			s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, s.worker(0).Listing, 7, t.StoreClock) })
+			s.handle(0, func(t *chuterunner.Transition) {
+				chutemembership.ApplyListing(t, s.worker(0).Listing, 7, t.List.StoreClock())
+			})
 			s.handle(c.silence, func(*chuterunner.Transition) {})
 			s.report(0, []chutetask.RunReport{{Run: taskRun(0, 1)}}, nil)
 			s.handle(0, func(t *chuterunner.Transition) { chutemembership.MarkUnlisted(t, workerID(0), c.removal) })
@@ -85,7 +87,7 @@
 	s := startedRun()
 	s.handle(0, func(t *chuterunner.Transition) {
 		t.Pool = t.Pool.Without(workerID(0))
-		chutemembership.ApplyListing(t, chutepool.Listing{ID: workerID(0), Address: "10.0.0.1:1", Incarnation: 1}, 7, t.StoreClock)
+		chutemembership.ApplyListing(t, chutepool.Listing{ID: workerID(0), Address: "10.0.0.1:1", Incarnation: 1}, 7, t.List.StoreClock())
 	})
 	s.report(0, []chutetask.RunReport{{Run: taskRun(0, 2)}}, nil) // not expected: it is stopped, and takes its capacity until then
 	is.Equal(s.worker(0).RunCount(), 1)
@@ -190,7 +192,7 @@
 		s := startedRun()
 		moved := s.worker(0).Listing
 		moved.Address = "10.0.0.2:1"
-		s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, moved, 7, t.StoreClock) })
+		s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, moved, 7, t.List.StoreClock()) })
 		s.handle(100*time.Millisecond, func(t *chuterunner.Transition) {
 			chuterenewal.Handle(t, chuteaction.LeaseRenewed{
 				Epoch: epoch, Worker: workerID(0), Address: address, SentAt: s.now, Outcome: chuteaction.OrderMisdirected,
@@ -204,9 +206,13 @@
 	is := is.New(t)
 	s := startedRun()
 	s.state.Bounds.HeartbeatInterval = 1500 * time.Millisecond
-	s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, s.worker(0).Listing, 7, t.StoreClock) })
+	s.handle(0, func(t *chuterunner.Transition) {
+		chutemembership.ApplyListing(t, s.worker(0).Listing, 7, t.List.StoreClock())
+	})
 	s.handle(5*time.Second, func(*chuterunner.Transition) {})
-	s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, s.worker(0).Listing, 8, t.StoreClock) })
+	s.handle(0, func(t *chuterunner.Transition) {
+		chutemembership.ApplyListing(t, s.worker(0).Listing, 8, t.List.StoreClock())
+	})
 	sentAt := s.now
 	s.handle(500*time.Millisecond, func(t *chuterunner.Transition) {
 		chutemembership.MarkUnlisted(t, workerID(0), chutemembership.RemovalDeleted)
--- a/chuterunner/lostend_test.go
+++ b/chuterunner/lostend_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutefreshness"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutemembership"
 	"monsoonchute.example/monsoonchute/chutepool"
@@ -43,7 +44,7 @@
 func (s *scheduler) removeEntry(index int) {
 	s.state.Bounds.HeartbeatInterval = 1500 * time.Millisecond
 	s.handle(0, func(t *chuterunner.Transition) {
-		chutemembership.ApplyListing(t, s.worker(index).Listing, 7, t.StoreClock)
+		chutemembership.ApplyListing(t, s.worker(index).Listing, 7, t.List.StoreClock())
 	})
 	s.handle(time.Second, func(t *chuterunner.Transition) {
 		chutemembership.MarkUnlisted(t, workerID(index), chutemembership.RemovalDeleted)
@@ -173,7 +174,7 @@
 // inherit turns the runs into ones that an earlier scheduler has recorded and whose workers have not reported yet.
 func (s *scheduler) inherit(count int) {
 	s.handle(0, func(t *chuterunner.Transition) {
-		t.ListedAt = t.Now
+		t.List = chutefreshness.New(t.Now, t.List.StoreClock())
 		for i := range count {
 			w, r, _ := t.Pool.FindRun(workerID(i), taskRun(i, 1))
 			w.Listed, w.Contacted = true, false
--- a/chuterunner/order_test.go
+++ b/chuterunner/order_test.go
@@ -9,6 +9,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutefreshness"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutepool"
@@ -53,7 +54,7 @@
 		s.state.Pool = s.state.Pool.With(w.WithRun(chutepool.Run{ID: run, Reserved: request}.WithPhase(chutepool.RunOrdered, startTime)))
 	}
 	s.state.Live = s.state.Live.Set(testID, j)
-	s.state.ListedAt = startTime
+	s.state.List = chutefreshness.New(startTime, 0)
 	return s
 }
 
@@ -68,7 +69,7 @@
 // handle lets the scheduler handle one event after the given time, and returns the orders that it sends.
 func (s *scheduler) handle(after time.Duration, act func(*chuterunner.Transition)) []chuteaction.Effect {
 	s.now = s.now.Add(after)
-	s.state.StoreClock = time.Duration(s.now.UnixNano())
+	s.state.List = chutefreshness.New(s.state.List.KnownAt(), time.Duration(s.now.UnixNano()))
 	s.environment.ConfirmedAt = s.now
 	t := chuterunner.NewTransition(chuteaction.NewTransition(s.now, 0), s.state, s.environment)
 	act(t)
--- a/chuterunner/room_test.go
+++ b/chuterunner/room_test.go
@@ -8,6 +8,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutefreshness"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutemembership"
 	"monsoonchute.example/monsoonchute/chuterunner"
@@ -18,14 +19,14 @@
 func (s *scheduler) shrink(index int) {
 	listing := s.worker(index).Listing
 	listing.Capacity = chutecapacity.Resources{Processor: 500, Memory: 8000, Accelerators: 8}
-	s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, listing, 7, t.StoreClock) })
+	s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, listing, 7, t.List.StoreClock()) })
 }
 
 // drain lists the worker as one that drains.
 func (s *scheduler) drain(index int) {
 	listing := s.worker(index).Listing
 	listing.Draining = true
-	s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, listing, 7, t.StoreClock) })
+	s.handle(0, func(t *chuterunner.Transition) { chutemembership.ApplyListing(t, listing, 7, t.List.StoreClock()) })
 }
 
 // TestAnUnansweredStartIsRepeatedOnlyWhereRunsMayStart guards against a start on a worker that may get none since the first order.
@@ -45,7 +46,7 @@
 		}, false},
 		{"zone is evacuated", func(s *scheduler) { s.environment.EvacuatedZones = map[string]bool{s.worker(0).Zone: true} }, false},
 		{"worker is cordoned", func(s *scheduler) { s.state.Cordoned = map[chutetask.WorkerID]bool{workerID(0): true} }, false},
-		{"list of workers is old", func(s *scheduler) { s.state.ListedAt = s.now.Add(-time.Hour) }, false},
+		{"list of workers is old", func(s *scheduler) { s.state.List = chutefreshness.New(s.now.Add(-time.Hour), 0) }, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -66,7 +67,7 @@
 	is := is.New(t)
 	s := newScheduler(1, false)
 	s.shrink(0) // marks the worker as listed
-	s.state.ListedAt = s.now
+	s.state.List = chutefreshness.New(s.now, 0)
 	s.handle(2*time.Second, func(t *chuterunner.Transition) { is.True(t.MayStartOn(s.worker(0))) })
 	s.handle(2*time.Second, func(t *chuterunner.Transition) { is.Equal(t.MayStartOn(s.worker(0)), false) })
 }
--- a/chuterunner/unsent_test.go
+++ b/chuterunner/unsent_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutefreshness"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterenewal"
@@ -26,7 +27,7 @@
 
 // listWorkers lets the store list all workers just now.
 func (s *scheduler) listWorkers() {
-	s.state.ListedAt = s.now
+	s.state.List = chutefreshness.New(s.now, 0)
 	for _, w := range s.state.Pool.All() {
 		w.Listed = true
 		s.state.Pool = s.state.Pool.With(w)
--- a/chutescheduler/worker.go
+++ b/chutescheduler/worker.go
@@ -16,12 +16,11 @@
 		return s
 	}
 	u := s.transition(t, environment)
-	writtenAfter := u.StoreClock // changes have been written since the former answer
+	writtenAfter := u.List.StoreClock() // changes have been written since the former answer
 	if e.Complete {
 		writtenAfter = 0
 	}
-	u.ListedAt = u.listedAt(e)
-	u.StoreClock = e.StoreClock
+	u.List = u.List.WithAnswer(e, tablePollTimeout, t.Now)
 	listed := u.applyWorkerRows(e.Rows, writtenAfter)
 	if !e.Complete {
 		return u.state()
@@ -79,33 +78,6 @@
 	}
 }
 
-// listedAt returns a time up to which the answer holds all changes of the table of workers. That is when the request was
-// sent or, since the store holds a poll until there is a change, the end of a poll without one. If the store held the
-// request, its clock shows that the answer is younger.
-func (t *transition) listedAt(e chuteaction.TableChanged) time.Time {
-	at := e.SentAt
-	if !e.Complete && len(e.Rows) == 0 {
-		at = at.Add(tablePollTimeout)
-	}
-	if passed := e.StoreClock - t.StoreClock; t.StoreClock > 0 && passed > 0 {
-		at = latest(at, t.ListedAt.Add(passed-passed*maxClockDriftPercent/100))
-	}
-	if at.After(t.Now) {
-		return t.Now
-	}
-	return at
-}
-
-// maxClockDriftPercent is how much faster the clock of the store may run than this host's.
-const maxClockDriftPercent = 2
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // removalOf returns how a row that names no worker has removed the worker's entry.
 func removalOf(r chuteaction.Row) chutemembership.Removal {
 	if r.Deleted {
