--- a/chuteentry/fakehost_test.go
+++ b/chuteentry/fakehost_test.go
@@ -19,6 +19,7 @@
 	paused        bool
 	pendingEvents []chuteaction.Event // events received while paused
 	disconnected  bool                // the host does not reach the store
+	silentTable   chuteaction.Table   // the host gets no answers about this table; 0 for none
 	disturbedAt   time.Time           // latest time at which it started, was paused or did not reach the store
 	watches       map[chuteaction.Table]int
 	lastWatch     int
--- /dev/null
+++ b/chuteentry/stale_test.go
@@ -0,0 +1,91 @@
+package chuteentry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutecatalog"
+	"monsoonchute.example/monsoonchute/chuteresult"
+)
+
+const (
+	// applyLimit is the time within which a change of the configuration must be in force on hosts in touch.
+	applyLimit = 2 * time.Second
+	// evacuationLimit is the time after which nothing starts any more in a zone that is taken out.
+	evacuationLimit = 5 * time.Second
+)
+
+// putCatalog writes a version of the configuration with other queues and keys.
+func (sm *simulation) putCatalog(c chutecatalog.Catalog) {
+	sm.store.put(chuteaction.RowKey{Table: chuteaction.TableOperator, Key: "config"}, chuteaction.CatalogRow{Catalog: c})
+}
+
+// answerAt returns the code that the host answers to a call for the number of pending jobs.
+func (sm *simulation) answerAt(h *fakeHost, queue, key string) chuteresult.Code {
+	var code chuteresult.Code
+	former := sm.clients.key
+	sm.clients.key = key
+	sm.clients.callAt(h, queue, "", chuteaction.ShowJob{}, func(a chuteaction.AnswerCall) { code = a.Result.Code })
+	sm.run(100 * time.Millisecond)
+	sm.clients.key = former
+	return code
+}
+
+// TestNoCallIsDecidedByAnOldConfiguration guards against final answers of a host whose watch of the configuration stands still while
+// other answers of the store arrive.
+func TestNoCallIsDecidedByAnOldConfiguration(t *testing.T) {
+	cases := []struct {
+		name, queue, key string
+		change           func(*chutecatalog.Catalog)
+		want             chuteresult.Code // by the new configuration
+	}{
+		{"queue added", "added", "key", func(c *chutecatalog.Catalog) {
+			c.Queues = append(c.Queues, chutecatalog.Queue{Name: "added", Host: "q.example", PathPrefix: "/added/", Service: "main"})
+		}, chuteresult.Done},
+		{"queue removed", "low", "key", func(c *chutecatalog.Catalog) { c.Queues = c.Queues[:2] }, chuteresult.UnknownQueue},
+		{"key added", "low", "added", func(c *chutecatalog.Catalog) { c.Workspaces[0].Keys = []string{"key", "added"} }, chuteresult.Done},
+		{"key removed", "low", "guest", func(c *chutecatalog.Catalog) { c.Workspaces = c.Workspaces[:1] }, chuteresult.UnknownKey},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			sm := newSimulation(1, 3, 4)
+			sm.run(5 * time.Second)
+			h := sm.hosts["host-1"]
+			h.silentTable = chuteaction.TableOperator
+			catalog := testCatalog(2)
+			c.change(&catalog)
+			sm.putCatalog(catalog)
+			sm.run(applyLimit)
+			for range 50 {
+				is.Equal(sm.answerAt(h, c.queue, c.key), chuteresult.NotReady)
+			}
+			is.Equal(h.state.Serving(sm.now), false) // the platform sends new connections elsewhere
+			h.silentTable = 0
+			sm.run(time.Second)
+			is.Equal(sm.answerAt(h, c.queue, c.key), c.want)
+			is.True(h.state.Serving(sm.now))
+		})
+	}
+}
+
+// TestNothingStartsInAZoneThatWasTakenOutUnseen guards against starts by a leader whose watch of the operators' table stands still.
+func TestNothingStartsInAZoneThatWasTakenOutUnseen(t *testing.T) {
+	for seed := range uint64(4) {
+		sm := newSimulation(seed, 3, 6)
+		sm.run(5 * time.Second)
+		sm.leader().silentTable = chuteaction.TableOperator
+		sm.store.put(chuteaction.RowKey{Table: chuteaction.TableOperator, Key: "evacuate/zone-1"}, chuteaction.EvacuationRow{Zone: "zone-1"})
+		outSince := sm.now
+		sm.beforeStart = func(k *fakeWorker, o chuteaction.StartRun) {
+			if k.listing.Zone == "zone-1" && sm.now.Sub(outSince) > evacuationLimit {
+				t.Errorf("seed %d: %v starts in the zone %s after it was taken out", seed, o.Run, sm.now.Sub(outSince))
+			}
+		}
+		sm.submitRandomJobs(40, 20*time.Second)
+		sm.run(25 * time.Second)
+	}
+}
