Decide no call by a configuration that may be out of date

Cause: a host decided by the configuration that it had, however long ago it had last known that to be the newest one; any answer of the store counted as contact. Change: the settings' config_apply_ms is the limit of the age. Beyond it the host answers 503 (not-ready, retry after 1 s), so that the client goes elsewhere, and is not ready. Why it works: the age counts from a time up to which all changes are known, so that a call that is sent later than the limit after a change is decided with it, whatever delays the watch.

--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -78,17 +78,17 @@
 	settings.Bounds.UnconfirmedLimit = chuteleader.UnconfirmedLimit
 	return State{
 		settings: settings, peerAddresses: immutable.NewSortedMap[string, string](nil),
-		hostRows: immutable.NewSortedMap[string, chuteaction.Row](nil), operators: chuteoperator.New(),
+		hostRows: immutable.NewSortedMap[string, chuteaction.Row](nil), operators: chuteoperator.New(settings.Bounds.ApplyTime),
 		leader: chuteleader.New(settings.Host, settings.Process, settings.Jitter).
 			WithLongestLeases(settings.Bounds.LongestLease(), settings.Bounds.LongestUnconfirmedLease()),
 		intake: chuteintake.New(),
 	}
 }
 
-// Serving reports whether the host should receive new connections: it has a configuration, reaches the store and is
-// not stopping.
+// Serving reports whether the host should receive new connections: it knows the configuration in force, reaches the store
+// and is not stopping.
 func (s State) Serving(now time.Time) bool {
-	return s.operators.Catalog().Loaded() && !s.stopping && s.inContact(now)
+	return s.operators.Current(now) && !s.stopping && s.inContact(now)
 }
 
 // Leads reports whether this host is the scheduler.
@@ -113,6 +113,7 @@
 		pending = s.scheduler.Pending()
 	}
 	return chuteintake.View{
-		Catalog: s.operators.Catalog(), CatalogAge: s.operators.Age(now), Pending: pending, StoreReachable: s.inContact(now),
+		Catalog: s.operators.Catalog(), CatalogAge: s.operators.Age(now), CatalogCurrent: s.operators.Current(now),
+		Pending: pending, StoreReachable: s.inContact(now),
 	}
 }
--- a/chuteintake/arrive.go
+++ b/chuteintake/arrive.go
@@ -14,6 +14,9 @@
 	if !view.Catalog.Loaded() {
 		return s.answer(t, c, chuteresult.New(chuteresult.NotReady, "no configuration has been read yet"), clientRetryDelay, nil)
 	}
+	if !view.CatalogCurrent {
+		return s.answer(t, c, chuteresult.New(chuteresult.NotReady, "version %d may be out of date", view.Catalog.Version), clientRetryDelay, nil)
+	}
 	queue, jobID, ok := view.Catalog.Match(e.Host, e.Path)
 	if !ok {
 		return s.refuseByCatalog(t, c, view, chuteresult.New(chuteresult.UnknownQueue, "no queue for host %q and path %q", e.Host, e.Path))
--- a/chuteintake/malformed_test.go
+++ b/chuteintake/malformed_test.go
@@ -21,7 +21,7 @@
 func serve(t *testing.T, request chuteaction.Call, rows []chuteaction.Row) (chuteaction.AnswerCall, []chuteaction.Row) {
 	t.Helper()
 	transition := chuteaction.NewTransition(time.Unix(1_800_000_000, 0), 0)
-	view := chuteintake.View{StoreReachable: true, Catalog: chutecatalog.Catalog{
+	view := chuteintake.View{StoreReachable: true, CatalogCurrent: true, Catalog: chutecatalog.Catalog{
 		Version: 1, Queues: []chutecatalog.Queue{{Name: "normal", Host: "q.example", PathPrefix: "/normal/", Public: true}},
 	}}
 	s := chuteintake.New().HandleCallArrived(transition, view, chuteaction.CallArrived{
--- a/chuteledger/environment.go
+++ b/chuteledger/environment.go
@@ -13,6 +13,8 @@
 	MaxLease    time.Duration // longest lease that a worker grants
 	GangTimeout time.Duration // how long members of a gang wait for the others
 	StopTimeout time.Duration // longest time that a run takes to stop
+	// ApplyTime is the time within which a change of the configuration must be in force; 0 if unknown.
+	ApplyTime time.Duration
 	// HeartbeatInterval is the time between two heartbeats of a worker; 0 if unknown.
 	HeartbeatInterval time.Duration
 	// UnconfirmedLimit is how long a scheduler renews leases without a successful write to the store.
--- a/chuteoperator/change_test.go
+++ b/chuteoperator/change_test.go
@@ -31,7 +31,7 @@
 // TestAWaveThatIsWrittenAgainTakesNoFurtherMemory guards against hosts that run out of memory by one row that changes each second.
 func TestAWaveThatIsWrittenAgainTakesNoFurtherMemory(t *testing.T) {
 	const versions, size = 2000, 1 << 16
-	s := chuteoperator.New()
+	s := chuteoperator.New(0)
 	before, _ := memory()
 	for v := range versions {
 		s = changed(s, v+1, chuteaction.WaveRow{Wave: 1, Machines: []string{strings.Repeat("m", size)}, MaxDown: 1})
@@ -46,7 +46,7 @@
 // TestManyZonesAreTakenOutAtOnce guards against a host that stands still for many rows at once.
 func TestManyZonesAreTakenOutAtOnce(t *testing.T) {
 	const zones, bytesPerZone = 5000, 2000
-	s := chuteoperator.New()
+	s := chuteoperator.New(0)
 	var out, back []chuteaction.RowValue
 	for i := range zones {
 		zone := "odd " + strconv.Itoa(i)
--- a/chuteoperator/state.go
+++ b/chuteoperator/state.go
@@ -11,9 +11,9 @@
 const (
 	// PollTimeout is how long the store holds a poll of the operators' table while nothing changes.
 	PollTimeout = 1500 * time.Millisecond
-	// reportedAge is the age of the table beyond which a host logs that it is out of date.
-	reportedAge = 2 * time.Second
-	component   = "operators"
+	// defaultApplyTime is the time within which changes must be in force if the settings do not tell.
+	defaultApplyTime = 2 * time.Second
+	component        = "operators"
 )
 
 // State is what a host knows of the operators' table. It is immutable; its maps and slices are copied on write.
@@ -22,12 +22,17 @@
 	waves          []chuteaction.WaveRow
 	evacuatedZones map[string]bool // zones in which nothing may start
 	freshness      chutefreshness.Freshness
-	outOfDate      bool // the age has been logged
+	applyTime      time.Duration // time within which changes must be in force
+	outOfDate      bool          // the age has been logged
 }
 
-// New returns the state of a host that has not read the table.
-func New() State {
-	return State{evacuatedZones: make(map[string]bool)}
+// New returns the state of a host that has not read the table. Changes must be in force within the apply time; 0 stands for a
+// default.
+func New(applyTime time.Duration) State {
+	if applyTime <= 0 {
+		applyTime = defaultApplyTime
+	}
+	return State{evacuatedZones: make(map[string]bool), applyTime: applyTime}
 }
 
 // Catalog returns the configuration in force; it is not loaded before the table was read.
@@ -50,9 +55,15 @@
 	return s.freshness.Age(now)
 }
 
+// Current reports whether the host knows a configuration and all changes that must be in force. A call that arrives later than the
+// apply time after a change is decided by that change or a later one.
+func (s State) Current(now time.Time) bool {
+	return s.catalog.Loaded() && s.Age(now) <= s.applyTime
+}
+
 // Tick logs that the table has become out of date.
 func (s State) Tick(t *chuteaction.Transition) State {
-	if s.outOfDate || !s.freshness.Known() || s.Age(t.Now) <= reportedAge {
+	if s.outOfDate || !s.freshness.Known() || s.Age(t.Now) <= s.applyTime {
 		return s
 	}
 	s.outOfDate = true
@@ -68,7 +79,7 @@
 	}
 	former := s.Age(t.Now)
 	s.freshness = s.freshness.WithAnswer(e, PollTimeout, t.Now)
-	if s.outOfDate && s.Age(t.Now) <= reportedAge {
+	if s.outOfDate && s.Age(t.Now) <= s.applyTime {
 		s.outOfDate = false
 		t.Log(component, "the operators' table is up to date again", "", "was", former, "age", s.Age(t.Now),
 			"version", s.catalog.Version, "rows", len(e.Rows), "complete", e.Complete)
