Start nothing while it is unknown for too long which zones are out

Cause: the zones that are out counted whatever their age. Change: nothing starts while the table is older than 3 s, as nothing starts by a list of workers of that age; new runs go on once it is known again. Why it works: the age counts from a time up to which all changes are known, and an order leaves within 0.4 s of its decision. The test also asks now that starts go on afterwards.

--- a/chuteentry/hosts.go
+++ b/chuteentry/hosts.go
@@ -70,7 +70,7 @@
 	}
 	t.checkLeaderProcess()
 	if t.state.scheduler != nil {
-		t.setScheduler(t.state.scheduler.HandleHosts(t.Transition, t.state.environment(), e.Rows))
+		t.setScheduler(t.state.scheduler.HandleHosts(t.Transition, t.state.environment(t.Now), e.Rows))
 	}
 	t.state.leader = t.state.leader.WithTakeoverDelay(t.state.takeoverDelay()).WithHandOverDelay(t.state.handOverDelay())
 	if t.state.peerAddresses == known {
--- a/chuteentry/leading.go
+++ b/chuteentry/leading.go
@@ -16,7 +16,7 @@
 	if t.state.scheduler == nil {
 		return
 	}
-	next, environment := *t.state.scheduler, t.state.environment()
+	next, environment := *t.state.scheduler, t.state.environment(t.Now)
 	fenced := false
 	switch e := result.(type) {
 	case chuteaction.RunStarted:
@@ -56,7 +56,7 @@
 		t.Count("news-dropped", "not-leading")
 		return
 	}
-	t.setScheduler(t.state.scheduler.HandleForwarded(t.Transition, t.state.environment(), rows))
+	t.setScheduler(t.state.scheduler.HandleForwarded(t.Transition, t.state.environment(t.Now), rows))
 }
 
 // applyOutcome applies the outcome of an election event: it starts the scheduler, passes a confirmed write to it, or
@@ -73,7 +73,7 @@
 			return
 		}
 		if t.state.scheduler != nil {
-			t.setScheduler(t.state.scheduler.HandleCommit(t.Transition, t.state.environment()))
+			t.setScheduler(t.state.scheduler.HandleCommit(t.Transition, t.state.environment(t.Now)))
 		}
 	case chuteleader.OutcomeDeposed:
 		t.stopScheduler()
--- a/chuteentry/stale_test.go
+++ b/chuteentry/stale_test.go
@@ -77,15 +77,24 @@
 	for seed := range uint64(4) {
 		sm := newSimulation(seed, 3, 6)
 		sm.run(5 * time.Second)
-		sm.leader().silentTable = chuteaction.TableOperator
+		leader := sm.leader()
+		leader.silentTable = chuteaction.TableOperator
 		sm.store.put(chuteaction.RowKey{Table: chuteaction.TableOperator, Key: "evacuate/zone-1"}, chuteaction.EvacuationRow{Zone: "zone-1"})
-		outSince := sm.now
+		outSince, startsAfter := sm.now, 0
 		sm.beforeStart = func(k *fakeWorker, o chuteaction.StartRun) {
 			if k.listing.Zone == "zone-1" && sm.now.Sub(outSince) > evacuationLimit {
 				t.Errorf("seed %d: %v starts in the zone %s after it was taken out", seed, o.Run, sm.now.Sub(outSince))
 			}
+			if leader.silentTable == 0 {
+				startsAfter++
+			}
 		}
 		sm.submitRandomJobs(40, 20*time.Second)
 		sm.run(25 * time.Second)
+		leader.silentTable = 0
+		sm.run(2 * time.Second)
+		if startsAfter == 0 {
+			t.Errorf("seed %d: nothing starts although the leader knows the zones again", seed)
+		}
 	}
 }
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -100,9 +100,9 @@
 	return !s.contactAt.IsZero() && now.Sub(s.contactAt) <= maxContactAge
 }
 
-func (s State) environment() chuteledger.Environment {
+func (s State) environment(now time.Time) chuteledger.Environment {
 	return chuteledger.Environment{
-		Catalog: s.operators.Catalog(), EvacuatedZones: s.operators.EvacuatedZones(), Waves: s.operators.Waves(),
+		Catalog: s.operators.Catalog(), EvacuatedZones: s.operators.EvacuatedZones(), ZonesOld: s.operators.ZonesOld(now), Waves: s.operators.Waves(),
 		ConfirmedAt: s.leader.ConfirmedAt(), ContactSince: s.contactSince, StoreClock: s.storeClock,
 	}
 }
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -71,7 +71,7 @@
 	t.state.leader = leader
 	t.applyOutcome(outcome)
 	if t.state.scheduler != nil {
-		t.setScheduler(t.state.scheduler.Tick(t.Transition, t.state.environment()))
+		t.setScheduler(t.state.scheduler.Tick(t.Transition, t.state.environment(t.Now)))
 	}
 }
 
@@ -107,7 +107,7 @@
 		t.recordContact()
 	}
 	if t.state.scheduler != nil && t.state.scheduler.Owns(e.Token) {
-		t.setScheduler(t.state.scheduler.HandleRowsRead(t.Transition, t.state.environment(), e))
+		t.setScheduler(t.state.scheduler.HandleRowsRead(t.Transition, t.state.environment(t.Now), e))
 		return
 	}
 	t.state.intake = t.state.intake.HandleRowsRead(t.Transition, e)
@@ -125,11 +125,11 @@
 		t.checkLeaderProcess()
 	case chuteaction.TableJobs:
 		if t.state.scheduler != nil {
-			t.setScheduler(t.state.scheduler.HandleSubmissions(t.Transition, t.state.environment(), e))
+			t.setScheduler(t.state.scheduler.HandleSubmissions(t.Transition, t.state.environment(t.Now), e))
 		}
 	case chuteaction.TableWorkers:
 		if t.state.scheduler != nil {
-			t.setScheduler(t.state.scheduler.HandleWorkers(t.Transition, t.state.environment(), e))
+			t.setScheduler(t.state.scheduler.HandleWorkers(t.Transition, t.state.environment(t.Now), e))
 		}
 	case chuteaction.TableHosts:
 		t.hostsChanged(e)
@@ -153,7 +153,7 @@
 // planned stop.
 func (t *transition) finish() {
 	if t.state.scheduler != nil {
-		t.setScheduler(t.state.scheduler.Advance(t.Transition, t.state.environment()))
+		t.setScheduler(t.state.scheduler.Advance(t.Transition, t.state.environment(t.Now)))
 		t.writeRows()
 	}
 	follows := t.state.scheduler == nil && t.state.leader.Role() == chuteleader.RoleFollower
--- a/chuteledger/obstacle.go
+++ b/chuteledger/obstacle.go
@@ -19,13 +19,14 @@
 	ObstacleMaintenance                 // its machine goes down soon
 	ObstacleFinalLease                  // its lease is not extended
 	ObstacleListOld                     // the list of workers is too old
+	ObstacleZonesOld                    // it is not known for too long which zones are out
 )
 
-var obstacleNames = []string{"none", "unlisted", "draining", "lost", "zone-out", "maintenance", "final-lease", "list-old"}
+var obstacleNames = []string{"none", "unlisted", "draining", "lost", "zone-out", "maintenance", "final-lease", "list-old", "zones-old"}
 
 // String returns the kebab-case name of the obstacle.
 func (o Obstacle) String() string {
-	if o < ObstacleNone || o > ObstacleListOld {
+	if o < ObstacleNone || o > ObstacleZonesOld {
 		return "invalid"
 	}
 	return obstacleNames[o]
@@ -52,6 +53,8 @@
 		return ObstacleFinalLease
 	case t.List.Age(t.Now) > maxListAge:
 		return ObstacleListOld
+	case t.Environment.ZonesOld:
+		return ObstacleZonesOld
 	}
 	return ObstacleNone
 }
--- a/chuteoperator/state.go
+++ b/chuteoperator/state.go
@@ -13,7 +13,9 @@
 	PollTimeout = 1500 * time.Millisecond
 	// defaultApplyTime is the time within which changes must be in force if the settings do not tell.
 	defaultApplyTime = 2 * time.Second
-	component        = "operators"
+	// maxZonesAge is the age of the table beyond which nothing starts, since zones may have been taken out.
+	maxZonesAge = 3 * time.Second
+	component   = "operators"
 )
 
 // State is what a host knows of the operators' table. It is immutable; its maps and slices are copied on write.
@@ -61,6 +63,11 @@
 	return s.catalog.Loaded() && s.Age(now) <= s.applyTime
 }
 
+// ZonesOld reports whether zones may have been taken out too long ago for tasks to start there.
+func (s State) ZonesOld(now time.Time) bool {
+	return s.Age(now) > maxZonesAge
+}
+
 // Tick logs that the table has become out of date.
 func (s State) Tick(t *chuteaction.Transition) State {
 	if s.outOfDate || !s.freshness.Known() || s.Age(t.Now) <= s.applyTime {
