List tables of few rows that a watch has fallen behind on

Cause: a watch that falls behind asked for all changes since its last version. Change: 2 s after the latest answer, the operators' and the leaders' table are listed, which has the newest rows alone and a bounded size. The tables of workers and jobs stay as they are: a list of workers ends those that it lacks, and a list of jobs is the larger answer.

--- a/chuteentry/leading.go
+++ b/chuteentry/leading.go
@@ -84,7 +84,7 @@
 func (t *transition) stopScheduler() {
 	t.endScheduler()
 	t.state.leader = t.state.leader.StepDown(t.Now)
-	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableLeaders, MinInterval: minPollInterval, PollTimeout: leaderPollTimeout})
+	t.watchLeaders()
 }
 
 // endScheduler ends the scheduler, so that this host sends no more orders and renews no leases.
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -23,6 +23,8 @@
 	minPollInterval = 400 * time.Millisecond
 	// leaderPollTimeout is how long the store holds a poll of the leaders' table while nothing changes.
 	leaderPollTimeout = 600 * time.Millisecond
+	// listAfter is the time without an answer after which a table whose rows are often overwritten is listed again.
+	listAfter = 2 * time.Second
 	// maxBatchRows is the maximum number of rows in one write of the scheduler, not counting the leader's own row.
 	maxBatchRows = 95
 	// hostsPollTimeout is how long the store holds a poll of the hosts' table while nothing changes.
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -52,11 +52,18 @@
 	}
 	t.state.started = true
 	t.writeHostRow()
-	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableOperator, PollTimeout: chuteoperator.PollTimeout})
-	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableLeaders, MinInterval: minPollInterval, PollTimeout: leaderPollTimeout})
+	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableOperator, PollTimeout: chuteoperator.PollTimeout, ListAfter: listAfter})
+	t.watchLeaders()
 	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableHosts, MinInterval: minPollInterval, PollTimeout: hostsPollTimeout})
 }
 
+// watchLeaders subscribes to the leaders' table.
+func (t *transition) watchLeaders() {
+	t.Emit(chuteaction.WatchTable{
+		Table: chuteaction.TableLeaders, MinInterval: minPollInterval, PollTimeout: leaderPollTimeout, ListAfter: listAfter,
+	})
+}
+
 func (t *transition) tick() {
 	if t.state.hostRowRetryAt.Before(t.Now) && !t.state.hostRowRetryAt.IsZero() {
 		t.state.hostRowRetryAt = time.Time{}
--- a/chutewatch/table.go
+++ b/chutewatch/table.go
@@ -23,13 +23,15 @@
 	log              *slog.Logger
 	unavailableSince time.Time // when the first of the requests that have failed in a row was sent; zero if the latest succeeded
 	failures         int       // number of these requests
+	answeredAt       time.Time // when the latest answer arrived
 }
 
 func newTableWatch(w *Watchers, request chuteaction.WatchTable) *tableWatch {
 	return &tableWatch{request: request, store: w.store, events: w.events, log: w.log.With("table", request.Table.String())}
 }
 
-// run lists the table and then long-polls for its changes. It lists the table again when the store no longer has the changes.
+// run lists the table and then long-polls for its changes. It lists the table again when the store no longer has the changes, or
+// it has fallen behind.
 func (w *tableWatch) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		sentAt := time.Now()
@@ -46,9 +48,10 @@
 	}
 }
 
-// runChanges long-polls for changes until the store no longer has those after the version, or they cannot be read.
+// runChanges long-polls for changes until the store no longer has those after the version, they cannot be read, or the watch has
+// fallen behind.
 func (w *tableWatch) runChanges(ctx context.Context, version chuteaction.RowVersion) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !w.isBehind() {
 		if w.request.MinInterval > 0 && !sleep(ctx, w.request.MinInterval) {
 			return
 		}
@@ -70,6 +73,11 @@
 	}
 }
 
+// isBehind reports whether the latest answer is so old that the table must be listed.
+func (w *tableWatch) isBehind() bool {
+	return w.request.ListAfter > 0 && time.Since(w.answeredAt) > w.request.ListAfter
+}
+
 // deliver passes an answer of the store to the core.
 func (w *tableWatch) deliver(ctx context.Context, sentAt time.Time, answer TableAnswer, complete bool) {
 	if !w.unavailableSince.IsZero() {
@@ -77,6 +85,7 @@
 			"took", time.Since(sentAt), "rows", len(answer.Rows), "complete", complete)
 		w.unavailableSince, w.failures = time.Time{}, 0
 	}
+	w.answeredAt = time.Now()
 	w.events.Put(ctx, chuteaction.TableChanged{
 		Watch: w.request.Watch, Table: w.request.Table, SentAt: sentAt, StoreClock: answer.Clock, Complete: complete, Rows: answer.Rows,
 	})
