End a hedged request within its own time limit

Cause: a request without a direct answer was given to a peer at the end of its waiting time, with a whole time limit of its own: a poll of 1.5 s could stand for 4.25 s, longer than contact_ms. Change: the request ends with its own limit and the margin of a relay; what a peer still answers is dropped.

--- a/chuterelay/hedge.go
+++ b/chuterelay/hedge.go
@@ -50,14 +50,18 @@
 	return h
 }
 
-// wait returns the first answer, or an error if both transports have failed.
+// wait returns the first answer, or an error if both transports have failed or the request has timed out.
 func (h *hedgedRequest) wait() (Answer, error) {
-	timer := time.NewTimer(h.request.Wait + h.relay.hedgeDelay())
-	defer timer.Stop()
+	hedge := time.NewTimer(h.request.Wait + h.relay.hedgeDelay())
+	defer hedge.Stop()
+	timeout := time.NewTimer(h.request.Timeout + relayMargin)
+	defer timeout.Stop()
 	for {
 		select {
-		case <-timer.C:
+		case <-hedge.C:
 			h.askPeer()
+		case <-timeout.C:
+			return Answer{}, ErrNoAnswer
 		case <-h.ctx.Done():
 			return Answer{}, ErrNoAnswer
 		case res := <-h.results:
--- a/chuterelay/relay_test.go
+++ b/chuterelay/relay_test.go
@@ -273,3 +273,30 @@
 		group.Wait()
 	}
 }
+
+// waitingTransport answers no request before it times out.
+type waitingTransport struct{}
+
+func (waitingTransport) Do(_ context.Context, r chuterelay.Request) (chuterelay.Answer, error) {
+	timer := time.NewTimer(r.Timeout)
+	defer timer.Stop()
+	<-timer.C
+	return chuterelay.Answer{}, chuterelay.ErrNoAnswer
+}
+
+func (waitingTransport) Interrupt() {}
+
+func (waitingTransport) Probe(context.Context) error { return chuterelay.ErrNoAnswer }
+
+// TestARequestEndsInItsTimeWhereNothingAnswers guards against polls that stand for longer than a host may be out of contact.
+func TestARequestEndsInItsTimeWhereNothingAnswers(t *testing.T) {
+	is := is.New(t)
+	relay, _ := newRelay(t, waitingTransport{})
+	_, address := newRelay(t, waitingTransport{})
+	relay.SetPeers([]string{address})
+	poll := chuterelay.Request{Method: "GET", Path: "/x", Wait: 700 * time.Millisecond, Timeout: time.Second}
+	sentAt := time.Now()
+	_, err := relay.Do(context.Background(), poll)
+	is.Equal(err, chuterelay.ErrNoAnswer)
+	is.True(time.Since(sentAt) < poll.Timeout+400*time.Millisecond)
+}
