--- a/chuteoperator/state.go
+++ b/chuteoperator/state.go
@@ -10,7 +10,7 @@
 
 const (
 	// PollTimeout is how long the store holds a poll of the operators' table while nothing changes.
-	PollTimeout = 1500 * time.Millisecond
+	PollTimeout = time.Second
 	// defaultApplyTime is the time within which changes must be in force if the settings do not tell.
 	defaultApplyTime = 2 * time.Second
 	// maxZonesAge is the age of the table beyond which nothing starts, since zones may have been taken out.
