Give each host its own order of peers to relay through

Cause: all hosts tried the peers in the order of their names, so that the link of the first one carried the requests of all that were turned away. Change: the order is drawn from the names of both hosts.

--- a/chuteentry/hosts.go
+++ b/chuteentry/hosts.go
@@ -1,8 +1,13 @@
 package chuteentry
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonchute.example/monsoonchute/chuteaction"
 )
 
@@ -76,12 +81,20 @@
 	if t.state.peerAddresses == known {
 		return
 	}
-	var addresses []string
-	for i := t.state.peerAddresses.Iterator(); !i.Done(); {
-		_, address, _ := i.Next()
-		addresses = append(addresses, address)
+	t.Emit(chuteaction.SetPeers{Addresses: t.state.relayOrder()})
+}
+
+// relayOrder returns the relay addresses of the other hosts in the order in which this host tries them. Each host has an order of
+// its own, so that hosts which the store turns away do not all load the same peer.
+func (s State) relayOrder() []string {
+	weights := make(map[string]uint64)
+	for i := s.peerAddresses.Iterator(); !i.Done(); {
+		host, address, _ := i.Next()
+		weights[address] = xxhash.Sum64String(s.settings.Host + "/" + host)
 	}
-	t.Emit(chuteaction.SetPeers{Addresses: addresses})
+	return slices.SortedFunc(maps.Keys(weights), func(a, b string) int {
+		return cmp.Or(cmp.Compare(weights[a], weights[b]), cmp.Compare(a, b))
+	})
 }
 
 // takeoverDelay returns how much longer than others this host waits before it takes over, so that larger hosts take
--- a/chuteentry/hosts_test.go
+++ b/chuteentry/hosts_test.go
@@ -1,6 +1,7 @@
 package chuteentry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -21,6 +22,34 @@
 	return writes
 }
 
+// TestHostsRelayThroughDifferentPeers guards against one host's link that carries the requests of all hosts that the store turns away.
+func TestHostsRelayThroughDifferentPeers(t *testing.T) {
+	const hosts = 40
+	var rows []chuteaction.Row
+	for i := range hosts {
+		name := fmt.Sprintf("host-%02d", i)
+		rows = append(rows, chuteaction.Row{RowKey: chuteaction.HostKey(name), Version: 1, Value: chuteaction.HostRow{Host: name, Process: "p", Address: name}})
+	}
+	relayedBy := make(map[string]int)
+	for i := range hosts {
+		s := chuteentry.New(chuteentry.Settings{Host: fmt.Sprintf("host-%02d", i), Process: "p"})
+		_, effects := chuteentry.Step(s, chuteaction.TimedEvent{
+			At: time.Unix(1_800_000_000, 0), Event: chuteaction.TableChanged{Table: chuteaction.TableHosts, Complete: true, Rows: rows},
+		})
+		for _, effect := range effects {
+			if peers, ok := effect.(chuteaction.SetPeers); ok {
+				relayedBy[peers.Addresses[0]]++
+				is.New(t).Equal(len(peers.Addresses), hosts-1)
+			}
+		}
+	}
+	for peer, count := range relayedBy {
+		if count > hosts/8 {
+			t.Errorf("%s is the first peer of %d of %d hosts", peer, count, hosts)
+		}
+	}
+}
+
 func TestALateHostRowOfAnEarlierProcessReplacesNoLaterOne(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
