Split the store's stand-in from that of the workers

platform/standin had 898 lines with two jobs: the store with its faults, and the workers that run tasks. platform/tablestandin is the store now, with a lock of its own; standin embeds it. Callers keep its methods; the names of the faults lose their prefix.

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"monsoonchute.example/monsoonchute/platform/standin"
+	"monsoonchute.example/monsoonchute/platform/tablestandin"
 )
 
 // fault is a fault that lasts until inject returns.
@@ -78,10 +79,10 @@
 }}
 
 var storeFault = fault{"store", func(r *soakRun, ctx context.Context, _ *testing.T, random *rand.Rand) {
-	kinds := standin.StoreFaults()
+	kinds := tablestandin.Faults()
 	r.platform.SetStoreFault(kinds[random.IntN(len(kinds))])
 	wait(ctx, randomDuration(random, 3*time.Second))
-	r.platform.SetStoreFault(standin.StoreHealthy)
+	r.platform.SetStoreFault(tablestandin.Healthy)
 }}
 
 // sequence is a sequence of faults that are injected beside the others.
