Show no old number of pending jobs

Change: the number is shown while the table is known to 3 s ago, or by the leader itself; otherwise the answer is 503 (not-ready).

--- a/chuteentry/stale_test.go
+++ b/chuteentry/stale_test.go
@@ -98,3 +98,23 @@
 		}
 	}
 }
+
+// TestNoOldNumberOfPendingJobsIsShown guards against the number that an earlier leader's row gave, on a host whose watch of the
+// leaders' table stands still.
+func TestNoOldNumberOfPendingJobsIsShown(t *testing.T) {
+	is := is.New(t)
+	sm := newSimulation(1, 3, 1)
+	sm.run(5 * time.Second)
+	follower := sm.hosts["host-0"]
+	if follower.leads() {
+		follower = sm.hosts["host-1"]
+	}
+	is.Equal(sm.answerAt(follower, "normal", "key"), chuteresult.Done)
+	follower.silentTable = chuteaction.TableLeaders
+	sm.run(4 * time.Second)
+	is.Equal(sm.answerAt(follower, "normal", "key"), chuteresult.NotReady)
+	is.True(follower.state.Serving(sm.now)) // it serves all other calls
+	follower.silentTable = 0
+	sm.run(time.Second)
+	is.Equal(sm.answerAt(follower, "normal", "key"), chuteresult.Done)
+}
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -7,6 +7,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chuteclock"
+	"monsoonchute.example/monsoonchute/chutefreshness"
 	"monsoonchute.example/monsoonchute/chuteintake"
 	"monsoonchute.example/monsoonchute/chuteleader"
 	"monsoonchute.example/monsoonchute/chuteledger"
@@ -25,6 +26,8 @@
 	leaderPollTimeout = 600 * time.Millisecond
 	// listAfter is the time without an answer after which a table whose rows are often overwritten is listed again.
 	listAfter = 2 * time.Second
+	// maxPendingAge is the age of the leaders' table beyond which the number of pending jobs in it is not shown.
+	maxPendingAge = 3 * time.Second
 	// maxBatchRows is the maximum number of rows in one write of the scheduler, not counting the leader's own row.
 	maxBatchRows = 95
 	// hostsPollTimeout is how long the store holds a poll of the hosts' table while nothing changes.
@@ -58,8 +61,9 @@
 	token        chuteaction.Token
 	started      bool
 	operators    chuteoperator.State
-	contactAt    time.Time // time of the store's latest answer
-	contactSince time.Time // start of the current unbroken contact with the store
+	leaders      chutefreshness.Freshness // of the leaders' table, while this host does not lead
+	contactAt    time.Time                // time of the store's latest answer
+	contactSince time.Time                // start of the current unbroken contact with the store
 	storeClock   chuteclock.Store
 	leader       chuteleader.State
 	intake       chuteintake.State
@@ -110,12 +114,12 @@
 }
 
 func (s State) intakeView(now time.Time) chuteintake.View {
-	pending := s.leader.Row().Pending
+	pending, current := s.leader.Row().Pending, s.leaders.Age(now) <= maxPendingAge
 	if s.scheduler != nil && s.scheduler.Ready() {
-		pending = s.scheduler.Pending()
+		pending, current = s.scheduler.Pending(), true
 	}
 	return chuteintake.View{
 		Catalog: s.operators.Catalog(), CatalogAge: s.operators.Age(now), CatalogCurrent: s.operators.Current(now),
-		Pending: pending, StoreReachable: s.inContact(now),
+		Pending: pending, PendingCurrent: current, StoreReachable: s.inContact(now),
 	}
 }
