--- a/chutewatch/behind_test.go
+++ b/chutewatch/behind_test.go
@@ -76,3 +76,49 @@
 		}
 	})
 }
+
+// idleTable is a table that does not change. It refuses all requests while it is down.
+type idleTable struct{ down atomic.Bool }
+
+func (i *idleTable) List(context.Context, chuteaction.Table) (chutewatch.TableAnswer, error) {
+	return i.answer(0)
+}
+
+func (i *idleTable) Changes(_ context.Context, _ chuteaction.Table, _ chuteaction.RowVersion, pollTimeout time.Duration) (chutewatch.TableAnswer, error) {
+	return i.answer(pollTimeout)
+}
+
+func (i *idleTable) answer(after time.Duration) (chutewatch.TableAnswer, error) {
+	if i.down.Load() {
+		return chutewatch.TableAnswer{}, errors.New("down")
+	}
+	time.Sleep(after)
+	return chutewatch.TableAnswer{Version: 1}, nil
+}
+
+// TestNothingIsHeldThatTellsWhetherATableIsUpToDate guards against a host that is ready a whole poll later than the store.
+func TestNothingIsHeldThatTellsWhetherATableIsUpToDate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := slog.New(slog.DiscardHandler)
+		group, end := chuteduty.New(log)
+		defer end()
+		events := chutering.NewEntryEvents("core", 4096)
+		store := &idleTable{}
+		store.down.Store(true)
+		chutewatch.New(group, store, events, log).Watch(chuteaction.WatchTable{Table: chuteaction.TableOperator, PollTimeout: pollTimeout})
+		for range 3 {
+			time.Sleep(5 * time.Second)
+			store.down.Store(false)
+			backAt := time.Now()
+			for polled := false; !polled; {
+				event, _ := events.Take(t.Context())
+				changed, ok := event.(chuteaction.TableChanged)
+				polled = ok && !changed.Complete && !changed.SentAt.Before(backAt)
+			}
+			if took := time.Since(backAt); took > pollTimeout/2 {
+				t.Errorf("the table is up to date %v after the store is back", took)
+			}
+			store.down.Store(true)
+		}
+	})
+}
