Do not hold the first poll of a table after a list or a failure

Callers saw: 503 for up to 1 s more after the store was back, and no start for up to 2 s more, since the first poll was held until something changed or its time was over; only then did the host know that what it knew was the newest. Now such a poll is answered at once. As the answer to a poll without changes counts as old as the end of the poll, each answer tells how long its poll was held; before, an answer to a poll that was not held would have counted as a whole poll too new.

--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -102,6 +102,7 @@
 	Watch      Token // of the WatchTable effect
 	Table      Table
 	SentAt     time.Time     // when the request was sent
+	HeldFor    time.Duration // how long the store held the request, a poll, if Rows is empty
 	StoreClock time.Duration // the store's steady clock when it answered; 0 if unknown
 	Complete   bool          // Rows holds all rows of the table, not only changes
 	Rows       []Row
--- a/chuteentry/fakestore_test.go
+++ b/chuteentry/fakestore_test.go
@@ -246,7 +246,7 @@
 		if h.watches[f.Table] != generation {
 			return
 		}
-		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, SentAt: startedAt, StoreClock: clock, Rows: rows})
+		h.deliver(chuteaction.TableChanged{Watch: f.Watch, Table: f.Table, SentAt: startedAt, HeldFor: f.PollTimeout, StoreClock: clock, Rows: rows})
 		sm.after(max(f.MinInterval, time.Millisecond), func() { s.poll(h, f, generation, version, sm.now) })
 	})
 }
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -128,7 +128,7 @@
 	case chuteaction.TableOperator:
 		t.state.operators = t.state.operators.HandleTableChanged(t.Transition, e)
 	case chuteaction.TableLeaders:
-		t.state.leaders = t.state.leaders.WithAnswer(e, leaderPollTimeout, t.Now)
+		t.state.leaders = t.state.leaders.WithAnswer(e, t.Now)
 		t.state.leader = t.state.leader.HandleLeaderRows(t.Transition, e.Rows)
 		t.checkLeaderProcess()
 	case chuteaction.TableJobs:
--- a/chutefreshness/freshness.go
+++ b/chutefreshness/freshness.go
@@ -21,13 +21,13 @@
 	return Freshness{knownAt: knownAt, storeClock: storeClock}
 }
 
-// WithAnswer returns the freshness after an answer of the store that arrived now, to a poll that the store may hold for the
-// poll timeout. The answer holds all changes up to the time its request was sent or, since the store holds a poll until there
-// is a change, up to the end of a poll without one. If the store held the request, its clock shows that the answer is younger.
-func (f Freshness) WithAnswer(e chuteaction.TableChanged, pollTimeout time.Duration, now time.Time) Freshness {
+// WithAnswer returns the freshness after an answer of the store that arrived now. The answer holds all changes up to the time
+// its request was sent or, since the store holds a poll until there is a change, up to the end of a poll without one. If the
+// store held the request, its clock shows that the answer is younger.
+func (f Freshness) WithAnswer(e chuteaction.TableChanged, now time.Time) Freshness {
 	at := e.SentAt
 	if !e.Complete && len(e.Rows) == 0 {
-		at = at.Add(pollTimeout)
+		at = at.Add(e.HeldFor)
 	}
 	if passed := e.StoreClock - f.storeClock; f.storeClock > 0 && passed > 0 {
 		at = latest(at, f.knownAt.Add(passed-passed*maxClockDriftPercent/100))
--- a/chuteoperator/state.go
+++ b/chuteoperator/state.go
@@ -85,7 +85,7 @@
 		t.Emit(chuteaction.Observe{Histogram: "table-age", Kind: e.Table.String(), Duration: s.Age(t.Now)})
 	}
 	former := s.Age(t.Now)
-	s.freshness = s.freshness.WithAnswer(e, PollTimeout, t.Now)
+	s.freshness = s.freshness.WithAnswer(e, t.Now)
 	if s.outOfDate && s.Age(t.Now) <= s.applyTime {
 		s.outOfDate = false
 		t.Log(component, "the operators' table is up to date again", "", "was", former, "age", s.Age(t.Now),
--- a/chutescheduler/successor_test.go
+++ b/chutescheduler/successor_test.go
@@ -91,7 +91,7 @@
 func (s *successor) answerHeldPoll(hold, age time.Duration, complete bool, rows ...chuteaction.Row) {
 	s.handle(0, func(t *chuteaction.Transition, environment chuteledger.Environment) {
 		s.state = s.state.HandleWorkers(t, environment, chuteaction.TableChanged{
-			Watch: s.watch(chuteaction.TableWorkers), Table: chuteaction.TableWorkers, SentAt: s.now.Add(-age - hold),
+			Watch: s.watch(chuteaction.TableWorkers), Table: chuteaction.TableWorkers, SentAt: s.now.Add(-age - hold), HeldFor: hold,
 			StoreClock: time.Duration(s.now.UnixNano()) - age, Complete: complete, Rows: rows,
 		})
 	})
--- a/chutescheduler/worker.go
+++ b/chutescheduler/worker.go
@@ -20,7 +20,7 @@
 	if e.Complete {
 		writtenAfter = 0
 	}
-	u.List = u.List.WithAnswer(e, tablePollTimeout, t.Now)
+	u.List = u.List.WithAnswer(e, t.Now)
 	listed := u.applyWorkerRows(e.Rows, writtenAfter)
 	if !e.Complete {
 		return u.state()
--- a/chutewatch/table.go
+++ b/chutewatch/table.go
@@ -24,6 +24,7 @@
 	unavailableSince time.Time // when the first of the requests that have failed in a row was sent; zero if the latest succeeded
 	failures         int       // number of these requests
 	answeredAt       time.Time // when the latest answer arrived
+	polled           bool      // the latest request was a poll, and it was answered
 }
 
 func newTableWatch(w *Watchers, request chuteaction.WatchTable) *tableWatch {
@@ -43,7 +44,7 @@
 		if ctx.Err() != nil {
 			return // the watch ended during the request
 		}
-		w.deliver(ctx, sentAt, list, true)
+		w.deliver(ctx, chuteaction.TableChanged{SentAt: sentAt, Complete: true}, list)
 		w.runChanges(ctx, list.Version)
 	}
 }
@@ -55,8 +56,8 @@
 		if w.request.MinInterval > 0 && !sleep(ctx, w.request.MinInterval) {
 			return
 		}
-		sentAt := time.Now()
-		changes, err := w.store.Changes(ctx, w.request.Table, version, w.request.PollTimeout)
+		sentAt, held := time.Now(), w.pollTimeout()
+		changes, err := w.store.Changes(ctx, w.request.Table, version, held)
 		if errors.Is(err, ErrHistoryGone) {
 			w.log.Info("store: changes are no longer available, listing the table again", "after", version)
 			return
@@ -69,8 +70,17 @@
 			continue
 		}
 		version = changes.Version
-		w.deliver(ctx, sentAt, changes, false)
+		w.deliver(ctx, chuteaction.TableChanged{SentAt: sentAt, HeldFor: held}, changes)
+	}
+}
+
+// pollTimeout returns how long the store may hold the next poll. After a list or a failure it answers at once, so that the core
+// soon knows that the table is up to date.
+func (w *tableWatch) pollTimeout() time.Duration {
+	if !w.polled {
+		return 0
 	}
+	return w.request.PollTimeout
 }
 
 // isBehind reports whether the latest answer is so old that the table must be listed.
@@ -78,17 +88,16 @@
 	return w.request.ListAfter > 0 && time.Since(w.answeredAt) > w.request.ListAfter
 }
 
-// deliver passes an answer of the store to the core.
-func (w *tableWatch) deliver(ctx context.Context, sentAt time.Time, answer TableAnswer, complete bool) {
+// deliver passes an answer of the store to the core. The event tells about the request.
+func (w *tableWatch) deliver(ctx context.Context, event chuteaction.TableChanged, answer TableAnswer) {
 	if !w.unavailableSince.IsZero() {
 		w.log.Info("store: table is watched again", "unavailable", time.Since(w.unavailableSince), "failures", w.failures,
-			"took", time.Since(sentAt), "rows", len(answer.Rows), "complete", complete)
+			"took", time.Since(event.SentAt), "rows", len(answer.Rows), "complete", event.Complete)
 		w.unavailableSince, w.failures = time.Time{}, 0
 	}
-	w.answeredAt = time.Now()
-	w.events.Put(ctx, chuteaction.TableChanged{
-		Watch: w.request.Watch, Table: w.request.Table, SentAt: sentAt, StoreClock: answer.Clock, Complete: complete, Rows: answer.Rows,
-	})
+	w.answeredAt, w.polled = time.Now(), !event.Complete
+	event.Watch, event.Table, event.StoreClock, event.Rows = w.request.Watch, w.request.Table, answer.Clock, answer.Rows
+	w.events.Put(ctx, event)
 }
 
 // handleFailure reports a failed request to the core, and waits before the next one.
@@ -101,6 +110,7 @@
 		w.unavailableSince = sentAt
 	}
 	w.failures++
+	w.polled = false
 	w.events.Offer(chuteaction.TableUnavailable{Table: w.request.Table})
 	jitter := time.Duration(rand.Int64N(int64(retryDelay))) // spreads the requests of several hosts
 	sleep(ctx, retryDelay+jitter)
