List the tables of jobs, workers and hosts that are not answered for long

Callers saw: nothing started on a worker that was listed while the store hung. The leader asked for all changes since its last answer; where they take longer than the time of a poll, the request fails and is sent again with still more to answer, without an end. Only an answer that arrived could be too large and lead to a list.

--- a/chuteaction/effect.go
+++ b/chuteaction/effect.go
@@ -82,7 +82,7 @@
 	MinInterval time.Duration // shortest time between two polls
 	PollTimeout time.Duration // how long the store holds a poll while nothing changes
 	// ListAfter is the time since the latest answer after which the table is listed again rather than polled for all changes
-	// since then, of which rows that are often overwritten need the latest alone; 0 for never.
+	// since then, whose answer has no bound; 0 for never.
 	ListAfter time.Duration
 }
 
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -32,6 +32,8 @@
 	maxBatchRows = 95
 	// hostsPollTimeout is how long the store holds a poll of the hosts' table while nothing changes.
 	hostsPollTimeout = 10 * time.Second
+	// listHostsAfter is the time without an answer after which the hosts' table is listed again.
+	listHostsAfter = 20 * time.Second
 	// hostRowRetryDelay is the delay before a failed write of this host's row is retried.
 	hostRowRetryDelay = time.Second
 	// largerHostRatio is the ratio of CPU shares above which another host should lead instead of this one.
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -54,7 +54,7 @@
 	t.writeHostRow()
 	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableOperator, PollTimeout: chuteoperator.PollTimeout, ListAfter: listAfter})
 	t.watchLeaders()
-	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableHosts, MinInterval: minPollInterval, PollTimeout: hostsPollTimeout})
+	t.Emit(chuteaction.WatchTable{Table: chuteaction.TableHosts, MinInterval: minPollInterval, PollTimeout: hostsPollTimeout, ListAfter: listHostsAfter})
 }
 
 // watchLeaders subscribes to the leaders' table.
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -139,6 +139,7 @@
 	t.workersWatch = t.NewToken()
 	t.Emit(chuteaction.WatchTable{
 		Watch: t.workersWatch, Table: chuteaction.TableWorkers, MinInterval: workersPollInterval, PollTimeout: tablePollTimeout,
+		ListAfter: listWorkersAfter,
 	})
 }
 
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -71,13 +71,19 @@
 	}
 	s.runner.FinalLeases = s.handover.NotExtended()
 	s.jobsWatch = t.NewToken()
-	t.Emit(chuteaction.WatchTable{Watch: s.jobsWatch, Table: chuteaction.TableJobs, PollTimeout: tablePollTimeout})
+	t.Emit(chuteaction.WatchTable{Watch: s.jobsWatch, Table: chuteaction.TableJobs, PollTimeout: tablePollTimeout, ListAfter: listJobsAfter})
 	return s.readHosts(t).readProgress(t)
 }
 
 // tablePollTimeout is how long the store holds a poll of the table of jobs or workers while nothing changes.
 const tablePollTimeout = 2 * time.Second
 
+// listJobsAfter and listWorkersAfter are the times without an answer after which the tables of jobs and workers are listed again.
+const (
+	listJobsAfter    = 6 * time.Second
+	listWorkersAfter = 3 * time.Second
+)
+
 // workersPollInterval is the shortest time between two polls of the table of workers.
 const workersPollInterval = 300 * time.Millisecond
 
