Let tasks that last yield to a guarantee, as many as may be missing

Runs of steps that last were in no group that may be evicted, whatever waited. Now they yield to a guarantee alone, after all runs of lower priority that end by themselves, and never more of a step at a time than it may miss.

Open: a step that may miss nothing keeps its accelerators, as do gangs that last.

--- a/chuteentry/guarantee_test.go
+++ b/chuteentry/guarantee_test.go
@@ -84,6 +84,35 @@
 	return step
 }
 
+// TestAGuaranteeIsReclaimedFromTasksThatLast guards against a guarantee that is worth nothing while others' tasks last.
+func TestAGuaranteeIsReclaimedFromTasksThatLast(t *testing.T) {
+	sm := newSimulation(1, 2, 4)
+	sm.run(3 * time.Second)
+	sm.clients.key = "guest"
+	others := sm.clients.submit("low", time.Hour, lastingStep(4))
+	sm.run(3 * time.Second)
+	sm.clients.key = "key"
+	guaranteed := sm.clients.submit("urgent", time.Second, gangStep(1, 8))
+	sm.run(100 * time.Millisecond)
+	second := sm.clients.submit("urgent", 20*time.Second, gangStep(1, 8))
+	sm.run(reclaimBound)
+	if _, ok := guaranteed.startDelay(); !ok {
+		t.Errorf("the job within the guarantee has not started within %s", reclaimBound)
+	}
+	sm.run(3 * time.Second)
+	if _, ok := second.startDelay(); !ok {
+		t.Error("the second job has not started on the worker that the first had")
+	}
+	if running := sm.runningTasks(others); running != 3 {
+		t.Errorf("%d of 4 tasks that last are running, of which one may be missing", running)
+	}
+	sm.run(25 * time.Second)
+	if running := sm.runningTasks(others); running != 4 {
+		t.Errorf("%d of 4 tasks that last are running after the urgent jobs", running)
+	}
+	sm.failOnViolations(t)
+}
+
 // TestUrgentGangsEvictNoMoreThanTheyNeed plays a load of urgent gangs of different widths that keep coming while small
 // tasks of low priority fill all workers. Each gang must start soon, and no more runs may be stopped than the gangs need
 // capacity for: gangs that take from each other what runs were stopped for would have further runs stopped.
--- a/chuteledger/state.go
+++ b/chuteledger/state.go
@@ -76,7 +76,7 @@
 	return j.Service
 }
 
-// LongRunning reports whether the run serves until its job is cancelled. Such runs are never preempted.
+// LongRunning reports whether the run serves until its job is cancelled. Such runs yield to guarantees alone.
 func (t *Transition) LongRunning(r chutepool.Run) bool {
 	j, ok := t.Job(r.ID.Task.Job)
 	return ok && j.Step(r.ID.Task.StepID).LongRunning
--- a/chuteplacement/evict.go
+++ b/chuteplacement/evict.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutegraph"
 )
 
 // evictionPlan is a set of run groups whose eviction frees enough capacity for all waiting tasks of a demand.
@@ -15,11 +16,14 @@
 }
 
 // preempt evicts the cheapest run groups that free enough capacity for the demand, and reports whether there are such
-// groups. They have a lower priority, unless only equal priority makes room for a demand that a guarantee covers.
+// groups. They have a lower priority and don't last, unless only others make room for a demand that a guarantee covers.
 func (p *pass) preempt(d Demand) bool {
-	plan, ok := p.cheapestScope(d, p.scopes(d), d.Priority)
+	plan, ok := p.cheapestScope(d, p.scopes(d), eligible{above: d.Priority})
 	if !ok && d.Guaranteed {
-		plan, ok = p.cheapestScope(d, p.scopes(d), d.Priority-1)
+		plan, ok = p.cheapestScope(d, p.scopes(d), eligible{above: d.Priority, lasting: true})
+	}
+	if !ok && d.Guaranteed {
+		plan, ok = p.cheapestScope(d, p.scopes(d), eligible{above: d.Priority - 1, lasting: true})
 	}
 	if !ok {
 		return false
@@ -31,13 +35,19 @@
 	return true
 }
 
-// cheapestScope returns the cheapest plan for any of the sets of workers that evicts only groups whose priority number
-// is above the given one, and false if there is none.
-func (p *pass) cheapestScope(d Demand, scopes [][]int, above int) (evictionPlan, bool) {
+// eligible says which run groups may be evicted.
+type eligible struct {
+	above   int  // those whose priority number is above this one
+	lasting bool // those of steps that last as well
+}
+
+// cheapestScope returns the cheapest plan for any of the sets of workers that evicts eligible groups alone, and false if there
+// is none.
+func (p *pass) cheapestScope(d Demand, scopes [][]int, e eligible) (evictionPlan, bool) {
 	var best evictionPlan
 	found := false
 	for _, workers := range scopes {
-		plan, ok := p.cheapestEvictions(d, workers, above)
+		plan, ok := p.cheapestEvictions(d, workers, e)
 		if ok && (!found || plan.cost < best.cost) {
 			best, found = plan, true
 		}
@@ -59,7 +69,7 @@
 
 // cheapestEvictions places the waiting tasks one by one, each on the worker where freeing capacity for it costs least.
 // It returns false if the workers can't hold all of them.
-func (p *pass) cheapestEvictions(d Demand, workers []int, above int) (evictionPlan, bool) {
+func (p *pass) cheapestEvictions(d Demand, workers []int, e eligible) (evictionPlan, bool) {
 	need := d.Step.Reserved()
 	search := &evictionSearch{pass: p, freed: make(map[int]chutecapacity.Resources), selected: make(map[int]bool)}
 	taken := make(map[int]int, len(d.Indexes))
@@ -71,7 +81,7 @@
 			if !p.antiAffinityAllows(d, w, taken[w]) {
 				continue
 			}
-			groups, cost, ok := search.cheapestGroups(w, need.Times(taken[w]+1), above)
+			groups, cost, ok := search.cheapestGroups(w, need.Times(taken[w]+1), e)
 			cost += p.workers[w].Penalty
 			if ok && (best < 0 || cost < bestCost) {
 				best, bestCost, bestGroups = w, cost, groups
@@ -97,16 +107,19 @@
 }
 
 // cheapestGroups returns the groups to evict so that the resources fit on the worker, cheapest first, and their total
-// cost. It returns false if they don't fit even without all groups whose priority number is above the given one.
-func (s *evictionSearch) cheapestGroups(worker int, need chutecapacity.Resources, above int) ([]int, float64, bool) {
+// cost. It returns false if they don't fit even without all eligible groups.
+func (s *evictionSearch) cheapestGroups(worker int, need chutecapacity.Resources, e eligible) ([]int, float64, bool) {
 	free := s.workers[worker].afterStops.Plus(s.freed[worker])
 	if need.Fits(free) {
 		return nil, 0, true
 	}
-	candidates := s.candidates(worker, above)
+	candidates := s.candidates(worker, e)
 	var groups []int
 	cost := 0.0
 	for _, g := range candidates {
+		if s.spared(g, groups) {
+			continue
+		}
 		free = free.Plus(s.reservedBy(g, worker))
 		groups = append(groups, g)
 		cost += s.groups[g].Cost
@@ -118,12 +131,14 @@
 	return nil, 0, false
 }
 
-// candidates returns the groups on the worker whose priority number is above the given one, the one with the lowest
-// cost per core first.
-func (s *evictionSearch) candidates(worker, above int) []int {
+// candidates returns the eligible groups on the worker, the one with the lowest cost per core first.
+func (s *evictionSearch) candidates(worker int, e eligible) []int {
 	var candidates []int
 	for _, g := range s.onWorker[s.workers[worker].ID] {
-		if !s.evicted[g] && !s.selected[g] && s.groups[g].Priority > above && !slices.Contains(candidates, g) {
+		if s.evicted[g] || s.selected[g] || s.groups[g].Lasting && !e.lasting {
+			continue
+		}
+		if s.groups[g].Priority > e.above && !slices.Contains(candidates, g) {
 			candidates = append(candidates, g)
 		}
 	}
@@ -133,6 +148,25 @@
 	return candidates
 }
 
+// spared reports whether the group must go on beside the chosen ones, since it lasts and no more of its step may be stopped.
+func (s *evictionSearch) spared(group int, chosen []int) bool {
+	if !s.groups[group].Lasting {
+		return false
+	}
+	stopped := 0
+	for i, g := range s.groups {
+		if g.Lasting && g.step() == s.groups[group].step() && (s.evicted[i] || s.selected[i] || slices.Contains(chosen, i)) {
+			stopped++
+		}
+	}
+	return stopped >= s.groups[group].Spare
+}
+
+// step returns the step of the runs.
+func (g RunGroup) step() chutegraph.StepID {
+	return g.Members[0].Run.Task.StepID
+}
+
 // costPerCore returns the cost of evicting the group for each core that this frees on the worker.
 func (s *evictionSearch) costPerCore(group, worker int) float64 {
 	return (s.groups[group].Cost + 1) / max(1, s.reservedBy(group, worker).Cores())
--- a/chuteplacement/plan_test.go
+++ b/chuteplacement/plan_test.go
@@ -95,6 +95,14 @@
 	return g
 }
 
+// lasting returns the groups as runs of a step that lasts, of which as many as spare may be stopped.
+func lasting(spare int, groups ...chuteplacement.RunGroup) []chuteplacement.RunGroup {
+	for i := range groups {
+		groups[i].Lasting, groups[i].Spare = true, spare
+	}
+	return groups
+}
+
 // describe returns the decisions as JOB>WORKER for starts and JOB!WORKER for evictions, sorted.
 func describe(decisions []chuteplacement.Decision) []string {
 	var lines []string
@@ -296,6 +304,26 @@
 			[]chuteplacement.Demand{demand("n", 1, 1, 8, nil)},
 			nil,
 		},
+		{
+			"runs that last yield to a guarantee", workers(0), lasting(1, group("x", 2, 5, 8, 0)),
+			[]chuteplacement.Demand{guaranteed(demand("u", 0, 1, 8, nil))},
+			[]string{"x!w0"},
+		},
+		{
+			"runs that last yield to nothing else", workers(0), lasting(1, group("x", 2, 5, 8, 0)),
+			[]chuteplacement.Demand{demand("u", 0, 1, 8, nil)},
+			nil,
+		},
+		{
+			"runs that end yield before those that last", workers(0, 0), append(lasting(1, group("x", 2, 0, 8, 0)), group("y", 1, 50, 8, 1)),
+			[]chuteplacement.Demand{guaranteed(demand("u", 0, 1, 8, nil))},
+			[]string{"y!w1"},
+		},
+		{
+			"no more runs that last yield than may be missing", workers(0, 0), lasting(1, group("x", 2, 5, 8, 0), group("x", 2, 5, 8, 1)),
+			[]chuteplacement.Demand{guaranteed(demand("u", 0, 2, 8, nil)), guaranteed(demand("v", 0, 1, 8, nil)), guaranteed(demand("w", 0, 1, 8, nil))},
+			[]string{"x!w0"},
+		},
 		{
 			"free capacity is used before eviction", workers(0, 8),
 			[]chuteplacement.RunGroup{group("x", 1, 0, 8, 0)},
--- a/chuteplacement/view.go
+++ b/chuteplacement/view.go
@@ -35,6 +35,8 @@
 	Priority int
 	Cost     float64 // core-seconds of work that are lost when it is stopped
 	Members  []Member
+	Lasting  bool // the run of a step that lasts, which yields to guarantees alone
+	Spare    int  // how many runs of its step may be stopped, if it lasts
 }
 
 // Member is one run of a run group.
--- a/chuteplanner/running.go
+++ b/chuteplanner/running.go
@@ -33,6 +33,7 @@
 	known       bool // the scheduler knows the step's job
 	gang        bool
 	longRunning bool
+	spare       int // how many more tasks of a long-running step may be stopped
 }
 
 // placedRun is a run on a worker with the properties of its step.
@@ -68,7 +69,7 @@
 		return stepTraits{}
 	}
 	step := j.Step(id)
-	return stepTraits{known: true, gang: step.Gang, longRunning: step.LongRunning}
+	return stepTraits{known: true, gang: step.Gang, longRunning: step.LongRunning, spare: p.SpareTasks(j, id)}
 }
 
 // endingSoon returns, by worker, the resources reserved by runs that are expected to end soon. A gang ends when its
@@ -93,19 +94,22 @@
 	return reserved
 }
 
-// runGroups returns the runs that may be evicted for urgent tasks. Runs that a guarantee covers, long-running and
-// quarantined ones, and those that are being recorded or stopped already are never evicted.
+// runGroups returns the runs that may be evicted for urgent tasks. Runs that a guarantee covers, quarantined ones, and those that
+// are being recorded or stopped already are never evicted, and long-running ones only as many as may be unavailable.
 func (p *pass) runGroups(runs []placedRun) []chuteplacement.RunGroup {
 	var groups []chuteplacement.RunGroup
 	gangs := make(map[chutegraph.StepID]int)
 	for _, r := range runs {
-		if p.guaranteed[r.ID.Task.Job] || r.Quarantined || r.Phase == chutepool.RunStopping || r.Phase == chutepool.RunRecording || r.longRunning {
+		if p.guaranteed[r.ID.Task.Job] || r.Quarantined || r.Phase == chutepool.RunStopping || r.Phase == chutepool.RunRecording {
+			continue
+		}
+		if r.longRunning && (r.gang || r.spare <= 0) {
 			continue
 		}
 		i, known := gangs[r.ID.Task.StepID]
 		if !r.gang || !known {
 			i = len(groups)
-			groups = append(groups, chuteplacement.RunGroup{Priority: r.Priority})
+			groups = append(groups, chuteplacement.RunGroup{Priority: r.Priority, Lasting: r.longRunning, Spare: r.spare})
 		}
 		if r.gang {
 			gangs[r.ID.Task.StepID] = i
