Let each task that lasts use capacity that is kept for a gang

What is kept for a gang may be used after 2 s by a job of which nothing runs; of a lasting step each task counts by itself, whether others run or not.

--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -49,14 +49,14 @@
 }
 
 // scheduleEach schedules the waiting tasks one by one until one doesn't fit, and of the others those with a claim. After the first,
-// something of the job runs.
+// something of the job runs, which is enough unless its tasks last.
 func (p *pass) scheduleEach(d Demand) {
 	fits := true
 	for i := range d.Indexes {
 		if single := d.single(i); fits || p.claimed(single) {
 			fits = p.scheduleTogether(single) && fits
 		}
-		d.MayUseReserved = false
+		d.MayUseReserved = d.MayUseReserved && d.Step.LongRunning
 	}
 }
 
--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -145,10 +145,13 @@
 	return emptied
 }
 
-// startOnEmptied starts a task, or the gang, of each demand whose job has stood for long, also on workers that are being emptied.
+// startOnEmptied starts a task, or the gang, of each demand that has stood for long, also on workers that are being emptied.
 func (p *pass) startOnEmptied(demands []chuteplacement.Demand) {
 	for _, d := range demands {
-		if !d.MayUseReserved || !p.nothingRuns(d.ID.Job) {
+		if !d.MayUseReserved || !p.mayStand(d) {
+			continue
+		}
+		if d.Indexes = p.stillWaiting(d); len(d.Indexes) == 0 {
 			continue
 		}
 		if !d.Step.Gang {
@@ -160,6 +163,12 @@
 	}
 }
 
+// stillWaiting returns the indexes of the demand's tasks that have not started in this pass.
+func (p *pass) stillWaiting(d chuteplacement.Demand) []int {
+	j, _ := p.Live.Get(d.ID.Job)
+	return slices.DeleteFunc(slices.Clone(d.Indexes), func(i int) bool { return j.Tasks(d.ID)[i].Phase == chutetask.TaskActive })
+}
+
 // planSpareQuarantine starts tasks for which the share of quarantines is taken on workers that are still empty now that others
 // have been placed, unless others of the service go on waiting.
 func (p *pass) planSpareQuarantine(plan quarantinePlan, othersWait map[string]bool) {
--- a/chuteplanner/waiting.go
+++ b/chuteplanner/waiting.go
@@ -25,7 +25,7 @@
 )
 
 // standing are the steps that would start if nothing were kept for others (reserved for a gang, in a rack, or on workers that are
-// emptied), while nothing of their jobs runs.
+// emptied), while nothing of their jobs runs or their tasks last.
 type standing struct {
 	foundAt time.Time                       // time of the latest search; zero while nothing is kept
 	since   map[chutegraph.StepID]time.Time // since when each has stood; never changed once stored
@@ -51,11 +51,11 @@
 	p.waitingSince = updated
 }
 
-// openReservations lets the demands of jobs that have stood for long use capacity that is kept for others.
+// openReservations lets the demands that have stood for long use capacity that is kept for others.
 func (p *pass) openReservations(demands []chuteplacement.Demand) {
 	for i, d := range demands {
 		since, stands := p.standing.since[d.ID]
-		demands[i].MayUseReserved = stands && p.Now.Sub(since) >= maxStanding && p.nothingRuns(d.ID.Job)
+		demands[i].MayUseReserved = stands && p.Now.Sub(since) >= maxStanding && p.mayStand(d)
 		demands[i].MayUseAnyRack = p.standing.anyRack
 	}
 }
@@ -70,7 +70,7 @@
 	if p.Now.Sub(p.standing.foundAt) < standingInterval {
 		return
 	}
-	waiting := slices.DeleteFunc(slices.Clone(demands), func(d chuteplacement.Demand) bool { return !p.nothingRuns(d.ID.Job) })
+	waiting := slices.DeleteFunc(slices.Clone(demands), func(d chuteplacement.Demand) bool { return !p.mayStand(d) })
 	found := make(map[chutegraph.StepID]time.Time)
 	workers := chutecandidate.Usable(p.Transition.Transition, nil)
 	anyRack := underHalfUsed(workers)
@@ -98,6 +98,12 @@
 	return d.NeedsReservation || d.Step.SameRack || d.Step.DataRack != ""
 }
 
+// mayStand reports whether the demand must not wait beside capacity that is kept for others: nothing of its job runs, or each of its
+// tasks counts by itself, since they last.
+func (p *pass) mayStand(d chuteplacement.Demand) bool {
+	return d.Step.LongRunning || p.nothingRuns(d.ID.Job)
+}
+
 // nothingRuns reports whether no task of the job has a run.
 func (p *pass) nothingRuns(id chutegraph.JobID) bool {
 	j, ok := p.Live.Get(id)
--- a/chuteplanner/waits_test.go
+++ b/chuteplanner/waits_test.go
@@ -81,30 +81,46 @@
 	s.state.Live = s.state.Live.Set(testID, j.WithCrashes(chutegraph.TaskID{StepID: chutegraph.StepID{Job: testID}}, crashes))
 }
 
-func TestAJobThatCouldRunDoesNotStandBesideCapacityKeptForAGang(t *testing.T) {
-	const maxStanding = 3 * time.Second
-	for name, prepare := range map[string]func(*scheduler){
+// runBesideAGang returns how many of three small tasks of a job run 3 s after they came, while a gang waits for all workers.
+func runBesideAGang(prepare func(*scheduler), small chutegraph.Step) int {
+	s := newScheduler(chutegraph.Step{Count: workerCount, Gang: true})
+	s.environment.Catalog.Queues[0].Approval = nil
+	prepare(s)
+	s.fill(chutepool.RunStarted, "zone-0") // so that the gang waits
+	s.pass(10 * time.Second)
+	small.Count, small.Request = 3, chutecapacity.Resources{Processor: 1000}
+	submission := chutetask.Submission{ID: "00000000000000cc", Queue: "queue", Spec: chutegraph.Spec{Steps: []chutegraph.Step{small}}}
+	s.state.Live = s.state.Live.Set(submission.ID, chutetask.New(submission, 2, s.now).WithOccurrenceBegun(0))
+	s.pass(3 * time.Second)
+	running := 0
+	j, _ := s.state.Job(submission.ID)
+	j.ForEachTask(func(_ chutegraph.TaskID, task chutetask.Task) {
+		if task.Phase == chutetask.TaskActive {
+			running++
+		}
+	})
+	return running
+}
+
+// waitingGangs are the ways in which capacity is kept for a gang.
+func waitingGangs() map[string]func(*scheduler) {
+	return map[string]func(*scheduler){
 		"a gang that waits": func(*scheduler) {}, "a suspect gang for which workers are emptied": (*scheduler).suspectGang,
-	} {
+	}
+}
+
+func TestAJobThatCouldRunDoesNotStandBesideCapacityKeptForAGang(t *testing.T) {
+	for name, prepare := range waitingGangs() {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(runBesideAGang(prepare, chutegraph.Step{}), 1) // the rest stays kept, now that something of the job runs
+		})
+	}
+}
+
+func TestNoTaskThatLastsStandsBesideCapacityKeptForAGang(t *testing.T) {
+	for name, prepare := range waitingGangs() {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			s := newScheduler(chutegraph.Step{Count: workerCount, Gang: true})
-			s.environment.Catalog.Queues[0].Approval = nil
-			prepare(s)
-			s.fill(chutepool.RunStarted, "zone-0") // so that the gang waits
-			s.pass(10 * time.Second)
-			step := chutegraph.Step{Count: 3, Request: chutecapacity.Resources{Processor: 1000}}
-			small := chutetask.Submission{ID: "00000000000000cc", Queue: "queue", Spec: chutegraph.Spec{Steps: []chutegraph.Step{step}}}
-			s.state.Live = s.state.Live.Set(small.ID, chutetask.New(small, 2, s.now).WithOccurrenceBegun(0))
-			s.pass(maxStanding)
-			running := 0
-			j, _ := s.state.Job(small.ID)
-			j.ForEachTask(func(_ chutegraph.TaskID, task chutetask.Task) {
-				if task.Phase == chutetask.TaskActive {
-					running++
-				}
-			})
-			is.Equal(running, 1) // the rest stays kept, now that something of the job runs
+			is.New(t).Equal(runBesideAGang(prepare, chutegraph.Step{LongRunning: true}), 3)
 		})
 	}
 }
