Tell no number of pending jobs before the first count

Until it has counted, its row keeps what its predecessor told, and its own answers go by that row, within the same age.

--- a/chuteentry/stale_test.go
+++ b/chuteentry/stale_test.go
@@ -23,6 +23,18 @@
 	sm.store.put(chuteaction.RowKey{Table: chuteaction.TableOperator, Key: "config"}, chuteaction.CatalogRow{Catalog: c})
 }
 
+// pendingAt returns the number of pending jobs that the host gives, and false if it gives none.
+func (sm *simulation) pendingAt(h *fakeHost, queue string) (int, bool) {
+	pending, ok := 0, false
+	sm.clients.callAt(h, queue, "", chuteaction.ShowJob{}, func(a chuteaction.AnswerCall) {
+		if depth, shown := a.Body.(chuteaction.QueueDepth); shown {
+			pending, ok = depth.Pending, true
+		}
+	})
+	sm.run(20 * time.Millisecond)
+	return pending, ok
+}
+
 // answerAt returns the code that the host answers to a call for the number of pending jobs.
 func (sm *simulation) answerAt(h *fakeHost, queue, key string) chuteresult.Code {
 	var code chuteresult.Code
@@ -118,3 +130,27 @@
 	sm.run(time.Second)
 	is.Equal(sm.answerAt(follower, "normal", "key"), chuteresult.Done)
 }
+
+// TestTheNumberOfPendingJobsIsKnownThroughATakeover guards against a new leader that tells a count before its first one.
+func TestTheNumberOfPendingJobsIsKnownThroughATakeover(t *testing.T) {
+	for seed := range uint64(6) {
+		sm := newSimulation(seed, 3, 1)
+		sm.run(3 * time.Second)
+		const waiting = 20
+		var jobs []*fakeJob
+		for range waiting + 1 {
+			jobs = append(jobs, sm.clients.submit("normal", time.Hour, gangStep(1, 8)))
+		}
+		sm.run(6 * time.Second)
+		sm.crashLeader()
+		sm.clients.cancel(jobs[waiting])
+		for range 300 {
+			for _, name := range sm.hostNames() {
+				h := sm.hosts[name]
+				if pending, ok := sm.pendingAt(h, "normal"); ok && pending < waiting/2 {
+					t.Fatalf("seed %d: %s gives %d of %d jobs as pending", seed, name, pending, waiting)
+				}
+			}
+		}
+	}
+}
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -117,7 +117,7 @@
 
 func (s State) intakeView(now time.Time) chuteintake.View {
 	pending, current := s.leader.Row().Pending, s.leaders.Age(now) <= maxPendingAge
-	if s.scheduler != nil && s.scheduler.Ready() {
+	if s.scheduler != nil && s.scheduler.Pending() != nil {
 		pending, current = s.scheduler.Pending(), true
 	}
 	return chuteintake.View{
--- a/chuteleader/write.go
+++ b/chuteleader/write.go
@@ -8,7 +8,7 @@
 
 // Report is what the leader's row tells others.
 type Report struct {
-	Pending  map[string]int // number of accepted jobs of which no task has started, by queue
+	Pending  map[string]int // number of accepted jobs of which no task has started, by queue; nil if they have not been counted
 	Handover chuteaction.Handover
 }
 
@@ -16,7 +16,10 @@
 func (s State) Write(t *chuteaction.Transition, put []chuteaction.Row, report Report) State {
 	row := s.row
 	row.Sequence++
-	row.Pending, row.Handover = report.Pending, report.Handover
+	row.Handover = report.Handover
+	if report.Pending != nil {
+		row.Pending = report.Pending
+	}
 	return s.send(t, row, put)
 }
 
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -140,7 +140,8 @@
 	return s.hasHosts && s.hasProgress && s.hasJobs
 }
 
-// Pending returns, by queue, how many jobs had no started task at the latest count. It leaves out jobs with set times.
+// Pending returns, by queue, how many jobs had no started task at the latest count, and nil before the first one. It leaves out
+// jobs with set times.
 func (s State) Pending() map[string]int {
 	return s.pending
 }
