Take the search for evictions and the view of what runs out of the planner

No change of behaviour: the tests of chuteplacement, chuteplanner and chuteentry give what they gave before.

--- /dev/null
+++ b/chuteeviction/doc.go
@@ -0,0 +1,2 @@
+// Package chuteeviction finds the runs whose stop costs least, so that others fit on a worker.
+package chuteeviction
--- /dev/null
+++ b/chuteeviction/group.go
@@ -0,0 +1,74 @@
+package chuteeviction
+
+import (
+	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutetask"
+)
+
+// Group is a set of runs that can only be stopped together: the run of one task, or the runs of all tasks of a gang.
+type Group struct {
+	Priority int
+	Cost     float64 // core-seconds of work that are lost when it is stopped
+	Members  []Member
+	Lasting  bool // the run of a step that lasts, which yields to guarantees alone
+	Spare    int  // how many runs of its step may be stopped, if it lasts
+}
+
+// Member is one run of a group.
+type Member struct {
+	Run      chutegraph.RunID
+	Worker   chutetask.WorkerID
+	Reserved chutecapacity.Resources
+}
+
+// step returns the step of the runs.
+func (g Group) step() chutegraph.StepID {
+	return g.Members[0].Run.Task.StepID
+}
+
+// reservedOn returns the resources that the group's runs reserve on the worker.
+func (g Group) reservedOn(worker chutetask.WorkerID) chutecapacity.Resources {
+	reserved := chutecapacity.Resources{}
+	for _, m := range g.Members {
+		if m.Worker == worker {
+			reserved = reserved.Plus(m.Reserved)
+		}
+	}
+	return reserved
+}
+
+// Eligible says which groups may be evicted.
+type Eligible struct {
+	Above   int  // those whose priority number is above this one
+	Lasting bool // those of steps that last as well
+}
+
+// allows reports whether the group may be evicted.
+func (e Eligible) allows(g Group) bool {
+	return g.Priority > e.Above && (e.Lasting || !g.Lasting)
+}
+
+// Groups are the groups of a planning pass, which evicts some of them.
+type Groups struct {
+	groups   []Group
+	evicted  []bool                       // by index of the group
+	onWorker map[chutetask.WorkerID][]int // indexes of the groups that have a run there
+}
+
+// New returns the groups, of which none is evicted.
+func New(groups []Group) *Groups {
+	g := &Groups{groups: groups, evicted: make([]bool, len(groups)), onWorker: make(map[chutetask.WorkerID][]int)}
+	for i, group := range groups {
+		for _, m := range group.Members {
+			g.onWorker[m.Worker] = append(g.onWorker[m.Worker], i)
+		}
+	}
+	return g
+}
+
+// Evict marks the group with the index as evicted, and returns it.
+func (g *Groups) Evict(index int) Group {
+	g.evicted[index] = true
+	return g.groups[index]
+}
--- a/chuteplanner/running.go
+++ b/chuteoccupancy/occupancy.go
@@ -1,11 +1,12 @@
-package chuteplanner
+package chuteoccupancy
 
 import (
 	"time"
 
 	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chuteeviction"
 	"monsoonchute.example/monsoonchute/chutegraph"
-	"monsoonchute.example/monsoonchute/chuteplacement"
+	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -17,15 +18,11 @@
 	maxOverdue = 300 * time.Millisecond
 )
 
-// withRunGroups returns the view with the runs that demands may wait for or evict.
-func (p *pass) withRunGroups(view chuteplacement.View) chuteplacement.View {
-	runs := p.placedRuns()
-	ending := endingSoon(runs)
-	for i, w := range view.Workers {
-		view.Workers[i].Ending = ending[w.ID]
-	}
-	view.RunGroups = p.runGroups(runs)
-	return view
+// Occupancy is the immutable view of what runs on all workers at the beginning of a planning pass.
+type Occupancy struct {
+	ledger     *chuteledger.Transition
+	runs       []placedRun
+	guaranteed map[chutegraph.JobID]bool // jobs whose runs are never evicted
 }
 
 // stepTraits are the properties of a step that matter for the eviction of its runs.
@@ -44,45 +41,45 @@
 	remaining time.Duration // expected time until its end; negative if it is overdue
 }
 
-// placedRuns returns the runs on all workers.
-func (p *pass) placedRuns() []placedRun {
-	var runs []placedRun
+// New returns the runs on all workers. Those of the guaranteed jobs are never evicted.
+func New(t *chuteledger.Transition, guaranteed map[chutegraph.JobID]bool) Occupancy {
+	o := Occupancy{ledger: t, guaranteed: guaranteed}
 	traits := make(map[chutegraph.StepID]stepTraits)
-	for _, w := range p.Pool.All() {
+	for _, w := range t.Pool.All() {
 		for _, r := range w.Runs() {
 			id := r.ID.Task.StepID
 			s, seen := traits[id]
 			if !seen {
-				s = p.traits(id)
+				s = o.traits(id)
 				traits[id] = s
 			}
-			runs = append(runs, placedRun{Run: r, stepTraits: s, worker: w.ID, remaining: p.Remaining(w.ID, r, s.longRunning)})
+			o.runs = append(o.runs, placedRun{Run: r, stepTraits: s, worker: w.ID, remaining: t.Remaining(w.ID, r, s.longRunning)})
 		}
 	}
-	return runs
+	return o
 }
 
 // traits returns the properties of a step; they are zero if its job is unknown.
-func (p *pass) traits(id chutegraph.StepID) stepTraits {
-	j, ok := p.Job(id.Job)
+func (o Occupancy) traits(id chutegraph.StepID) stepTraits {
+	j, ok := o.ledger.Job(id.Job)
 	if !ok {
 		return stepTraits{}
 	}
 	step := j.Step(id)
-	return stepTraits{known: true, gang: step.Gang, longRunning: step.LongRunning, spare: p.SpareTasks(j, id)}
+	return stepTraits{known: true, gang: step.Gang, longRunning: step.LongRunning, spare: o.ledger.SpareTasks(j, id)}
 }
 
-// endingSoon returns, by worker, the resources reserved by runs that are expected to end soon. A gang ends when its
+// EndingSoon returns, by worker, the resources reserved by runs that are expected to end soon. A gang ends when its
 // last member does.
-func endingSoon(runs []placedRun) map[chutetask.WorkerID]chutecapacity.Resources {
+func (o Occupancy) EndingSoon() map[chutetask.WorkerID]chutecapacity.Resources {
 	last := make(map[chutegraph.StepID]time.Duration)
-	for _, r := range runs {
+	for _, r := range o.runs {
 		if latest, seen := last[r.ID.Task.StepID]; r.gang && (!seen || r.remaining > latest) {
 			last[r.ID.Task.StepID] = r.remaining
 		}
 	}
 	reserved := make(map[chutetask.WorkerID]chutecapacity.Resources)
-	for _, r := range runs {
+	for _, r := range o.runs {
 		remaining := r.remaining
 		if r.gang {
 			remaining = last[r.ID.Task.StepID]
@@ -94,13 +91,13 @@
 	return reserved
 }
 
-// runGroups returns the runs that may be evicted for urgent tasks. Runs that a guarantee covers, quarantined ones, and those that
+// RunGroups returns the runs that may be evicted for urgent tasks. Runs that a guarantee covers, quarantined ones, and those that
 // are being recorded or stopped already are never evicted, and long-running ones only as many as may be unavailable.
-func (p *pass) runGroups(runs []placedRun) []chuteplacement.RunGroup {
-	var groups []chuteplacement.RunGroup
+func (o Occupancy) RunGroups() []chuteeviction.Group {
+	var groups []chuteeviction.Group
 	gangs := make(map[chutegraph.StepID]int)
-	for _, r := range runs {
-		if p.guaranteed[r.ID.Task.Job] || r.Quarantined || r.Phase == chutepool.RunStopping || r.Phase == chutepool.RunRecording {
+	for _, r := range o.runs {
+		if o.guaranteed[r.ID.Task.Job] || r.Quarantined || r.Phase == chutepool.RunStopping || r.Phase == chutepool.RunRecording {
 			continue
 		}
 		if r.longRunning && (r.gang || r.spare <= 0) {
@@ -109,15 +106,15 @@
 		i, known := gangs[r.ID.Task.StepID]
 		if !r.gang || !known {
 			i = len(groups)
-			groups = append(groups, chuteplacement.RunGroup{Priority: r.Priority, Lasting: r.longRunning, Spare: r.spare})
+			groups = append(groups, chuteeviction.Group{Priority: r.Priority, Lasting: r.longRunning, Spare: r.spare})
 		}
 		if r.gang {
 			gangs[r.ID.Task.StepID] = i
 		}
 		if r.known {
-			groups[i].Cost += p.UnsavedWork(r.Run)
+			groups[i].Cost += o.ledger.UnsavedWork(r.Run)
 		}
-		groups[i].Members = append(groups[i].Members, chuteplacement.Member{Run: r.ID, Worker: r.worker, Reserved: r.Reserved})
+		groups[i].Members = append(groups[i].Members, chuteeviction.Member{Run: r.ID, Worker: r.worker, Reserved: r.Reserved})
 	}
 	return groups
 }
--- a/chuteplacement/nominate_test.go
+++ b/chuteplacement/nominate_test.go
@@ -6,6 +6,7 @@
 	"github.com/matryer/is"
 
 	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chuteeviction"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -64,7 +65,7 @@
 func TestEvictionsNominateWorkers(t *testing.T) {
 	is := is.New(t)
 	view := chuteplacement.View{
-		Workers: workers(0, 0), RunGroups: []chuteplacement.RunGroup{group("x", 2, 1, 8, 0), group("y", 2, 9, 8, 1)},
+		Workers: workers(0, 0), RunGroups: []chuteeviction.Group{group("x", 2, 1, 8, 0), group("y", 2, 9, 8, 1)},
 		Demands: []chuteplacement.Demand{demand("u", 0, 1, 8, nil)},
 	}
 	var nominated []chutetask.WorkerID
@@ -81,7 +82,7 @@
 	ending := worker(1, 0)
 	ending.Ending = ending.Capacity
 	view := chuteplacement.View{
-		Workers: []chuteplacement.Worker{worker(0, 0), ending}, RunGroups: []chuteplacement.RunGroup{group("x", 2, 1, 8, 0)},
+		Workers: []chuteplacement.Worker{worker(0, 0), ending}, RunGroups: []chuteeviction.Group{group("x", 2, 1, 8, 0)},
 		Demands: []chuteplacement.Demand{demand("u", 0, 1, 8, nil)},
 	}
 	is.Equal(describe(chuteplacement.Plan(view)), nil)
--- a/chuteplacement/pass.go
+++ b/chuteplacement/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chuteeviction"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -11,10 +12,8 @@
 	workers   []workerState
 	index     map[chutetask.WorkerID]int // into workers
 	racks     []rack
-	groups    []RunGroup
-	evicted   []bool                       // by index of the group: this pass evicts it
-	onWorker  map[chutetask.WorkerID][]int // indexes of the groups that have a run there
-	unplaced  []Demand                     // demands for which no capacity was found
+	groups    *chuteeviction.Groups
+	unplaced  []Demand // demands for which no capacity was found
 	decisions []Decision
 	// preemptAttempts is the number of demands for which a search for runs to evict was made.
 	preemptAttempts int
@@ -49,8 +48,8 @@
 
 func newPass(view View) *pass {
 	p := &pass{
-		index: make(map[chutetask.WorkerID]int), groups: view.RunGroups, evicted: make([]bool, len(view.RunGroups)),
-		onWorker: make(map[chutetask.WorkerID][]int), claims: make(map[chutegraph.TaskID]int), reserved: make(map[string]bool),
+		index: make(map[chutetask.WorkerID]int), groups: chuteeviction.New(view.RunGroups),
+		claims: make(map[chutegraph.TaskID]int), reserved: make(map[string]bool),
 	}
 	byRack := make(map[string]int)
 	for i, w := range view.Workers {
@@ -66,11 +65,6 @@
 		}
 		p.racks[r].workers = append(p.racks[r].workers, i)
 	}
-	for i, g := range view.RunGroups {
-		for _, m := range g.Members {
-			p.onWorker[m.Worker] = append(p.onWorker[m.Worker], i)
-		}
-	}
 	return p
 }
 
--- a/chuteplacement/plan_test.go
+++ b/chuteplacement/plan_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chuteeviction"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -83,10 +84,10 @@
 }
 
 // group returns a run group with one run on each of the workers.
-func group(name string, priority int, cost float64, accelerators int, on ...int) chuteplacement.RunGroup {
-	g := chuteplacement.RunGroup{Priority: priority, Cost: cost}
+func group(name string, priority int, cost float64, accelerators int, on ...int) chuteeviction.Group {
+	g := chuteeviction.Group{Priority: priority, Cost: cost}
 	for i, w := range on {
-		g.Members = append(g.Members, chuteplacement.Member{
+		g.Members = append(g.Members, chuteeviction.Member{
 			Run:      chutegraph.RunID{Task: chutegraph.TaskID{StepID: chutegraph.StepID{Job: chutegraph.JobID(name)}, Index: i}, Number: 1},
 			Worker:   chutetask.WorkerID(fmt.Sprintf("w%d", w)),
 			Reserved: chutecapacity.Resources{Processor: 16000 * accelerators, Memory: 64000 * accelerators, Accelerators: accelerators},
@@ -96,7 +97,7 @@
 }
 
 // lasting returns the groups as runs of a step that lasts, of which as many as spare may be stopped.
-func lasting(spare int, groups ...chuteplacement.RunGroup) []chuteplacement.RunGroup {
+func lasting(spare int, groups ...chuteeviction.Group) []chuteeviction.Group {
 	for i := range groups {
 		groups[i].Lasting, groups[i].Spare = true, spare
 	}
@@ -123,7 +124,7 @@
 	cases := []struct {
 		name    string
 		workers []chuteplacement.Worker
-		groups  []chuteplacement.RunGroup
+		groups  []chuteeviction.Group
 		demands []chuteplacement.Demand
 		want    []string
 	}{
@@ -194,19 +195,19 @@
 		},
 		{
 			"urgent work evicts no urgent work", workers(0),
-			[]chuteplacement.RunGroup{group("x", 0, 1, 8, 0)},
+			[]chuteeviction.Group{group("x", 0, 1, 8, 0)},
 			[]chuteplacement.Demand{demand("a", 0, 1, 8, nil)},
 			nil,
 		},
 		{
 			"work that a guarantee covers evicts urgent work", workers(0),
-			[]chuteplacement.RunGroup{group("x", 0, 1, 8, 0)},
+			[]chuteeviction.Group{group("x", 0, 1, 8, 0)},
 			[]chuteplacement.Demand{guaranteed(demand("a", 0, 1, 8, nil))},
 			[]string{"x!w0"},
 		},
 		{
 			"work that a guarantee covers evicts lower priorities first, however much that loses", workers(0, 0),
-			[]chuteplacement.RunGroup{group("x", 0, 1, 8, 0), group("y", 2, 1000, 8, 1)},
+			[]chuteeviction.Group{group("x", 0, 1, 8, 0), group("y", 2, 1000, 8, 1)},
 			[]chuteplacement.Demand{guaranteed(demand("a", 0, 1, 8, nil))},
 			[]string{"y!w1"},
 		},
@@ -276,31 +277,31 @@
 		}()}, []string{"a>w1"}},
 		{
 			"urgent tasks evict the runs that lose the least work", workers(0, 0),
-			[]chuteplacement.RunGroup{group("x", 1, 50, 8, 0), group("y", 2, 5, 8, 1)},
+			[]chuteeviction.Group{group("x", 1, 50, 8, 0), group("y", 2, 5, 8, 1)},
 			[]chuteplacement.Demand{demand("u", 0, 1, 8, nil)},
 			[]string{"y!w1"},
 		},
 		{
 			"a gang is evicted as a whole", workers(0, 0),
-			[]chuteplacement.RunGroup{group("x", 1, 5, 8, 0, 1)},
+			[]chuteeviction.Group{group("x", 1, 5, 8, 0, 1)},
 			[]chuteplacement.Demand{demand("u", 0, 1, 8, nil)},
 			[]string{"x!w0", "x!w1"},
 		},
 		{
 			"only as many runs are evicted as needed", workers(0),
-			[]chuteplacement.RunGroup{group("x", 1, 5, 4, 0), group("y", 1, 6, 4, 0)},
+			[]chuteeviction.Group{group("x", 1, 5, 4, 0), group("y", 1, 6, 4, 0)},
 			[]chuteplacement.Demand{demand("u", 0, 1, 4, nil)},
 			[]string{"x!w0"},
 		},
 		{
 			"runs of the same priority are not evicted", workers(0),
-			[]chuteplacement.RunGroup{group("x", 0, 5, 8, 0)},
+			[]chuteeviction.Group{group("x", 0, 5, 8, 0)},
 			[]chuteplacement.Demand{demand("u", 0, 1, 8, nil)},
 			nil,
 		},
 		{
 			"tasks that are not urgent evict nothing", workers(0),
-			[]chuteplacement.RunGroup{group("x", 2, 5, 8, 0)},
+			[]chuteeviction.Group{group("x", 2, 5, 8, 0)},
 			[]chuteplacement.Demand{demand("n", 1, 1, 8, nil)},
 			nil,
 		},
@@ -326,7 +327,7 @@
 		},
 		{
 			"free capacity is used before eviction", workers(0, 8),
-			[]chuteplacement.RunGroup{group("x", 1, 0, 8, 0)},
+			[]chuteeviction.Group{group("x", 1, 0, 8, 0)},
 			[]chuteplacement.Demand{demand("u", 0, 1, 8, nil)},
 			[]string{"u>w1"},
 		},
@@ -362,7 +363,7 @@
 				}
 			}
 			demands = append(demands, guaranteed(demand("covered", 0, 1, 8, nil)))
-			groups := []chuteplacement.RunGroup{group("low", 1, 1, 8, 0), group("low", 1, 1, 8, 1)}
+			groups := []chuteeviction.Group{group("low", 1, 1, 8, 0), group("low", 1, 1, 8, 1)}
 			is.Equal(len(describe(chuteplacement.Plan(chuteplacement.View{Workers: workers(0, 0), RunGroups: groups, Demands: demands}))), 1)
 		})
 	}
--- a/chuteplacement/skip_test.go
+++ b/chuteplacement/skip_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 
+	"monsoonchute.example/monsoonchute/chuteeviction"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -61,7 +62,7 @@
 			view.Workers[i].Free = view.Workers[i].Capacity
 		}
 	}
-	view.RunGroups = slices.DeleteFunc(view.RunGroups, func(g chuteplacement.RunGroup) bool {
+	view.RunGroups = slices.DeleteFunc(view.RunGroups, func(g chuteeviction.Group) bool {
 		i := slices.IndexFunc(view.Workers, func(w chuteplacement.Worker) bool { return w.ID == g.Members[0].Worker })
 		return view.Workers[i].Free == view.Workers[i].Capacity
 	})
--- a/chuteplacement/view.go
+++ b/chuteplacement/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chuteeviction"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -12,8 +13,8 @@
 type View struct {
 	Now       time.Time
 	Workers   []Worker
-	RunGroups []RunGroup
-	Demands   []Demand // in the order in which capacity is given to them
+	RunGroups []chuteeviction.Group // Runs that a guarantee covers are in none
+	Demands   []Demand              // in the order in which capacity is given to them
 }
 
 // Worker is a worker on which tasks may start.
@@ -29,23 +30,6 @@
 	Penalty  float64                 // added to the worker's score; tasks go to the lowest score; 0 for a healthy worker
 }
 
-// RunGroup is a set of runs that can only be stopped together: the run of one task, or the runs of all tasks of a gang.
-// Runs that a guarantee covers are in no group.
-type RunGroup struct {
-	Priority int
-	Cost     float64 // core-seconds of work that are lost when it is stopped
-	Members  []Member
-	Lasting  bool // the run of a step that lasts, which yields to guarantees alone
-	Spare    int  // how many runs of its step may be stopped, if it lasts
-}
-
-// Member is one run of a run group.
-type Member struct {
-	Run      chutegraph.RunID
-	Worker   chutetask.WorkerID
-	Reserved chutecapacity.Resources
-}
-
 // Demand is a step with tasks that wait for a worker.
 type Demand struct {
 	ID               chutegraph.StepID
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -7,6 +7,7 @@
 
 	"monsoonchute.example/monsoonchute/chutecandidate"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteoccupancy"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterunner"
@@ -54,7 +55,12 @@
 	}
 	view := chuteplacement.View{Now: p.Now, Workers: chutecandidate.Usable(p.Transition.Transition, taken), Demands: demands}
 	if chuteplacement.NeedsRunGroups(view) {
-		view = p.withRunGroups(view)
+		occupancy := chuteoccupancy.New(p.Transition.Transition, p.guaranteed)
+		view.RunGroups = occupancy.RunGroups()
+		ending := occupancy.EndingSoon()
+		for i, w := range view.Workers {
+			view.Workers[i].Ending = ending[w.ID]
+		}
 	}
 	started := make(map[chutegraph.StepID][]chutetask.WorkerID)
 	for _, decision := range chuteplacement.Plan(view) {
