Queue a job again whose starts were refused before any task began

A job became running when its first run was planned, and nothing took that back. Now the leader knows the jobs of which runs are planned or ordered and none has begun: they count as pending, and are queued again when their last such run ends before it began.

Open: a takeover while starts are being refused leaves such a job recorded as running.

--- a/chutecrash/crash.go
+++ b/chutecrash/crash.go
@@ -26,9 +26,10 @@
 	return false
 }
 
-// NoteBegun records that the worker has confirmed the run, if workers have crashed under its task or gang before: a later
-// scheduler counts a crash under the run only then.
+// NoteBegun takes note that the worker has confirmed the run. It is recorded if workers have crashed under its task or gang before:
+// a later scheduler counts a crash under the run only then.
 func NoteBegun(t *chuteledger.Transition, run chutegraph.RunID) {
+	t.NoteRunBegun(run.Task.Job)
 	j, ok := t.Job(run.Task.Job)
 	if !ok || j.Phase.Ended() {
 		return
--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -33,6 +33,7 @@
 	heartbeatAt     time.Time
 	lostOrderRate   float64 // fraction of orders that get no answer and are executed late
 	failsRuns       bool    // every run fails
+	unhealthy       bool    // it refuses each start, and serves all else
 	formerCapacity  []capacityPeriod
 	clockBehind     time.Duration // by which its time of day is behind the true one
 	leavesAt        time.Time     // when it leaves at short notice; zero if it doesn't
--- a/chuteentry/stale_test.go
+++ b/chuteentry/stale_test.go
@@ -154,3 +154,32 @@
 		}
 	}
 }
+
+// TestJobsWhoseStartsAreRefusedArePending guards against jobs that are neither pending nor running.
+func TestJobsWhoseStartsAreRefusedArePending(t *testing.T) {
+	is := is.New(t)
+	sm := newSimulation(1, 3, 2)
+	sm.run(3 * time.Second)
+	for _, name := range sm.workerNames() {
+		sm.workers[name].unhealthy = true
+	}
+	const waiting = 8
+	var jobs []*fakeJob
+	for i := range waiting {
+		jobs = append(jobs, sm.clients.submit("normal", time.Hour, gangStep(1+i%2, 4)))
+	}
+	sm.run(4 * time.Second)
+	for range 200 {
+		pending, ok := sm.pendingAt(sm.hosts["host-0"], "normal")
+		is.True(ok)
+		is.Equal(pending, waiting)
+	}
+	is.Equal(sm.phase(jobs[0]), "queued")
+	for _, name := range sm.workerNames() {
+		sm.workers[name].unhealthy = false
+	}
+	sm.run(5 * time.Second)
+	pending, _ := sm.pendingAt(sm.hosts["host-0"], "normal")
+	is.True(pending < waiting) // those that run
+	sm.failOnViolations(t)
+}
--- /dev/null
+++ b/chuteledger/unbegun.go
@@ -0,0 +1,36 @@
+package chuteledger
+
+import (
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutetask"
+)
+
+// PlanRun takes note that a run of the job is planned. The job counts as running from now on, and as pending until a run of it has
+// begun.
+func (t *Transition) PlanRun(j chutetask.Job) chutetask.Job {
+	if j.Phase == chutetask.PhaseQueued {
+		t.Unbegun = t.Unbegun.Set(j.ID, true)
+	}
+	return j.WithPhase(chutetask.PhaseRunning)
+}
+
+// NoteRunBegun takes note that a run of the job has begun, or may have.
+func (t *Transition) NoteRunBegun(id chutegraph.JobID) {
+	t.Unbegun = t.Unbegun.Delete(id)
+}
+
+// NoteRunRefused takes note that a run of the job has ended before it began. If none is left and none has begun, the job is queued
+// again.
+func (t *Transition) NoteRunRefused(id chutegraph.JobID) {
+	j, ok := t.Live.Get(id)
+	if _, unbegun := t.Unbegun.Get(id); ok && unbegun && !j.AnyActive() {
+		t.Unbegun = t.Unbegun.Delete(id)
+		t.PutJob(j.WithPhase(chutetask.PhaseQueued))
+	}
+}
+
+// NothingBegun reports whether no task of the job has started, as far as is known.
+func (t *Transition) NothingBegun(j chutetask.Job) bool {
+	_, unbegun := t.Unbegun.Get(j.ID)
+	return unbegun || j.Phase == chutetask.PhaseQueued
+}
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -144,7 +144,7 @@
 		number = gangRunNumber(j, d.Task)
 	}
 	task = task.WithRun(number, d.Worker).WithIncarnation(w.Incarnation).WithQuarantine(quarantined)
-	p.PutJob(j.WithPhase(chutetask.PhaseRunning).WithTask(d.Task, task))
+	p.PutJob(p.PlanRun(j).WithTask(d.Task, task))
 	run := chutepool.Run{
 		ID: chutegraph.RunID{Task: d.Task, Number: number}, Reserved: j.Step(d.Task.StepID).Reserved(),
 		Priority: p.Priority(j), Checkpoint: task.Checkpoint, Quarantined: quarantined, Ticket: p.approvals.Ticket(d.Task.StepID, d.Worker),
--- a/chuterunner/end.go
+++ b/chuterunner/end.go
@@ -27,7 +27,11 @@
 	}
 	t.PutWorker(w.WithoutRun(id))
 	t.PlanDue = true
+	if !r.Unbegun(end.Kind) {
+		t.NoteRunBegun(id.Task.Job)
+	}
 	t.applyEnd(worker, end)
+	t.NoteRunRefused(id.Task.Job)
 }
 
 // applyEnd applies the end of a run to its task, if it is the task's latest run or completes the task.
--- a/chuterunner/start.go
+++ b/chuterunner/start.go
@@ -48,7 +48,13 @@
 // HandleRunStarted handles the outcome of a start order.
 func (t *Transition) HandleRunStarted(e chuteaction.RunStarted) {
 	w, r, ok := t.Pool.FindRun(e.Worker, e.Run)
-	if e.Epoch != t.Epoch || !ok || r.Phase != chutepool.RunOrdered {
+	if e.Epoch != t.Epoch || !ok {
+		return
+	}
+	if r.Phase == chutepool.RunStopping && (e.Outcome == chuteaction.OrderUnhealthy || e.Outcome == chuteaction.OrderUnreachable) {
+		t.PutWorker(w.WithRun(r.WithRefused()))
+	}
+	if r.Phase != chutepool.RunOrdered {
 		return
 	}
 	r = r.WithAnswerPending(false)
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -157,7 +157,7 @@
 	pending := make(map[string]int)
 	for i := t.Live.Iterator(); !i.Done(); {
 		_, j, _ := i.Next()
-		if j.Phase == chutetask.PhaseQueued && !j.Spec.HasStartTimes() {
+		if t.NothingBegun(j) && !j.Spec.HasStartTimes() {
 			pending[j.Queue]++
 		}
 	}
