Count the tasks of a step that wait for a worker against its anti-affinity

Each task was nominated to a worker without the others, as only tasks with a run were counted. Now those for which a pass keeps capacity count as well, and a claim that would break the limit is dropped.

--- a/chuteplacement/nominate.go
+++ b/chuteplacement/nominate.go
@@ -51,7 +51,7 @@
 	var placed []int
 	for _, index := range d.Indexes {
 		w, ok := p.index[d.Nominated[index]]
-		if !ok || !d.Step.Reserved().Fits(p.workers[w].freeAt(freeAfterEnds)) {
+		if !ok || !d.Step.Reserved().Fits(p.workers[w].freeAt(freeAfterEnds)) || !p.antiAffinityAllows(d, w, 0) {
 			p.unreserve(d, placed)
 			return
 		}
--- a/chuteplacement/nominate_test.go
+++ b/chuteplacement/nominate_test.go
@@ -1,12 +1,15 @@
 package chuteplacement_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chuteeviction"
+	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -89,3 +92,41 @@
 	view.Demands = append(view.Demands, demand("v", 0, 1, 8, nil)) // the second demand needs an eviction
 	is.Equal(describe(chuteplacement.Plan(view)), []string{"x!w0"})
 }
+
+// nominations returns how many tasks are to get capacity on each worker, now or once runs have ended.
+func nominations(decisions []chuteplacement.Decision) map[chutetask.WorkerID]int {
+	workers := make(map[chutetask.WorkerID]int)
+	for _, decision := range decisions {
+		switch d := decision.(type) {
+		case chuteplacement.Nominate:
+			workers[d.Worker]++
+		case chuteplacement.Start:
+			workers[d.Worker]++
+		case chuteplacement.Evict:
+		}
+	}
+	return workers
+}
+
+// TestTasksThatMustBeApartWaitForDifferentWorkers guards against two tasks of a step that start on one worker once runs have yielded.
+func TestTasksThatMustBeApartWaitForDifferentWorkers(t *testing.T) {
+	apart := map[chutetask.WorkerID]int{"w0": 1, "w1": 1}
+	for name, nominated := range map[string]map[int]chutetask.WorkerID{
+		"none waits yet": nil, "the first waits": {0: "w0"}, "both wait": {0: "w0", 1: "w1"}, "both wait for one": {0: "w0", 1: "w0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := demand("u", 0, 2, 4, func(s *chutegraph.Step) { s.AntiAffinity = 1 })
+			d.Nominated = nominated
+			view := chuteplacement.View{Workers: workers(0, 0), Demands: []chuteplacement.Demand{d}}
+			for i := range view.Workers {
+				if slices.Contains(slices.Collect(maps.Values(nominated)), view.Workers[i].ID) {
+					view.Workers[i].Stopping = view.Workers[i].Capacity
+				} else {
+					view.RunGroups = append(view.RunGroups, group("x", 2, float64(i), 8, i))
+				}
+			}
+			is.Equal(nominations(chuteplacement.Plan(view)), apart)
+		})
+	}
+}
--- a/chuteplacement/pass.go
+++ b/chuteplacement/pass.go
@@ -18,9 +18,16 @@
 	// preemptAttempts is the number of demands for which a search for runs to evict was made.
 	preemptAttempts int
 	reserved        map[string]bool           // services in which capacity is reserved for a demand that waits
+	waiting         map[waitingTask]int       // number of tasks of a step for which capacity is kept on a worker
 	claims          map[chutegraph.TaskID]int // index of the worker on which nominated capacity is kept for a task
 }
 
+// waitingTask stands for the tasks of a step that wait for capacity on the worker with the index.
+type waitingTask struct {
+	step   chutegraph.StepID
+	worker int
+}
+
 // workerState is a worker with the capacity that it has left during the pass.
 type workerState struct {
 	Worker
@@ -49,7 +56,7 @@
 func newPass(view View) *pass {
 	p := &pass{
 		index: make(map[chutetask.WorkerID]int), groups: chuteeviction.New(view.RunGroups),
-		claims: make(map[chutegraph.TaskID]int), reserved: make(map[string]bool),
+		waiting: make(map[waitingTask]int), claims: make(map[chutegraph.TaskID]int), reserved: make(map[string]bool),
 	}
 	byRack := make(map[string]int)
 	for i, w := range view.Workers {
--- a/chuteplacement/place.go
+++ b/chuteplacement/place.go
@@ -137,5 +137,9 @@
 // antiAffinityAllows reports whether the worker may get one more task of the step, beside those taken in this
 // placement.
 func (p *pass) antiAffinityAllows(d Demand, worker, taken int) bool {
-	return d.Step.AntiAffinity == 0 || d.TasksByWorker[p.workers[worker].ID]+taken < d.Step.AntiAffinity
+	if d.Step.AntiAffinity == 0 {
+		return true
+	}
+	there := d.TasksByWorker[p.workers[worker].ID] + p.waiting[waitingTask{step: d.ID, worker: worker}]
+	return there+taken < d.Step.AntiAffinity
 }
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -118,17 +118,29 @@
 			d.TasksByWorker[p.workers[w].ID]++
 		}
 	}
-	p.reserve(d, placed)
+	p.addFree(placed, d.Step.Reserved().Times(-1))
 }
 
 // reserve takes the capacity for the demand from the workers until the end of the pass.
 func (p *pass) reserve(d Demand, placed []int) {
 	p.addFree(placed, d.Step.Reserved().Times(-1))
+	p.addWaiting(d, placed, 1)
 }
 
 // unreserve gives back capacity that was reserved for tasks of the demand on the workers.
 func (p *pass) unreserve(d Demand, placed []int) {
 	p.addFree(placed, d.Step.Reserved())
+	p.addWaiting(d, placed, -1)
+}
+
+// addWaiting counts, for a step whose tasks must be apart, those for which capacity is kept on each of the workers.
+func (p *pass) addWaiting(d Demand, workers []int, count int) {
+	if d.Step.AntiAffinity == 0 {
+		return
+	}
+	for _, w := range workers {
+		p.waiting[waitingTask{step: d.ID, worker: w}] += count
+	}
 }
 
 // addFree adds the resources to the capacity that counts as free on each of the workers.
