Begin no maintenance by an old table of the operators

TestNoMaintenanceBeginsByAnOldTableOfTheOperators failed before (a machine goes down over 4 s after the table stands still) and passes; the wave is completed once the table is read again.

--- a/chuteentry/longrunning_test.go
+++ b/chuteentry/longrunning_test.go
@@ -181,3 +181,31 @@
 	}
 	sm.failOnViolations(t)
 }
+
+// TestNoMaintenanceBeginsByAnOldTableOfTheOperators guards against machines that go down while waves may have changed unseen.
+func TestNoMaintenanceBeginsByAnOldTableOfTheOperators(t *testing.T) {
+	is := is.New(t)
+	sm := newSimulation(1, 3, 6)
+	sm.run(8 * time.Second)
+	var machines []string
+	for _, name := range sm.workerNames() {
+		machines = append(machines, "m-"+name)
+	}
+	sm.store.put(chuteaction.RowKey{Table: chuteaction.TableOperator, Key: "wave/7"}, chuteaction.WaveRow{Wave: 7, Machines: machines, MaxDown: 1})
+	sm.run(time.Second)
+	leader := sm.leader()
+	leader.silentTable = chuteaction.TableOperator
+	sm.run(4 * time.Second)
+	down := make(map[string]time.Time)
+	for name, k := range sm.workers {
+		down[name] = k.endedLastAt
+	}
+	sm.run(10 * time.Second)
+	for name, k := range sm.workers {
+		is.Equal(k.endedLastAt, down[name])
+	}
+	leader.silentTable = 0
+	sm.run(40 * time.Second)
+	is.Equal(sm.store.rows[chuteaction.WaveKey(7)].Value, chuteaction.WaveStateRow{Wave: 7, Completed: true})
+	sm.failOnViolations(t)
+}
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -110,7 +110,7 @@
 
 func (s State) environment(now time.Time) chuteledger.Environment {
 	return chuteledger.Environment{
-		Catalog: s.operators.Catalog(), EvacuatedZones: s.operators.EvacuatedZones(), ZonesOld: s.operators.ZonesOld(now), Waves: s.operators.Waves(),
+		Catalog: s.operators.Catalog(), EvacuatedZones: s.operators.EvacuatedZones(), OperatorsOld: s.operators.OperatorsOld(now), Waves: s.operators.Waves(),
 		ConfirmedAt: s.leader.ConfirmedAt(), ContactSince: s.contactSince, StoreClock: s.storeClock,
 	}
 }
--- a/chuteledger/environment.go
+++ b/chuteledger/environment.go
@@ -25,7 +25,7 @@
 type Environment struct {
 	Catalog        chutecatalog.Catalog
 	EvacuatedZones map[string]bool // zones in which no run may start
-	ZonesOld       bool            // other zones may have been taken out too long ago for starts there
+	OperatorsOld   bool            // zones and waves may have changed too long ago for tasks or maintenance to begin
 	Waves          []chuteaction.WaveRow
 	ConfirmedAt    time.Time // send time of the latest successful write as leader
 	ContactSince   time.Time // start of the time in which the store has answered without a gap
--- a/chuteledger/obstacle.go
+++ b/chuteledger/obstacle.go
@@ -53,7 +53,7 @@
 		return ObstacleFinalLease
 	case t.List.Age(t.Now) > maxListAge:
 		return ObstacleListOld
-	case t.Environment.ZonesOld:
+	case t.Environment.OperatorsOld:
 		return ObstacleZonesOld
 	}
 	return ObstacleNone
--- a/chuteoperator/state.go
+++ b/chuteoperator/state.go
@@ -63,8 +63,8 @@
 	return s.catalog.Loaded() && s.Age(now) <= s.applyTime
 }
 
-// ZonesOld reports whether zones may have been taken out too long ago for tasks to start there.
-func (s State) ZonesOld(now time.Time) bool {
+// OperatorsOld reports whether the operators may have changed zones or waves too long ago for tasks or maintenance to begin.
+func (s State) OperatorsOld(now time.Time) bool {
 	return s.Age(now) > maxZonesAge
 }
 
--- a/chutewave/state.go
+++ b/chutewave/state.go
@@ -73,7 +73,7 @@
 
 // mayOrder reports whether this scheduler may send orders about machines now.
 func (t *transition) mayOrder() bool {
-	return t.Now.Sub(t.LeaderSince) >= machineOrderDelay && t.Now.Sub(t.Environment.ConfirmedAt) <= maxConfirmedAge
+	return t.Now.Sub(t.LeaderSince) >= machineOrderDelay && t.Now.Sub(t.Environment.ConfirmedAt) <= maxConfirmedAge && !t.Environment.OperatorsOld
 }
 
 // listMachines requests the list of machines if that is due.
