Record the checkpoints of runs on workers that leave

The leader alone knew their checkpoints, as these were recorded with the end of a run. Trace of (trial with more log lines): run 66/1 at 94 % at 36.28 s, the leader is killed at 36.75, the worker is gone before 38.61, where its successor first calls it; run 66/2 begins at 39.1 from nothing and is at 71 % at the end, 51.0 s. Now the leader records the checkpoint of a run on a draining worker as it learns of it.

TestTheCheckpointOfARunOnADrainingWorkerIsRecorded failed before and passes.

--- a/chuterenewal/report.go
+++ b/chuterenewal/report.go
@@ -39,12 +39,35 @@
 		}
 		updateSpeed(t, id, r, report.Percent)
 		t.PutWorker(w.WithRun(r.WithReport(w.Incarnation, report, t.Now)))
+		if w.Draining {
+			recordCheckpoint(t, report)
+		}
 		if !t.Expected(id, report.Run) {
 			t.StopRun(id, report.Run, "not-expected")
 		}
 	}
 }
 
+// maxRecordedCheckpoint is the length of the longest checkpoint that is recorded while its run goes on, in bytes.
+const maxRecordedCheckpoint = 20
+
+// recordCheckpoint records the checkpoint of a run whose worker leaves, so that a later leader knows it when the worker is gone. In a
+// gang, a checkpoint tells whether its members have worked, and is recorded at its end.
+func recordCheckpoint(t *chuterunner.Transition, report chutetask.RunReport) {
+	id := report.Run.Task
+	j, ok := t.Live.Get(id.Job)
+	if !ok || j.Step(id.StepID).Gang || report.Checkpoint == "" || len(report.Checkpoint) > maxRecordedCheckpoint {
+		return
+	}
+	task, ok := j.Task(id)
+	if !ok || task.Phase != chutetask.TaskActive || task.Run != report.Run.Number || task.Checkpoint == report.Checkpoint {
+		return
+	}
+	if j = j.WithTask(id, task.WithCheckpoint(report.Checkpoint)); j.FitsInRow() {
+		t.PutJob(j)
+	}
+}
+
 // updateSpeed updates the estimated speed of the worker from the progress of a run, unless the scheduler slows that down
 // or it has no end to progress to.
 func updateSpeed(t *chuterunner.Transition, id chutetask.WorkerID, r chutepool.Run, percent int) {
--- a/chutescheduler/listing_test.go
+++ b/chutescheduler/listing_test.go
@@ -197,3 +197,22 @@
 	}
 	is.Equal(lines, 2)
 }
+
+// TestTheCheckpointOfARunOnADrainingWorkerIsRecorded guards against work that is done anew since its worker leaves after the leader did.
+func TestTheCheckpointOfARunOnADrainingWorkerIsRecorded(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		is := is.New(t)
+		s := newSuccessor(released())
+		s.runOnWorker()
+		s.flush()
+		leaving := entry(2)
+		listing := leaving.Value.(chuteaction.WorkerRow).Listing
+		listing.Draining, listing.TimeToLeave = draining, 3*time.Second
+		leaving.Value = chuteaction.WorkerRow{Listing: listing}
+		s.answerPoll(0, false, leaving)
+		s.report(1, []chutetask.RunReport{{Run: runID(0), Percent: 50, Checkpoint: "saved"}}, nil)
+		row, written := s.flush()
+		is.Equal(written, draining)
+		is.True(!draining || row.Progress.Occurrences[0][0][0].Checkpoint == "saved")
+	}
+}
