Count spare tasks of steps that last alone

The view of what runs counted, in each pass, the tasks at work of every step with a run, also of the many that don't last; the leader of hundreds of workers pays for that in each pass. Seen in reading the diff; no figure was taken by itself. The step that queues a job again is named for what it does. No change of behaviour.

--- a/chuteledger/unbegun.go
+++ b/chuteledger/unbegun.go
@@ -19,9 +19,8 @@
 	t.Unbegun = t.Unbegun.Delete(id)
 }
 
-// NoteRunRefused takes note that a run of the job has ended before it began. If none is left and none has begun, the job is queued
-// again.
-func (t *Transition) NoteRunRefused(id chutegraph.JobID) {
+// RequeueUnbegun queues the job again if none of its runs is left and none has begun.
+func (t *Transition) RequeueUnbegun(id chutegraph.JobID) {
 	j, ok := t.Live.Get(id)
 	if _, unbegun := t.Unbegun.Get(id); ok && unbegun && !j.AnyActive() {
 		t.Unbegun = t.Unbegun.Delete(id)
--- a/chuteoccupancy/occupancy.go
+++ b/chuteoccupancy/occupancy.go
@@ -66,7 +66,11 @@
 		return stepTraits{}
 	}
 	step := j.Step(id)
-	return stepTraits{known: true, gang: step.Gang, longRunning: step.LongRunning, spare: o.ledger.SpareTasks(j, id)}
+	traits := stepTraits{known: true, gang: step.Gang, longRunning: step.LongRunning}
+	if step.LongRunning {
+		traits.spare = o.ledger.SpareTasks(j, id)
+	}
+	return traits
 }
 
 // EndingSoon returns, by worker, the resources reserved by runs that are expected to end soon. A gang ends when its
--- a/chuterunner/end.go
+++ b/chuterunner/end.go
@@ -31,7 +31,7 @@
 		t.NoteRunBegun(id.Task.Job)
 	}
 	t.applyEnd(worker, end)
-	t.NoteRunRefused(id.Task.Job)
+	t.RequeueUnbegun(id.Task.Job)
 }
 
 // applyEnd applies the end of a run to its task, if it is the task's latest run or completes the task.
