Enforce quotas of workspaces, order demands by fair shares, refuse jobs beyond a quota

Change: chutequota counts what the runs of each workspace request, tells what may still start, and orders demands by weighted dominant resource fairness. Each run of the pool carries its workspace and full request. All starts are planned within the quotas; what a quota holds back keeps no capacity. A guaranteed demand evicts runs of its own workspace. A job that can never fit is refused with the new code beyond-quota (429). The wait reason limit, gauges by workspace and a log line tell of it.

--- a/chuteaction/effect.go
+++ b/chuteaction/effect.go
@@ -171,6 +171,13 @@
 	Duration  time.Duration
 }
 
+// SetGauge sets a gauge with the labels to a value.
+type SetGauge struct {
+	Gauge  string
+	Labels []Field
+	Value  float64
+}
+
 // LogLine writes one line to the log.
 type LogLine struct {
 	Component string // component of the program that writes the line
@@ -216,5 +223,6 @@
 func (MaintainMachine) sealedEffect()  {}
 func (Count) sealedEffect()            {}
 func (Observe) sealedEffect()          {}
+func (SetGauge) sealedEffect()         {}
 func (LogLine) sealedEffect()          {}
 func (Stopped) sealedEffect()          {}
--- a/chutecatalog/catalog.go
+++ b/chutecatalog/catalog.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"monsoonchute.example/monsoonchute/chutecapacity"
 )
 
 // Queue accepts jobs under a host and path prefix, and determines the service whose workers run them.
@@ -36,12 +38,14 @@
 	Standby        bool // its machines are powered off
 }
 
-// Workspace is a tenant with its API keys and its guarantee.
+// Workspace is a tenant with its API keys, its guarantee, its quota and its weight.
 type Workspace struct {
 	Name                   string
 	Keys                   []string
 	Priority               int
-	GuaranteedAccelerators int // accelerators guaranteed to its jobs of priority 0
+	GuaranteedAccelerators int                     // accelerators guaranteed to its jobs of priority 0
+	Limit                  chutecapacity.Resources // its quota: what its runs may request at once; 0 is no limit, per resource
+	Weight                 float64                 // its fair share relative to that of the others; 0 counts as 1
 }
 
 // Limits are the limits for the calls of clients.
--- a/chutedaemon/dispatch.go
+++ b/chutedaemon/dispatch.go
@@ -83,6 +83,8 @@
 		d.metrics.Count(f.Counter, f.Reason)
 	case chuteaction.Observe:
 		d.metrics.ObserveKind(f.Histogram, f.Kind, f.Duration)
+	case chuteaction.SetGauge:
+		d.metrics.SetGauge(f.Gauge, labelsOf(f.Labels), f.Value)
 	case chuteaction.LogLine:
 		d.logs.Offer(f)
 	case chuteaction.Stopped:
@@ -90,6 +92,15 @@
 	}
 }
 
+// labelsOf returns the labels by name.
+func labelsOf(fields []chuteaction.Field) map[string]string {
+	labels := make(map[string]string, len(fields))
+	for _, f := range fields {
+		labels[f.Name] = f.Value
+	}
+	return labels
+}
+
 func (d *Daemon) dispatchToStore(effect chuteaction.Effect, failure chuteaction.Event) {
 	if !d.store.Offer(effect) {
 		d.metrics.Count("store-refused", "ring-full")
--- a/chuteentry/fakehost_test.go
+++ b/chuteentry/fakehost_test.go
@@ -129,7 +129,7 @@
 		if k := sm.workers[string(f.Worker)]; k != nil && k.runs[f.Run] != nil {
 			k.runs[f.Run].pace = f.Percent
 		}
-	case chuteaction.SetPeers, chuteaction.DisconnectWorker, chuteaction.Count, chuteaction.Observe, chuteaction.Stopped:
+	case chuteaction.SetPeers, chuteaction.DisconnectWorker, chuteaction.Count, chuteaction.Observe, chuteaction.SetGauge, chuteaction.Stopped:
 	}
 }
 
--- a/chuteeviction/group.go
+++ b/chuteeviction/group.go
@@ -13,6 +13,9 @@
 	Members  []Member
 	Lasting  bool // the run of a step that lasts, which yields to guarantees alone
 	Spare    int  // how many runs of its step may be stopped, if it lasts
+
+	Workspace string                  // of its runs' job
+	Requested chutecapacity.Resources // what its runs request, which counts towards the workspace's quota
 }
 
 // Member is one run of a group.
--- a/chuteintake/answer.go
+++ b/chuteintake/answer.go
@@ -50,6 +50,8 @@
 		t.Count("job-rejected", "cancelled")
 		t.Log(component, "cancellation recorded of an unknown job, which cannot be recorded any more", c.job, "queue", c.queue)
 		return s.answerUnknownJob(t, c)
+	case stageRefuseJob:
+		return s.answer(t, c, c.refusal, 0, nil)
 	case stageReadProgress, stageReadSubmission, stageFindJob:
 		t.Warn(component, "a write ended for a call that reads", c.job, "stage", int(c.stage))
 	}
@@ -75,6 +77,13 @@
 		if submitted || cancelled {
 			return s.cancelRecorded(t, c, submitted, cancelled)
 		}
+	case stageRefuseJob:
+		switch {
+		case submitted: // before its quota was lowered
+			return s.answerRecorded(t, c.withStage(stageRecordJob), true)
+		case cancelled:
+			return s.answer(t, c, c.refusal, 0, nil)
+		}
 	case stageReadProgress, stageReadSubmission, stageFindJob:
 		t.Warn(component, "a write ended for a call that reads", c.job, "stage", int(c.stage))
 		return s
@@ -122,7 +131,7 @@
 	case stageFindJob:
 		submitted, cancelled := recordedRows(c, e.Rows)
 		return s.cancelRecorded(t, c, submitted, cancelled)
-	case stageRecordJob, stageRecordCancel, stageRejectJob:
+	case stageRecordJob, stageRecordCancel, stageRejectJob, stageRefuseJob:
 		t.Warn(component, "a read ended for a call that writes", c.job, "stage", int(c.stage))
 	}
 	return s
@@ -223,7 +232,7 @@
 func (s State) retry(t *chuteaction.Transition, c call) State {
 	c.resendAt = time.Time{}
 	switch c.stage {
-	case stageRecordJob, stageRecordCancel, stageRejectJob:
+	case stageRecordJob, stageRecordCancel, stageRejectJob, stageRefuseJob:
 		return s.send(t, c)
 	case stageReadProgress:
 		return s.readProgress(t, c)
--- a/chuteintake/arrive.go
+++ b/chuteintake/arrive.go
@@ -4,6 +4,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecatalog"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutequota"
 	"monsoonchute.example/monsoonchute/chuteresult"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -41,7 +42,7 @@
 	}
 	switch request := e.Call.(type) {
 	case chuteaction.SubmitJob:
-		return s.submit(t, c, submission(c.job, queue, owner, request.Spec), request.ParseError)
+		return s.submit(t, c, owner, submission(c.job, queue, owner, request.Spec), request.ParseError)
 	case chuteaction.ShowJob:
 		return s.readProgress(t, c)
 	case chuteaction.CancelJob:
@@ -63,16 +64,36 @@
 	}
 }
 
-func (s State) submit(t *chuteaction.Transition, c call, sub chutetask.Submission, parseError string) State {
+func (s State) submit(t *chuteaction.Transition, c call, owner chutecatalog.Workspace, sub chutetask.Submission, parseError string) State {
 	if parseError != "" {
 		return s.answer(t, c, chuteresult.New(chuteresult.Malformed, "body: %s", parseError), 0, nil)
 	}
 	if err := sub.Spec.Check(); err != nil {
 		return s.answer(t, c, chuteresult.FromError(err), 0, nil)
 	}
+	if step, beyond := chutequota.StepBeyond(sub.Spec, owner); beyond {
+		return s.refuse(t, c, beyondQuota(sub.Spec.Steps[step], step, owner))
+	}
 	return s.send(t, c.withStage(stageRecordJob).withWrite(record(sub)))
 }
 
+// refuse answers that a job is not accepted and never runs, once that is certain: an earlier call may have recorded the job under
+// another configuration, or its write may be on its way.
+func (s State) refuse(t *chuteaction.Transition, c call, refusal chuteresult.Result) State {
+	c.refusal = refusal
+	return s.send(t, c.withStage(stageRefuseJob).withWrite(rejection(c.job)))
+}
+
+// beyondQuota returns the result for a job of which the step can never start within its workspace's quota.
+func beyondQuota(step chutegraph.Step, index int, owner chutecatalog.Workspace) chuteresult.Result {
+	need, what := step.Request, "a task"
+	if step.Gang {
+		need, what = need.Times(step.Count), "the gang"
+	}
+	return chuteresult.New(chuteresult.BeyondQuota, "%s of step %d needs cpu %d, mem_mb %d, gpu %d; the quota of %s is cpu %d, mem_mb %d, gpu %d (0: no limit)",
+		what, index, need.Processor, need.Memory, need.Accelerators, owner.Name, owner.Limit.Processor, owner.Limit.Memory, owner.Limit.Accelerators)
+}
+
 // record returns the write that records a job, unless it is recorded or cancelled already.
 func record(sub chutetask.Submission) chuteaction.WriteRows {
 	key := chuteaction.SubmissionKey(sub.ID)
--- a/chuteintake/malformed_test.go
+++ b/chuteintake/malformed_test.go
@@ -17,15 +17,22 @@
 
 const jobID = chutegraph.JobID("00000000000000aa")
 
-// serve lets the call be answered from the rows of the store, and returns the answer and the rows written.
+// serve lets the call without a key be answered from the rows of the store, and returns the answer and the rows written.
 func serve(t *testing.T, request chuteaction.Call, rows []chuteaction.Row) (chuteaction.AnswerCall, []chuteaction.Row) {
+	t.Helper()
+	return serveAs(t, "", request, rows)
+}
+
+// serveAs lets the call with the key be answered from the rows of the store, and returns the answer and the rows written.
+func serveAs(t *testing.T, key string, request chuteaction.Call, rows []chuteaction.Row) (chuteaction.AnswerCall, []chuteaction.Row) {
 	t.Helper()
 	transition := chuteaction.NewTransition(time.Unix(1_800_000_000, 0), 0)
 	view := chuteintake.View{StoreReachable: true, CatalogCurrent: true, Catalog: chutecatalog.Catalog{
 		Version: 1, Queues: []chutecatalog.Queue{{Name: "normal", Host: "q.example", PathPrefix: "/normal/", Public: true}},
+		Workspaces: []chutecatalog.Workspace{limitedWorkspace()},
 	}}
 	s := chuteintake.New().HandleCallArrived(transition, view, chuteaction.CallArrived{
-		ID: 1, Deadline: transition.Now.Add(3 * time.Second), Host: "q.example", Path: "/normal/" + string(jobID), Call: request,
+		ID: 1, Deadline: transition.Now.Add(3 * time.Second), Host: "q.example", Path: "/normal/" + string(jobID), Key: key, Call: request,
 	})
 	var written []chuteaction.Row
 	for i := 0; i < len(transition.Effects); i++ {
--- a/chuteintake/state.go
+++ b/chuteintake/state.go
@@ -77,6 +77,7 @@
 	queue     string
 	stage     stage
 	write     chuteaction.WriteRows // set in the stages that write
+	refusal   chuteresult.Result    // why the job is refused, in stageRefuseJob
 	uncertain bool                  // a write got no answer, so it may have committed or may still commit
 	resendAt  time.Time             // when to send the request again; zero while it waits for an answer
 }
@@ -91,11 +92,12 @@
 	stageFindJob                         // read of the submission of a job that is to be cancelled
 	stageRecordCancel                    // write of the cancellation of a recorded job
 	stageRejectJob                       // write of the cancellation of a job that is not recorded
+	stageRefuseJob                       // write of the cancellation of a job that its workspace's quota never allows, unless it is recorded
 )
 
 // writes reports whether the request is a write.
 func (s stage) writes() bool {
-	return s == stageRecordJob || s == stageRecordCancel || s == stageRejectJob
+	return s == stageRecordJob || s == stageRecordCancel || s == stageRejectJob || s == stageRefuseJob
 }
 
 func (c call) withStage(s stage) call {
--- a/chutemetric/metric.go
+++ b/chutemetric/metric.go
@@ -1,6 +1,7 @@
 package chutemetric
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -23,6 +24,7 @@
 	handler  http.Handler
 	mutex    sync.Mutex
 	counters map[counterKey]tally.Counter
+	series   map[string]map[string]bool // labels of the series of each gauge
 }
 
 type counterKey struct{ name, reason string }
@@ -35,7 +37,7 @@
 		Prefix: "monsoonchute", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, reportInterval)
-	m := &Metrics{scope: scope, handler: reporter.HTTPHandler(), counters: make(map[counterKey]tally.Counter)}
+	m := &Metrics{scope: scope, handler: reporter.HTTPHandler(), counters: make(map[counterKey]tally.Counter), series: make(map[string]map[string]bool)}
 	return m, func() { closeIgnoringError(closer) }
 }
 
@@ -79,6 +81,33 @@
 // durationBuckets are 18 bucket bounds from 100 µs, each twice the one before.
 var durationBuckets = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 18)
 
+// maxGaugeSeries is the largest number of series of one gauge, since a series is never deleted.
+const maxGaugeSeries = 200
+
+// SetGauge sets the gauge of the name with the labels. One gauge has at most maxGaugeSeries sets of labels; further ones are left out.
+func (m *Metrics) SetGauge(name string, labels map[string]string, value float64) {
+	if !m.admitSeries(name, labels) {
+		m.Count("gauge-series-dropped", name)
+		return
+	}
+	m.scope.Tagged(labels).Gauge(metricName(name)).Update(value)
+}
+
+// admitSeries reports whether the gauge may have the series, and keeps it then.
+func (m *Metrics) admitSeries(name string, labels map[string]string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	key := fmt.Sprint(labels) // maps are printed in the order of their keys
+	if m.series[name] == nil {
+		m.series[name] = make(map[string]bool)
+	}
+	if !m.series[name][key] && len(m.series[name]) >= maxGaugeSeries {
+		return false
+	}
+	m.series[name][key] = true
+	return true
+}
+
 // SetRingStats sets the gauges for the depth, size and refused items of a ring.
 func (m *Metrics) SetRingStats(stats chutering.RingStats) {
 	scope := m.scope.Tagged(map[string]string{"ring": stats.Name})
--- a/chuteoccupancy/occupancy.go
+++ b/chuteoccupancy/occupancy.go
@@ -110,7 +110,7 @@
 		i, known := gangs[r.ID.Task.StepID]
 		if !r.gang || !known {
 			i = len(groups)
-			groups = append(groups, chuteeviction.Group{Priority: r.Priority, Lasting: r.longRunning, Spare: r.spare})
+			groups = append(groups, chuteeviction.Group{Priority: r.Priority, Lasting: r.longRunning, Spare: r.spare, Workspace: r.Workspace})
 		}
 		if r.gang {
 			gangs[r.ID.Task.StepID] = i
@@ -118,6 +118,7 @@
 		if r.known {
 			groups[i].Cost += o.ledger.UnsavedWork(r.Run)
 		}
+		groups[i].Requested = groups[i].Requested.Plus(r.Request)
 		groups[i].Members = append(groups[i].Members, chuteeviction.Member{Run: r.ID, Worker: r.worker, Reserved: r.Reserved})
 	}
 	return groups
--- a/chuteplacement/fit.go
+++ b/chuteplacement/fit.go
@@ -3,11 +3,11 @@
 import "monsoonchute.example/monsoonchute/chutegraph"
 
 // Fitting returns the steps of the first demands, at most limit, that would start on the workers if nothing were kept for others, each
-// by itself and in any rack or not.
-func Fitting(workers []Worker, demands []Demand, anyRack bool, limit int) []chutegraph.StepID {
-	p := newPass(View{Workers: workers})
+// by itself and in any rack or not. Run groups and quotas of the view don't matter.
+func Fitting(view View, anyRack bool, limit int) []chutegraph.StepID {
+	p := newPass(view)
 	var fitting []chutegraph.StepID
-	for _, d := range demands {
+	for _, d := range view.Demands {
 		if len(fitting) == limit {
 			break
 		}
--- a/chuteplacement/nominate.go
+++ b/chuteplacement/nominate.go
@@ -13,6 +13,7 @@
 		p.decisions = append(p.decisions, Nominate{Task: d.task(i), Worker: p.workers[w].ID})
 	}
 	p.reserve(d, placed)
+	p.useQuota(d)
 }
 
 // startOrKeep starts the demand on the workers that it has claimed if all their capacity is free now, and keeps the claim
@@ -36,6 +37,7 @@
 		if !d.MayPreempt || len(d.Nominated) == 0 {
 			continue
 		}
+		d, _ = d.SplitByQuota(p.quotas)
 		if d.Step.Gang {
 			p.claim(d)
 			continue
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -24,11 +24,19 @@
 		if !d.MayPreempt || p.claimed(d) {
 			continue
 		}
-		placed, ok := p.place(d, freeNow)
+		allowed, held := d.SplitByQuota(p.quotas)
+		if d.Guaranteed && len(held.Indexes) > 0 {
+			return true
+		}
+		if len(allowed.Indexes) == 0 {
+			continue
+		}
+		placed, ok := p.place(allowed, freeNow)
 		if !ok || d.Step.AntiAffinity > 0 {
 			return true
 		}
-		p.reserve(d, placed)
+		p.reserve(allowed, placed)
+		p.useQuota(allowed)
 	}
 	return false
 }
@@ -36,8 +44,19 @@
 // maxPreemptAttempts is the number of demands in a pass for which a search for runs to evict is made at most.
 const maxPreemptAttempts = 24
 
-// schedule finds workers for the waiting tasks of a demand, for all of a gang or for as many as fit otherwise.
+// schedule finds workers for the waiting tasks of a demand that the quota of its workspace allows, and holds back the others.
 func (p *pass) schedule(d Demand) {
+	allowed, held := d.SplitByQuota(p.quotas)
+	if len(allowed.Indexes) > 0 {
+		p.scheduleAllowed(allowed)
+	}
+	if len(held.Indexes) > 0 {
+		p.holdBack(held)
+	}
+}
+
+// scheduleAllowed finds workers for the waiting tasks of a demand, for all of a gang or for as many as fit otherwise.
+func (p *pass) scheduleAllowed(d Demand) {
 	if (!d.NeedsReservation || p.reserved[d.Service]) && !p.anyClaimed(d) && p.knownUnplaceable(d) {
 		return
 	}
@@ -119,6 +138,12 @@
 		}
 	}
 	p.addFree(placed, d.Step.Reserved().Times(-1))
+	p.useQuota(d)
+}
+
+// useQuota counts the waiting tasks of the demand towards the quota of their workspace.
+func (p *pass) useQuota(d Demand) {
+	p.quotas = p.quotas.WithUse(d.Workspace, d.ID, d.Step.Request.Times(len(d.Indexes)))
 }
 
 // reserve takes the capacity for the demand from the workers until the end of the pass.
--- a/chuteplacement/view.go
+++ b/chuteplacement/view.go
@@ -6,6 +6,7 @@
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chuteeviction"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutequota"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
@@ -15,6 +16,7 @@
 	Workers   []Worker
 	RunGroups []chuteeviction.Group // Runs that a guarantee covers are in none
 	Demands   []Demand              // in the order in which capacity is given to them
+	Quotas    chutequota.Quotas     // what each workspace with a quota may still start
 }
 
 // Worker is a worker on which tasks may start.
@@ -35,6 +37,7 @@
 	ID               chutegraph.StepID
 	Step             chutegraph.Step
 	Service          string
+	Workspace        string // of its job, whose quota its tasks count towards; empty if it has none
 	Priority         int
 	Indexes          []int                         // indexes of the tasks that wait
 	TasksByWorker    map[chutetask.WorkerID]int    // number of the step's tasks that have capacity on a worker
--- a/chuteplanner/demand.go
+++ b/chuteplanner/demand.go
@@ -68,7 +68,7 @@
 	}
 	priority := p.Priority(j)
 	d := chuteplacement.Demand{
-		ID: id, Step: step, Service: p.Service(j), Priority: priority, MayPreempt: priority == 0, Guaranteed: p.guaranteed[j.ID], Nominated: p.nominated[id],
+		ID: id, Step: step, Service: p.Service(j), Workspace: j.Workspace, Priority: priority, MayPreempt: priority == 0, Guaranteed: p.guaranteed[j.ID], Nominated: p.nominated[id],
 		Indexes: indexes, TasksByWorker: make(map[chutetask.WorkerID]int),
 	}
 	for _, task := range tasks {
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -31,10 +31,13 @@
 // plan decides on all waiting tasks and carries out the decisions.
 func (p *pass) plan() {
 	p.guaranteed = p.GuaranteedJobs()
+	p.countUse()
 	demands, quarantined := p.demands()
 	p.nominated = make(map[chutegraph.StepID]map[int]chutetask.WorkerID)
 	p.updateWaiting(demands)
+	p.reserveQuotas(quarantined, demands)
 	plan := p.planQuarantine(quarantined)
+	ordinary := demands
 	demands = append(demands, plan.beside...)
 	p.openReservations(demands)
 	waiting := p.planBeside(demands, plan.taken)
@@ -43,8 +46,9 @@
 	}
 	p.findStanding(demands, len(plan.emptied) > 0)
 	p.planSpareQuarantine(plan, waiting)
-	p.waits = p.waits.Next(p.Transition.Transition, demands)
+	p.waits = p.waits.Next(p.Transition.Transition, demands, p.quotas)
 	p.quarantineDueSince = p.quarantineWaits
+	p.reportUse(ordinary, quarantined)
 }
 
 // planBeside decides on the tasks that may run beside others, on workers that are not taken, and carries out the decisions. It
@@ -53,7 +57,7 @@
 	if len(demands) == 0 {
 		return nil
 	}
-	view := chuteplacement.View{Now: p.Now, Workers: chutecandidate.Usable(p.Transition.Transition, taken), Demands: demands}
+	view := chuteplacement.View{Now: p.Now, Workers: chutecandidate.Usable(p.Transition.Transition, taken), Demands: p.inShareOrder(demands), Quotas: p.quotas}
 	if chuteplacement.NeedsRunGroups(view) {
 		occupancy := chuteoccupancy.New(p.Transition.Transition, p.guaranteed)
 		view.RunGroups = occupancy.RunGroups()
@@ -82,7 +86,7 @@
 			p.logStart(d, workers)
 		}
 		wanted[d.ID] += len(d.Indexes)
-		waiting[d.Service] = waiting[d.Service] || len(started[d.ID]) < wanted[d.ID]
+		waiting[d.Service] = waiting[d.Service] || len(started[d.ID]) < wanted[d.ID] && !p.heldByQuota(d)
 	}
 	return waiting
 }
@@ -148,8 +152,10 @@
 	run := chutepool.Run{
 		ID: chutegraph.RunID{Task: d.Task, Number: number}, Reserved: j.Step(d.Task.StepID).Reserved(),
 		Priority: p.Priority(j), Checkpoint: task.Checkpoint, Quarantined: quarantined, Ticket: p.approvals.Ticket(d.Task.StepID, d.Worker),
+		Workspace: j.Workspace, Request: j.Step(d.Task.StepID).Request,
 	}
 	p.PutWorker(w.WithRun(run.WithPhase(chutepool.RunPlanned, p.Now)))
+	p.quotas = p.quotas.WithUse(run.Workspace, d.Task.StepID, run.Request)
 }
 
 // gangRunNumber returns the run number that all members of a gang share: that of the members that are active already,
--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -7,6 +7,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteapproval"
 	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutequota"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
 	"monsoonchute.example/monsoonchute/chutewait"
@@ -33,6 +34,11 @@
 	quarantineDueSince *immutable.SortedMap[chutegraph.StepID, time.Time]
 	waits              chutewait.Report
 	standing           standing
+	// heldSince is the time since when a quota has held back tasks of each step that still waits; never changed once stored.
+	heldSince map[chutegraph.StepID]time.Time
+	// reservedFor is the step for which the free part of each workspace's quota is reserved; never changed once stored.
+	reservedFor map[string]chutegraph.StepID
+	quotaReport quotaReport
 }
 
 // New returns the state of a planner that has not planned yet.
@@ -56,6 +62,9 @@
 	*chuterunner.Transition
 	Planner
 	guaranteed map[chutegraph.JobID]bool // jobs that their workspaces' guarantees cover
+	use        chutequota.Ledger         // at the beginning of the pass, if the configuration has quotas or weights
+	weights    map[string]float64        // of the workspaces; nil if the configuration has none
+	quotas     chutequota.Quotas         // what the workspaces may still start beside what this pass has started
 	rowRoom    map[chutegraph.JobID]int  // bytes left in the rows of the scheduled jobs that have been looked at
 	// quarantineWaits becomes quarantineDueSince after the pass.
 	quarantineWaits *immutable.SortedMap[chutegraph.StepID, time.Time]
--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -99,6 +99,13 @@
 func (p *pass) planQuarantine(demands []chuteplacement.Demand) quarantinePlan {
 	plan := quarantinePlan{taken: make(map[chutetask.WorkerID]bool)}
 	for _, d := range demands {
+		d, held := d.SplitByQuota(p.quotas)
+		if len(held.Indexes) > 0 {
+			p.waitForQuarantine(held, "limit")
+		}
+		if len(d.Indexes) == 0 {
+			continue
+		}
 		full := p.quarantineFull(d, plan.taken)
 		if !full && p.startAlone(d, plan.taken) {
 			continue
@@ -121,7 +128,7 @@
 
 // startAlone starts the tasks of the demand on empty workers that are not taken, and reports whether any started.
 func (p *pass) startAlone(d chuteplacement.Demand, taken map[chutetask.WorkerID]bool) bool {
-	starts := placeAlone(d, p.quarantineWorkers(d, taken, true))
+	starts := p.placeAlone(d, p.quarantineWorkers(d, taken, true))
 	if len(starts) > 0 {
 		p.Log(component, "step starts in quarantine", d.ID.Job, "step", d.ID, "tasks", len(starts), "waited", p.waitedForQuarantine(d.ID))
 	}
@@ -135,7 +142,7 @@
 // emptyWorkers takes the workers that empty soonest for the demand, and returns them.
 func (p *pass) emptyWorkers(d chuteplacement.Demand, taken map[chutetask.WorkerID]bool) []chutetask.WorkerID {
 	var emptied []chutetask.WorkerID
-	for _, s := range placeAlone(d, p.quarantineWorkers(d, taken, false)) {
+	for _, s := range p.placeAlone(d, p.quarantineWorkers(d, taken, false)) {
 		taken[s.Worker] = true
 		emptied = append(emptied, s.Worker)
 	}
@@ -157,7 +164,7 @@
 		if !d.Step.Gang {
 			d.Indexes = d.Indexes[:1]
 		}
-		for _, s := range placeAlone(d, chutecandidate.Usable(p.Transition.Transition, nil)) {
+		for _, s := range p.placeAlone(d, chutecandidate.Usable(p.Transition.Transition, nil)) {
 			p.assign(s, false)
 		}
 	}
@@ -249,12 +256,12 @@
 	})
 }
 
-// placeAlone returns where the tasks of the demand start if only the given workers exist.
-func placeAlone(d chuteplacement.Demand, workers []chuteplacement.Worker) []chuteplacement.Start {
+// placeAlone returns where the tasks of the demand start, as far as the quotas allow, if only the given workers exist.
+func (p *pass) placeAlone(d chuteplacement.Demand, workers []chuteplacement.Worker) []chuteplacement.Start {
 	d.MayPreempt, d.Guaranteed = false, false
 	d.TasksByWorker = maps.Clone(d.TasksByWorker)
 	var starts []chuteplacement.Start
-	for _, decision := range chuteplacement.Plan(chuteplacement.View{Workers: workers, Demands: []chuteplacement.Demand{d}}) {
+	for _, decision := range chuteplacement.Plan(chuteplacement.View{Workers: workers, Demands: []chuteplacement.Demand{d}, Quotas: p.quotas}) {
 		if s, ok := decision.(chuteplacement.Start); ok {
 			starts = append(starts, s)
 		}
@@ -273,7 +280,7 @@
 	withoutFailed := func(all []chuteplacement.Worker) []chuteplacement.Worker {
 		return slices.DeleteFunc(slices.Clone(all), func(w chuteplacement.Worker) bool { return p.failedLast(w, d.ID.Job) })
 	}
-	if len(placeAlone(d, withoutFailed(p.workersAlone(taken, false)))) == 0 {
+	if len(p.placeAlone(d, withoutFailed(p.workersAlone(taken, false)))) == 0 {
 		return workers
 	}
 	return withoutFailed(workers)
--- /dev/null
+++ b/chuteplanner/quota.go
@@ -0,0 +1,105 @@
+package chuteplanner
+
+import (
+	"time"
+
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chuteplacement"
+	"monsoonchute.example/monsoonchute/chutequota"
+)
+
+// countUse counts what the runs of each workspace request, if the configuration has quotas or weights.
+func (p *pass) countUse() {
+	p.weights = chutequota.Weights(p.Environment.Catalog)
+	limited := chutequota.AnyLimit(p.Environment.Catalog)
+	if p.weights == nil && !limited {
+		return
+	}
+	p.use = chutequota.NewLedger(p.Pool.All(), p.weights != nil || p.quotaReportDue())
+	if limited {
+		p.quotas = chutequota.New(p.Environment.Catalog, p.use)
+	}
+}
+
+// reserveQuotas reserves the free part of each workspace's quota for the first of its demands that has waited for it for long: a gang
+// as a whole, or one task. Without that, small tasks would take each part of the quota that becomes free.
+func (p *pass) reserveQuotas(quarantined, demands []chuteplacement.Demand) {
+	held := make(map[chutegraph.StepID]time.Time)
+	for _, list := range [][]chuteplacement.Demand{quarantined, demands} {
+		for _, d := range list {
+			if !p.quotas.Limited(d.Workspace) {
+				continue
+			}
+			since, known := p.heldSince[d.ID]
+			if !known && !p.heldByQuota(d) {
+				continue
+			}
+			if !known {
+				since = p.Now
+			}
+			held[d.ID] = since
+			if d.NeedsReservation || p.Now.Sub(since) >= max(minReservationWait, d.Step.Estimate) {
+				p.quotas = p.quotas.WithReservation(d.StartRequest())
+			}
+		}
+	}
+	p.heldSince = held
+	p.logReservations()
+}
+
+// logReservations logs for which steps the quotas begin to be reserved.
+func (p *pass) logReservations() {
+	reserved := p.quotas.Reservations()
+	for workspace, r := range reserved {
+		if p.reservedFor[workspace] != r {
+			p.Count("quota-reserved", "long-wait")
+			p.Log(component, "quota is reserved for step", r.Job, "step", r, "workspace", workspace, "waited", p.Now.Sub(p.heldSince[r]))
+		}
+	}
+	p.reservedFor = reserved
+}
+
+// heldByQuota reports whether the quota of its workspace keeps the demand from starting any task.
+func (p *pass) heldByQuota(d chuteplacement.Demand) bool {
+	return !p.quotas.Allows(d.StartRequest())
+}
+
+// heldByUse reports whether the quota of its workspace would keep the demand from starting any task even if it might use what is
+// reserved for others.
+func (p *pass) heldByUse(d chuteplacement.Demand) bool {
+	r := d.StartRequest()
+	r.MayUseReserved = true
+	return !p.quotas.Allows(r)
+}
+
+// inShareOrder returns the demands in the order in which capacity is given to them: with weights in the configuration, those of equal
+// rank by the shares of their workspaces, in parts. One task of a demand may use capacity that is reserved for others.
+func (p *pass) inShareOrder(demands []chuteplacement.Demand) []chuteplacement.Demand {
+	if p.weights == nil {
+		return demands
+	}
+	items := make([]chutequota.Item, len(demands))
+	for i, d := range demands {
+		items[i] = chutequota.Item{Workspace: d.Workspace, Service: d.Service, Each: d.Step.Request, Tasks: len(d.Indexes), Gang: d.Step.Gang}
+		if i > 0 {
+			items[i].Rank = items[i-1].Rank
+			if !sameRank(demands[i-1], d) {
+				items[i].Rank++
+			}
+		}
+	}
+	parts := chutequota.Order(p.use, p.weights, items)
+	ordered := make([]chuteplacement.Demand, len(parts))
+	for i, part := range parts {
+		d := demands[part.Item]
+		d.Indexes = d.Indexes[part.From:part.To]
+		d.MayUseReserved = d.MayUseReserved && (part.From == 0 || d.Step.LongRunning)
+		ordered[i] = d
+	}
+	return ordered
+}
+
+// sameRank reports whether the shares of the workspaces decide between two demands.
+func sameRank(a, b chuteplacement.Demand) bool {
+	return compareGuaranteed(a, b) == 0 && a.Priority == b.Priority
+}
--- a/chuteplanner/waiting.go
+++ b/chuteplanner/waiting.go
@@ -63,18 +63,19 @@
 // findStanding finds, now and then, the steps that stand after a pass. Capacity may be kept for a gang, in a rack, or on workers that
 // are emptied for quarantines.
 func (p *pass) findStanding(demands []chuteplacement.Demand, emptied bool) {
-	if !emptied && !slices.ContainsFunc(demands, keepsOrNeedsRack) {
+	if !emptied && !p.quotas.Reserves() && !slices.ContainsFunc(demands, keepsOrNeedsRack) {
 		p.standing = standing{}
 		return
 	}
 	if p.Now.Sub(p.standing.foundAt) < standingInterval {
 		return
 	}
-	waiting := slices.DeleteFunc(slices.Clone(demands), func(d chuteplacement.Demand) bool { return !p.mayStand(d) })
+	waiting := slices.DeleteFunc(slices.Clone(demands), func(d chuteplacement.Demand) bool { return !p.mayStand(d) || p.heldByUse(d) })
 	found := make(map[chutegraph.StepID]time.Time)
 	workers := chutecandidate.Usable(p.Transition.Transition, nil)
 	anyRack := underHalfUsed(workers)
-	for _, id := range chuteplacement.Fitting(workers, waiting, anyRack, maxStandingSteps) {
+	view := chuteplacement.View{Workers: workers, Demands: waiting}
+	for _, id := range chuteplacement.Fitting(view, anyRack, maxStandingSteps) {
 		found[id] = p.Now
 		if since, stands := p.standing.since[id]; stands {
 			found[id] = since
--- a/chutepool/run.go
+++ b/chutepool/run.go
@@ -39,14 +39,16 @@
 	Inherited       bool      // it was started by an earlier scheduler
 	ProgressReadAt  time.Time // when the worker last reported its progress
 	Checkpoint      string
-	Percent         int       // progress in percent
-	Usage           int       // as last reported; for the unit see chutetask.RunReport
-	paceReduction   int       // percentage points by which the pace is below FullPace
-	PacedAt         time.Time // when the pace last changed
-	ProgressedAt    time.Time // when its progress last changed
-	AfterRestart    bool      // its worker had restarted before it started, which its incarnation does not show yet
-	Quarantined     bool      // it has its worker to itself, since workers crashed under its task
-	Ticket          string    // approval ticket for the worker; empty if the queue needs none
+	Percent         int                     // progress in percent
+	Usage           int                     // as last reported; for the unit see chutetask.RunReport
+	paceReduction   int                     // percentage points by which the pace is below FullPace
+	PacedAt         time.Time               // when the pace last changed
+	ProgressedAt    time.Time               // when its progress last changed
+	AfterRestart    bool                    // its worker had restarted before it started, which its incarnation does not show yet
+	Quarantined     bool                    // it has its worker to itself, since workers crashed under its task
+	Ticket          string                  // approval ticket for the worker; empty if the queue needs none
+	Workspace       string                  // workspace of its job, whose quota it counts towards; empty if it has none or is unknown
+	Request         chutecapacity.Resources // what its task requests, which counts towards that quota
 }
 
 // WithPhase returns the run in the phase, which begins now.
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -54,6 +54,7 @@
 	quarantined      int // number of runs in quarantine
 	reserved         chutecapacity.Resources
 	stopping         chutecapacity.Resources // the part of reserved that belongs to runs that are being stopped
+	use              []WorkspaceUse          // what its runs request, by workspace; never modified
 }
 
 // Clock relates the clock of a worker to that of this process.
--- a/chutepool/workload.go
+++ b/chutepool/workload.go
@@ -66,6 +66,11 @@
 func (w Worker) WithRun(run Run) Worker {
 	if old, ok := w.runs.Get(run.ID); ok {
 		w = w.withoutReservation(old)
+		if !sameUse(old, run) {
+			w = w.withoutUse(old).withUse(run)
+		}
+	} else {
+		w = w.withUse(run)
 	}
 	w.reserved = w.reserved.Plus(run.Reserved)
 	if run.Phase == RunStopping {
@@ -84,7 +89,7 @@
 	if !ok {
 		return w
 	}
-	w = w.withoutReservation(old)
+	w = w.withoutReservation(old).withoutUse(old)
 	w.runs = w.runs.Delete(id)
 	return w
 }
--- /dev/null
+++ b/chutequota/quotas.go
@@ -0,0 +1,260 @@
+package chutequota
+
+import (
+	"slices"
+
+	"github.com/benbjohnson/immutable"
+
+	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutecatalog"
+	"monsoonchute.example/monsoonchute/chutegraph"
+)
+
+// Quotas is what each workspace that has a quota may still start. It is immutable; its zero value limits nothing.
+type Quotas struct {
+	accounts *immutable.Map[string, account] // by workspace that has a quota; nil if none has
+	reserved int                             // number of reservations
+}
+
+// account is the use and the quota of a workspace.
+type account struct {
+	limit       chutecapacity.Resources // an amount of 0 is no limit
+	use         chutecapacity.Resources
+	stopping    chutecapacity.Resources // the part of the use that belongs to runs that are being stopped
+	reservation Reservation
+}
+
+// Reservation keeps the free part of a workspace's quota for the tasks of a step that have waited for it for long. It applies to
+// steps of the same or a lower priority that no guarantee covers.
+type Reservation struct {
+	Step     chutegraph.StepID
+	Priority int
+	Need     chutecapacity.Resources // zero if there is no reservation
+}
+
+// Request is what the waiting tasks of a step ask of the quota of their workspace.
+type Request struct {
+	Workspace  string
+	Step       chutegraph.StepID
+	Priority   int
+	Guaranteed bool
+	Each       chutecapacity.Resources // what one task requests
+	Tasks      int                     // number of tasks that start together
+	// MayUseReserved lets it use what is reserved for others while its workspace uses less than half of its quota.
+	MayUseReserved bool
+}
+
+// need returns what the tasks request together.
+func (r Request) need() chutecapacity.Resources {
+	return r.Each.Times(r.Tasks)
+}
+
+// New returns the quotas of the catalog with what the ledger says is in use.
+func New(catalog chutecatalog.Catalog, ledger Ledger) Quotas {
+	var q Quotas
+	none := chutecapacity.Resources{}
+	for _, w := range catalog.Workspaces {
+		if w.Limit == none {
+			continue
+		}
+		if q.accounts == nil {
+			q.accounts = immutable.NewMap[string, account](nil)
+		}
+		use := ledger.Use(w.Name)
+		q.accounts = q.accounts.Set(w.Name, account{limit: w.Limit, use: use.Requested, stopping: use.Stopping})
+	}
+	return q
+}
+
+// account returns the account of the workspace, and false if it has no quota.
+func (q Quotas) account(workspace string) (account, bool) {
+	if q.accounts == nil {
+		return account{}, false
+	}
+	return q.accounts.Get(workspace)
+}
+
+// Limited reports whether the workspace has a quota.
+func (q Quotas) Limited(workspace string) bool {
+	_, limited := q.account(workspace)
+	return limited
+}
+
+// Reserves reports whether a part of any quota is reserved.
+func (q Quotas) Reserves() bool {
+	return q.reserved > 0
+}
+
+// Reservations returns the steps for which the free part of their workspace's quota is reserved, by workspace.
+func (q Quotas) Reservations() map[string]chutegraph.StepID {
+	if q.reserved == 0 {
+		return nil
+	}
+	steps := make(map[string]chutegraph.StepID, q.reserved)
+	for i := q.accounts.Iterator(); !i.Done(); {
+		workspace, a, _ := i.Next()
+		if (a.reservation != Reservation{}) {
+			steps[workspace] = a.reservation.Step
+		}
+	}
+	return steps
+}
+
+// Copies returns how many of the request's tasks may start, each by itself.
+func (q Quotas) Copies(r Request) int {
+	a, limited := q.account(r.Workspace)
+	if !limited {
+		return r.Tasks
+	}
+	return copiesWithin(r.Each, a.limit, a.available(r), r.Tasks)
+}
+
+// Allows reports whether all tasks of the request may start together.
+func (q Quotas) Allows(r Request) bool {
+	a, limited := q.account(r.Workspace)
+	return !limited || fits(r.need(), a.limit, a.available(r))
+}
+
+// EverAllows reports whether all tasks of the request may start together while nothing else of their workspace runs.
+func (q Quotas) EverAllows(r Request) bool {
+	a, limited := q.account(r.Workspace)
+	return !limited || fits(r.need(), a.limit, a.limit)
+}
+
+// Describe tells how the workspace's quota concerns the request: not at all, by its use now, for others that wait, or for good.
+func (q Quotas) Describe(r Request) string {
+	a, limited := q.account(r.Workspace)
+	switch {
+	case !limited:
+		return "none"
+	case q.Allows(r):
+		return "allows"
+	case !q.EverAllows(r):
+		return "never-allows"
+	case fits(r.need(), a.limit, a.limit.Minus(a.use)):
+		return "reserved"
+	}
+	return "in-use"
+}
+
+// CopiesAfter returns how many of the request's tasks may start once the runs that are being stopped have ended and runs that
+// request the given resources as well.
+func (q Quotas) CopiesAfter(r Request, ended chutecapacity.Resources) int {
+	a, limited := q.account(r.Workspace)
+	if !limited {
+		return r.Tasks
+	}
+	return copiesWithin(r.Each, a.limit, a.available(r).Plus(a.stopping).Plus(ended), r.Tasks)
+}
+
+// available returns what the workspace may still start, for the request; amounts may be negative.
+func (a account) available(r Request) chutecapacity.Resources {
+	free := a.limit.Minus(a.use)
+	if !a.reservedFrom(r) {
+		return free
+	}
+	unreserved := free.Minus(a.reservation.Need)
+	if !r.MayUseReserved {
+		return unreserved
+	}
+	half := chutecapacity.Resources{Processor: a.limit.Processor / 2, Memory: a.limit.Memory / 2, Accelerators: a.limit.Accelerators / 2}
+	return larger(unreserved, half.Minus(a.use))
+}
+
+// reservedFrom reports whether what is reserved is withheld from the request.
+func (a account) reservedFrom(r Request) bool {
+	none := chutecapacity.Resources{}
+	return a.reservation.Need != none && a.reservation.Step != r.Step && !r.Guaranteed && r.Priority >= a.reservation.Priority
+}
+
+// larger returns the larger amount of each resource.
+func larger(a, b chutecapacity.Resources) chutecapacity.Resources {
+	return chutecapacity.Resources{
+		Processor: max(a.Processor, b.Processor), Memory: max(a.Memory, b.Memory), Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
+// WithUse returns the quotas after runs of the step that request the resources were planned for the workspace. What was reserved
+// for the step is not reserved any more.
+func (q Quotas) WithUse(workspace string, step chutegraph.StepID, requested chutecapacity.Resources) Quotas {
+	a, limited := q.account(workspace)
+	if !limited {
+		return q
+	}
+	a.use = a.use.Plus(requested)
+	if none := (Reservation{}); a.reservation != none && a.reservation.Step == step {
+		a.reservation = none
+		q.reserved--
+	}
+	q.accounts = q.accounts.Set(workspace, a)
+	return q
+}
+
+// WithStopping returns the quotas after the stop of runs that request the resources was decided.
+func (q Quotas) WithStopping(workspace string, requested chutecapacity.Resources) Quotas {
+	a, limited := q.account(workspace)
+	if !limited {
+		return q
+	}
+	a.stopping = a.stopping.Plus(requested)
+	q.accounts = q.accounts.Set(workspace, a)
+	return q
+}
+
+// WithReservation returns the quotas with what the request needs reserved for it, unless its workspace has a reservation for a step
+// of the same or a higher priority, or could never start it.
+func (q Quotas) WithReservation(r Request) Quotas {
+	a, limited := q.account(r.Workspace)
+	none := chutecapacity.Resources{}
+	exists := a.reservation.Need != none
+	if !limited || r.Guaranteed || !q.EverAllows(r) || r.need() == none || exists && a.reservation.Priority <= r.Priority {
+		return q
+	}
+	if !exists {
+		q.reserved++
+	}
+	a.reservation = Reservation{Step: r.Step, Priority: r.Priority, Need: r.need()}
+	q.accounts = q.accounts.Set(r.Workspace, a)
+	return q
+}
+
+// fits reports whether the need is at most what is available of each resource that it has and that is limited.
+func fits(need, limit, available chutecapacity.Resources) bool {
+	within := func(need, limit, available int) bool { return need <= 0 || limit <= 0 || need <= available }
+	return within(need.Processor, limit.Processor, available.Processor) && within(need.Memory, limit.Memory, available.Memory) &&
+		within(need.Accelerators, limit.Accelerators, available.Accelerators)
+}
+
+// copiesWithin returns how many times the need is within what is available of each resource that is limited, at most count.
+func copiesWithin(need, limit, available chutecapacity.Resources, count int) int {
+	if limit.Processor <= 0 {
+		need.Processor = 0
+	}
+	if limit.Memory <= 0 {
+		need.Memory = 0
+	}
+	if limit.Accelerators <= 0 {
+		need.Accelerators = 0
+	}
+	return need.Copies(available, count)
+}
+
+// StepBeyond returns the first step of which a single task, or the gang, requests more than the workspace's quota, so that it can
+// never start, and false if there is none.
+func StepBeyond(spec chutegraph.Spec, workspace chutecatalog.Workspace) (int, bool) {
+	for i, step := range spec.Steps {
+		need := step.Request
+		if step.Gang {
+			need = need.Times(step.Count)
+		}
+		if !fits(need, workspace.Limit, workspace.Limit) {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// AnyLimit reports whether any workspace of the catalog has a quota.
+func AnyLimit(catalog chutecatalog.Catalog) bool {
+	return slices.ContainsFunc(catalog.Workspaces, func(w chutecatalog.Workspace) bool { return w.Limit != chutecapacity.Resources{} })
+}
--- a/chuterenewal/report.go
+++ b/chuterenewal/report.go
@@ -38,6 +38,7 @@
 			chutecrash.NoteBegun(t.Transition, r.ID)
 		}
 		updateSpeed(t, id, r, report.Percent)
+		r = withWorkspace(t, r)
 		t.PutWorker(w.WithRun(r.WithReport(w.Incarnation, report, t.Now)))
 		if w.Draining {
 			recordCheckpoint(t, report)
@@ -48,6 +49,14 @@
 	}
 }
 
+// withWorkspace returns the run with its workspace and its request, if it was reported before its job was known.
+func withWorkspace(t *chuterunner.Transition, r chutepool.Run) chutepool.Run {
+	if j, ok := t.Job(r.ID.Task.Job); ok && r.Workspace == "" && r.ID.Task.Step < len(j.Spec.Steps) {
+		r.Workspace, r.Request = j.Workspace, j.Step(r.ID.Task.StepID).Request
+	}
+	return r
+}
+
 // maxRecordedCheckpoint is the length of the longest checkpoint that is recorded while its run goes on, in bytes.
 const maxRecordedCheckpoint = 20
 
@@ -85,6 +94,7 @@
 	if j, ok := t.Job(report.Run.Task.Job); ok && report.Run.Task.Step < len(j.Spec.Steps) {
 		r.Reserved = j.Step(report.Run.Task.StepID).Reserved()
 		r.Priority = j.Priority
+		r = withWorkspace(t, r)
 	}
 	t.Count("run-stopped", "not-expected")
 	t.Log(component, "run is stopped: the worker should not have it", report.Run.Task.Job, "run", report.Run, "worker", id)
--- a/chuteresult/result.go
+++ b/chuteresult/result.go
@@ -63,6 +63,7 @@
 	UnknownKey         Code = 223
 	UnknownQueue       Code = 224
 	UnknownJob         Code = 225
+	BeyondQuota        Code = 226
 	AnswerLost         Code = 300
 	ConnectionBroken   Code = 301
 	ConnectionSilent   Code = 302
@@ -114,6 +115,7 @@
 	{UnknownKey, "unknown-key", 401, "The configuration in force has no such key."},
 	{UnknownQueue, "unknown-queue", 404, "The configuration in force has no queue for the call."},
 	{UnknownJob, "unknown-job", 410, "The store has no job of this id."},
+	{BeyondQuota, "beyond-quota", 429, "A task or gang of the job needs more than its workspace's whole quota."},
 	{AnswerLost, "answer-lost", 504, "No answer arrived before the deadline."},
 	{ConnectionBroken, "connection-broken", 502, "The connection broke after bytes of the request had left."},
 	{ConnectionSilent, "connection-silent", 504, "The connection made no progress within its limit."},
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -101,6 +101,7 @@
 
 // End stops watching tables and closes the connections to workers, as this host no longer leads.
 func (s State) End(t *chuteaction.Transition) {
+	s.planner.End(t)
 	t.Emit(chuteaction.UnwatchTable{Table: chuteaction.TableJobs})
 	t.Emit(chuteaction.UnwatchTable{Table: chuteaction.TableWorkers})
 	for _, w := range s.runner.Pool.All() {
--- a/chutetakeover/runs.go
+++ b/chutetakeover/runs.go
@@ -33,6 +33,7 @@
 		run := chutepool.Run{
 			ID: chutegraph.RunID{Task: id, Number: task.Run}, Reserved: j.Step(id.StepID).Reserved(),
 			Priority: j.Priority, StartUnanswered: true, Inherited: true, Checkpoint: task.Checkpoint, Quarantined: task.Quarantined,
+			Workspace: j.Workspace, Request: j.Step(id.StepID).Request,
 		}.WithPhase(chutepool.RunOrdered, t.Now)
 		t.PutWorker(w.WithRun(run))
 	})
--- a/chutewait/report.go
+++ b/chutewait/report.go
@@ -6,6 +6,7 @@
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chuteplacement"
+	"monsoonchute.example/monsoonchute/chutequota"
 )
 
 const (
@@ -36,8 +37,9 @@
 	return now.Sub(w.since) >= minLoggedWait && now.Sub(w.loggedAt) >= repeatInterval
 }
 
-// Next returns the report after a planning pass that had the demands, or the same if none is due. It logs why steps go on waiting.
-func (r Report) Next(t *chuteledger.Transition, demands []chuteplacement.Demand) Report {
+// Next returns the report after a planning pass that had the demands and has left the quotas, or the same if none is due. It logs why
+// steps go on waiting.
+func (r Report) Next(t *chuteledger.Transition, demands []chuteplacement.Demand, quotas chutequota.Quotas) Report {
 	if t.Now.Sub(r.at) < reportInterval {
 		return r
 	}
@@ -54,7 +56,7 @@
 		}
 		if logged < maxStepsLogged && wait.logDue(t.Now) {
 			if fleet == nil {
-				fleet = newView(t)
+				fleet = newView(t, quotas)
 			}
 			wait.loggedAt = t.Now
 			logged++
--- a/chutewait/view.go
+++ b/chutewait/view.go
@@ -11,6 +11,7 @@
 	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chutequota"
 )
 
 const component = "scheduler" // these lines are logged as part of the scheduler
@@ -25,10 +26,11 @@
 	listed      []chuteplacement.Worker // all workers in the list
 	unconfirmed int                     // number of unconfirmed runs on usable workers
 	unusable    map[string]int          // number of listed workers that can't be used, by the obstacle
+	quotas      chutequota.Quotas       // what the workspaces may still start
 }
 
-func newView(t *chuteledger.Transition) *view {
-	v := &view{unusable: make(map[string]int)}
+func newView(t *chuteledger.Transition, quotas chutequota.Quotas) *view {
+	v := &view{quotas: quotas, unusable: make(map[string]int)}
 	for _, w := range t.Pool.All() {
 		if !w.Listed {
 			continue
@@ -54,6 +56,8 @@
 // reason returns why the demand waits, in kebab case.
 func (v *view) reason(d chuteplacement.Demand) string {
 	switch {
+	case !v.quotas.Allows(d.StartRequest()):
+		return "limit"
 	case chuteplacement.Fits(v.usable, d):
 		return "kept-for-others"
 	case fitsInAnyRack(v.usable, d):
@@ -73,6 +77,7 @@
 	reason := v.reason(d)
 	t.Count("step-waits", reason)
 	t.Log(component, "step waits for capacity", d.ID.Job, "step", d.ID, "reason", reason, "waited", waited, "priority", d.Priority,
+		"workspace", d.Workspace, "quota", v.quotas.Describe(d.StartRequest()),
 		"tasks", len(d.Indexes), "accelerators", d.Step.Request.Accelerators, "gang", d.Step.Gang, "same-rack", d.Step.SameRack,
 		"usable", len(v.usable), "unusable", v.obstacles(), "unconfirmed-runs", v.unconfirmed,
 		"fits-twice", fitsTwice(v.usable, d))
