Test quotas through several leaders and faults

Cause: quotas must hold whatever leaders, workers and orders do.

A job keeps the API key that it was submitted with, also when its call is repeated.

--- a/chuteentry/fakecheck_test.go
+++ b/chuteentry/fakecheck_test.go
@@ -17,6 +17,7 @@
 		sm.reportViolation("start of %s exceeds the capacity of %s: %v of %v", o.Run, k.listing.ID, used, k.listing.Capacity)
 	}
 	sm.checkCrashBudget(k, o, job, from)
+	sm.checkQuota(o.Run, step)
 	if job.acknowledged[o.Run.Task] {
 		sm.reportViolation("%s was started after the end of its task was acknowledged", o.Run)
 	}
--- a/chuteentry/fakeclients_test.go
+++ b/chuteentry/fakeclients_test.go
@@ -23,6 +23,7 @@
 
 type fakeJob struct {
 	id           chutegraph.JobID
+	key          string // API key of its submission
 	queue        string
 	spec         chutegraph.Spec
 	duration     time.Duration
@@ -93,9 +94,10 @@
 	c.lastCall++
 	id := c.lastCall
 	c.callbacks[id] = callback
+	key := c.key
 	sm.after(sm.jittered(3*time.Millisecond), func() {
 		h.deliver(chuteaction.CallArrived{
-			ID: id, Deadline: sm.now.Add(3 * time.Second), Host: "q.example", Path: "/" + queue + "/" + path, Key: c.key, Call: request,
+			ID: id, Deadline: sm.now.Add(3 * time.Second), Host: "q.example", Path: "/" + queue + "/" + path, Key: key, Call: request,
 		})
 	})
 	sm.after(3*time.Second, func() {
@@ -112,7 +114,7 @@
 // newJob returns a job that has not been handed in.
 func (c *fakeClients) newJob(queue string, duration time.Duration, steps ...chutegraph.Step) *fakeJob {
 	j := &fakeJob{
-		id: chutegraph.JobID(fmt.Sprintf("%016x", len(c.jobs)+1)), queue: queue, duration: duration,
+		id: chutegraph.JobID(fmt.Sprintf("%016x", len(c.jobs)+1)), key: c.key, queue: queue, duration: duration,
 		spec: chutegraph.Spec{Payload: "work", Steps: steps}, doneAt: make(map[chutegraph.TaskID]time.Time),
 		acknowledged: make(map[chutegraph.TaskID]bool), startedAt: make(map[chutegraph.TaskID]time.Time),
 		starts: make(map[chutegraph.TaskID]int), crashes: make(map[chutegraph.TaskID]int), startsBeyond: make(map[chutegraph.TaskID]int),
@@ -124,6 +126,8 @@
 }
 
 func (c *fakeClients) trySubmit(j *fakeJob, attempts int) {
+	defer func(former string) { c.key = former }(c.key)
+	c.key = j.key
 	c.call(j.queue, string(j.id), chuteaction.SubmitJob{Spec: j.spec}, func(a chuteaction.AnswerCall) {
 		if a.Result.Code.Class() == chuteresult.ClassRan {
 			j.acceptedAt = c.sim.now
--- a/chuteentry/simulation_test.go
+++ b/chuteentry/simulation_test.go
@@ -32,6 +32,7 @@
 	onCrash         func(cause *fakeRun)                        // called after a task has crashed its worker; may be nil
 	beforeStart     func(k *fakeWorker, o chuteaction.StartRun) // called as a start order leaves its host; may be nil
 	fixedCrashDelay time.Duration                               // how long a task runs before it crashes its worker; random if 0
+	quotas          []quotaPeriod                               // the quotas of the configurations so far; nil if none has any
 	unreachableRate float64                                     // fraction of orders to a worker that is cut off that find no connection
 }
 
