--- a/chuteplacement/evict.go
+++ b/chuteplacement/evict.go
@@ -46,7 +46,7 @@
 // evict decides to stop all runs of the group, and counts what they reserve as free once they have stopped.
 func (p *pass) evict(group int, d Demand) {
 	evicted := p.groups.Evict(group)
-	p.quotas = p.quotas.WithStopping(evicted.Workspace, evicted.Requested)
+	p.quotas.Stop(evicted.Workspace, evicted.Requested)
 	for _, m := range evicted.Members {
 		p.decisions = append(p.decisions, Evict{Run: m.Run, Worker: m.Worker, For: d.ID, Cost: evicted.Cost})
 		if w, ok := p.index[m.Worker]; ok {
--- a/chuteplacement/nominate.go
+++ b/chuteplacement/nominate.go
@@ -37,7 +37,7 @@
 		if !d.MayPreempt || len(d.Nominated) == 0 {
 			continue
 		}
-		d, _ = d.SplitByQuota(p.quotas)
+		d, _ = d.SplitByQuota(p.quotas.Quotas)
 		if d.Step.Gang {
 			p.claim(d)
 			continue
--- a/chuteplacement/pass.go
+++ b/chuteplacement/pass.go
@@ -21,7 +21,7 @@
 	reserved        map[string]bool           // services in which capacity is reserved for a demand that waits
 	waiting         map[waitingTask]int       // number of tasks of a step for which capacity is kept on a worker
 	claims          map[chutegraph.TaskID]int // index of the worker on which nominated capacity is kept for a task
-	quotas          chutequota.Quotas         // what the workspaces may start beside what this pass starts or nominates
+	quotas          *chutequota.Draft         // what the workspaces may start beside what this pass starts or nominates
 }
 
 // waitingTask stands for the tasks of a step that wait for capacity on the worker with the index.
@@ -59,7 +59,7 @@
 	p := &pass{
 		index: make(map[chutetask.WorkerID]int), groups: chuteeviction.New(view.RunGroups),
 		waiting: make(map[waitingTask]int), claims: make(map[chutegraph.TaskID]int), reserved: make(map[string]bool),
-		quotas: view.Quotas,
+		quotas: view.Quotas.Draft(),
 	}
 	byRack := make(map[string]int)
 	for i, w := range view.Workers {
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -24,7 +24,7 @@
 		if !d.MayPreempt || p.claimed(d) {
 			continue
 		}
-		allowed, held := d.SplitByQuota(p.quotas)
+		allowed, held := d.SplitByQuota(p.quotas.Quotas)
 		if d.Guaranteed && len(held.Indexes) > 0 {
 			return true
 		}
@@ -46,7 +46,7 @@
 
 // schedule finds workers for the waiting tasks of a demand that the quota of its workspace allows, and holds back the others.
 func (p *pass) schedule(d Demand) {
-	allowed, held := d.SplitByQuota(p.quotas)
+	allowed, held := d.SplitByQuota(p.quotas.Quotas)
 	if len(allowed.Indexes) > 0 {
 		p.scheduleAllowed(allowed)
 	}
@@ -143,7 +143,7 @@
 
 // useQuota counts the waiting tasks of the demand towards the quota of their workspace.
 func (p *pass) useQuota(d Demand) {
-	p.quotas = p.quotas.WithUse(d.Workspace, d.ID, d.Step.Request.Times(len(d.Indexes)))
+	p.quotas.Use(d.Workspace, d.ID, d.Step.Request.Times(len(d.Indexes)))
 }
 
 // reserve takes the capacity for the demand from the workers until the end of the pass.
--- a/chuteplacement/quota.go
+++ b/chuteplacement/quota.go
@@ -89,5 +89,5 @@
 	for _, g := range groups {
 		p.evict(g, d)
 	}
-	p.quotas = p.quotas.WithUse(d.Workspace, d.ID, d.Step.Request.Times(count))
+	p.quotas.Use(d.Workspace, d.ID, d.Step.Request.Times(count))
 }
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -46,7 +46,7 @@
 	}
 	p.findStanding(demands, len(plan.emptied) > 0)
 	p.planSpareQuarantine(plan, waiting)
-	p.waits = p.waits.Next(p.Transition.Transition, demands, p.quotas)
+	p.waits = p.waits.Next(p.Transition.Transition, demands, p.quotas.Quotas)
 	p.quarantineDueSince = p.quarantineWaits
 	p.reportUse(ordinary, quarantined)
 }
@@ -57,7 +57,7 @@
 	if len(demands) == 0 {
 		return nil
 	}
-	view := chuteplacement.View{Now: p.Now, Workers: chutecandidate.Usable(p.Transition.Transition, taken), Demands: p.inShareOrder(demands), Quotas: p.quotas}
+	view := chuteplacement.View{Now: p.Now, Workers: chutecandidate.Usable(p.Transition.Transition, taken), Demands: p.inShareOrder(demands), Quotas: p.quotas.Snapshot()}
 	if chuteplacement.NeedsRunGroups(view) {
 		occupancy := chuteoccupancy.New(p.Transition.Transition, p.guaranteed)
 		view.RunGroups = occupancy.RunGroups()
@@ -155,7 +155,7 @@
 		Workspace: j.Workspace, Request: j.Step(d.Task.StepID).Request,
 	}
 	p.PutWorker(w.WithRun(run.WithPhase(chutepool.RunPlanned, p.Now)))
-	p.quotas = p.quotas.WithUse(run.Workspace, d.Task.StepID, run.Request)
+	p.quotas.Use(run.Workspace, d.Task.StepID, run.Request)
 }
 
 // gangRunNumber returns the run number that all members of a gang share: that of the members that are active already,
--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -64,7 +64,7 @@
 	guaranteed map[chutegraph.JobID]bool // jobs that their workspaces' guarantees cover
 	use        chutequota.Ledger         // at the beginning of the pass, if the configuration has quotas or weights
 	weights    map[string]float64        // of the workspaces; nil if the configuration has none
-	quotas     chutequota.Quotas         // what the workspaces may still start beside what this pass has started
+	quotas     *chutequota.Draft         // what the workspaces may still start beside what this pass has started
 	rowRoom    map[chutegraph.JobID]int  // bytes left in the rows of the scheduled jobs that have been looked at
 	// quarantineWaits becomes quarantineDueSince after the pass.
 	quarantineWaits *immutable.SortedMap[chutegraph.StepID, time.Time]
--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -99,7 +99,7 @@
 func (p *pass) planQuarantine(demands []chuteplacement.Demand) quarantinePlan {
 	plan := quarantinePlan{taken: make(map[chutetask.WorkerID]bool)}
 	for _, d := range demands {
-		d, held := d.SplitByQuota(p.quotas)
+		d, held := d.SplitByQuota(p.quotas.Quotas)
 		if len(held.Indexes) > 0 {
 			p.waitForQuarantine(held, "limit")
 		}
@@ -261,7 +261,7 @@
 	d.MayPreempt, d.Guaranteed = false, false
 	d.TasksByWorker = maps.Clone(d.TasksByWorker)
 	var starts []chuteplacement.Start
-	for _, decision := range chuteplacement.Plan(chuteplacement.View{Workers: workers, Demands: []chuteplacement.Demand{d}, Quotas: p.quotas}) {
+	for _, decision := range chuteplacement.Plan(chuteplacement.View{Workers: workers, Demands: []chuteplacement.Demand{d}, Quotas: p.quotas.Snapshot()}) {
 		if s, ok := decision.(chuteplacement.Start); ok {
 			starts = append(starts, s)
 		}
--- a/chuteplanner/quota.go
+++ b/chuteplanner/quota.go
@@ -12,12 +12,13 @@
 func (p *pass) countUse() {
 	p.weights = chutequota.Weights(p.Environment.Catalog)
 	limited := chutequota.AnyLimit(p.Environment.Catalog)
+	p.quotas = chutequota.Quotas{}.Draft()
 	if p.weights == nil && !limited {
 		return
 	}
 	p.use = chutequota.NewLedger(p.Pool.All(), p.weights != nil || p.quotaReportDue())
 	if limited {
-		p.quotas = chutequota.New(p.Environment.Catalog, p.use)
+		p.quotas = chutequota.New(p.Environment.Catalog, p.use).Draft()
 	}
 }
 
@@ -39,7 +40,7 @@
 			}
 			held[d.ID] = since
 			if d.NeedsReservation || p.Now.Sub(since) >= max(minReservationWait, d.Step.Estimate) {
-				p.quotas = p.quotas.WithReservation(d.StartRequest())
+				p.quotas.Reserve(d.StartRequest())
 			}
 		}
 	}
--- a/chutequota/order_test.go
+++ b/chutequota/order_test.go
@@ -43,9 +43,11 @@
 	}{
 		{"the smaller use first", map[string]int{"a": 8, "b": 4}, nil, []chutequota.Item{item("a", 0, 1), item("b", 0, 1)}, []chutequota.Part{{1, 0, 1}, {0, 0, 1}}},
 		{
-			"the smaller use for its weight first", map[string]int{"a": 8, "b": 4},
+			"the smaller use for its weight first",
+			map[string]int{"a": 8, "b": 4},
 			map[string]float64{"a": 4},
-			[]chutequota.Item{item("b", 0, 1), item("a", 0, 1)}, []chutequota.Part{{1, 0, 1}, {0, 0, 1}},
+			[]chutequota.Item{item("b", 0, 1), item("a", 0, 1)},
+			[]chutequota.Part{{1, 0, 1}, {0, 0, 1}},
 		},
 		{"a lower rank first", map[string]int{"a": 8}, nil, []chutequota.Item{item("a", 0, 1), item("b", 1, 1)}, []chutequota.Part{{0, 0, 1}, {1, 0, 1}}},
 		{"equal shares in order", nil, nil, []chutequota.Item{item("b", 0, 1), item("a", 0, 1)}, []chutequota.Part{{0, 0, 1}, {1, 0, 1}}},
--- a/chutequota/quotas.go
+++ b/chutequota/quotas.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 
-	"github.com/benbjohnson/immutable"
-
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutecatalog"
 	"monsoonchute.example/monsoonchute/chutegraph"
@@ -12,8 +10,9 @@
 
 // Quotas is what each workspace that has a quota may still start. It is immutable; its zero value limits nothing.
 type Quotas struct {
-	accounts *immutable.Map[string, account] // by workspace that has a quota; nil if none has
-	reserved int                             // number of reservations
+	index    map[string]int // of the account of each workspace that has a quota; never modified
+	accounts []account      // never modified
+	reserved int            // number of reservations
 }
 
 // account is the use and the quota of a workspace.
@@ -52,31 +51,33 @@
 // New returns the quotas of the catalog with what the ledger says is in use.
 func New(catalog chutecatalog.Catalog, ledger Ledger) Quotas {
 	var q Quotas
-	none := chutecapacity.Resources{}
 	for _, w := range catalog.Workspaces {
-		if w.Limit == none {
+		if (w.Limit == chutecapacity.Resources{}) {
 			continue
 		}
-		if q.accounts == nil {
-			q.accounts = immutable.NewMap[string, account](nil)
+		if q.index == nil {
+			q.index = make(map[string]int, len(catalog.Workspaces))
+			q.accounts = make([]account, 0, len(catalog.Workspaces))
 		}
 		use := ledger.Use(w.Name)
-		q.accounts = q.accounts.Set(w.Name, account{limit: w.Limit, use: use.Requested, stopping: use.Stopping})
+		q.index[w.Name] = len(q.accounts)
+		q.accounts = append(q.accounts, account{limit: w.Limit, use: use.Requested, stopping: use.Stopping})
 	}
 	return q
 }
 
 // account returns the account of the workspace, and false if it has no quota.
 func (q Quotas) account(workspace string) (account, bool) {
-	if q.accounts == nil {
+	i, limited := q.index[workspace]
+	if !limited {
 		return account{}, false
 	}
-	return q.accounts.Get(workspace)
+	return q.accounts[i], true
 }
 
 // Limited reports whether the workspace has a quota.
 func (q Quotas) Limited(workspace string) bool {
-	_, limited := q.account(workspace)
+	_, limited := q.index[workspace]
 	return limited
 }
 
@@ -91,10 +92,9 @@
 		return nil
 	}
 	steps := make(map[string]chutegraph.StepID, q.reserved)
-	for i := q.accounts.Iterator(); !i.Done(); {
-		workspace, a, _ := i.Next()
-		if (a.reservation != Reservation{}) {
-			steps[workspace] = a.reservation.Step
+	for workspace, i := range q.index {
+		if r := q.accounts[i].reservation; r != (Reservation{}) {
+			steps[workspace] = r.Step
 		}
 	}
 	return steps
@@ -174,50 +174,6 @@
 	}
 }
 
-// WithUse returns the quotas after runs of the step that request the resources were planned for the workspace. What was reserved
-// for the step is not reserved any more.
-func (q Quotas) WithUse(workspace string, step chutegraph.StepID, requested chutecapacity.Resources) Quotas {
-	a, limited := q.account(workspace)
-	if !limited {
-		return q
-	}
-	a.use = a.use.Plus(requested)
-	if none := (Reservation{}); a.reservation != none && a.reservation.Step == step {
-		a.reservation = none
-		q.reserved--
-	}
-	q.accounts = q.accounts.Set(workspace, a)
-	return q
-}
-
-// WithStopping returns the quotas after the stop of runs that request the resources was decided.
-func (q Quotas) WithStopping(workspace string, requested chutecapacity.Resources) Quotas {
-	a, limited := q.account(workspace)
-	if !limited {
-		return q
-	}
-	a.stopping = a.stopping.Plus(requested)
-	q.accounts = q.accounts.Set(workspace, a)
-	return q
-}
-
-// WithReservation returns the quotas with what the request needs reserved for it, unless its workspace has a reservation for a step
-// of the same or a higher priority, or could never start it.
-func (q Quotas) WithReservation(r Request) Quotas {
-	a, limited := q.account(r.Workspace)
-	none := chutecapacity.Resources{}
-	exists := a.reservation.Need != none
-	if !limited || r.Guaranteed || !q.EverAllows(r) || r.need() == none || exists && a.reservation.Priority <= r.Priority {
-		return q
-	}
-	if !exists {
-		q.reserved++
-	}
-	a.reservation = Reservation{Step: r.Step, Priority: r.Priority, Need: r.need()}
-	q.accounts = q.accounts.Set(r.Workspace, a)
-	return q
-}
-
 // fits reports whether the need is at most what is available of each resource that it has and that is limited.
 func fits(need, limit, available chutecapacity.Resources) bool {
 	within := func(need, limit, available int) bool { return need <= 0 || limit <= 0 || need <= available }
