--- a/chuteoperator/change_test.go
+++ b/chuteoperator/change_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutecatalog"
 	"monsoonchute.example/monsoonchute/chuteoperator"
 )
 
@@ -61,3 +62,18 @@
 	}
 	runtime.KeepAlive(s)
 }
+
+// TestNothingStartsBeforeAConfigurationIsKnown guards against starts above a quota by a host that has read the operators' table while the
+// row of the configuration could not be decoded.
+func TestNothingStartsBeforeAConfigurationIsKnown(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	answer := chuteaction.TableChanged{Table: chuteaction.TableOperator, Complete: true, SentAt: now, Rows: []chuteaction.Row{{Version: 1}}}
+	s := chuteoperator.New(0).HandleTableChanged(chuteaction.NewTransition(now, 0), answer)
+	if !s.OperatorsOld(now) {
+		t.Error("tasks may start without a configuration")
+	}
+	answer.Rows[0].Value = chuteaction.CatalogRow{Catalog: chutecatalog.Catalog{Version: 1}}
+	if s = s.HandleTableChanged(chuteaction.NewTransition(now, 0), answer); s.OperatorsOld(now) {
+		t.Error("tasks may not start under a configuration that has just been read")
+	}
+}
--- a/chuteoperator/state.go
+++ b/chuteoperator/state.go
@@ -63,9 +63,10 @@
 	return s.catalog.Loaded() && s.Age(now) <= s.applyTime
 }
 
-// OperatorsOld reports whether the operators may have changed zones or waves too long ago for tasks or maintenance to begin.
+// OperatorsOld reports whether the operators may have changed zones, waves or quotas too long ago for tasks or maintenance to begin. It
+// is so as well while no configuration is known, since a start might exceed a quota in it.
 func (s State) OperatorsOld(now time.Time) bool {
-	return s.Age(now) > maxZonesAge
+	return !s.catalog.Loaded() || s.Age(now) > maxZonesAge
 }
 
 // Tick logs that the table has become out of date.
--- a/chuteplanner/demand.go
+++ b/chuteplanner/demand.go
@@ -76,7 +76,9 @@
 			d.TasksByWorker[task.Worker]++
 		}
 	}
-	if q, ok := p.Environment.Catalog.Queue(j.Queue); ok && q.Approval != nil {
+	if q, ok := p.Environment.Catalog.Queue(j.Queue); ok && q.Approval != nil && p.heldByQuota(d) {
+		d.Tickets = make(map[chutetask.WorkerID]string) // approvals are requested once the quota allows a start
+	} else if ok && q.Approval != nil {
 		d.Tickets, p.approvals = p.approvals.Tickets(p.Transition.Transition, j, id)
 		if len(d.Tickets) == 0 {
 			return list
--- /dev/null
+++ b/chuteplanner/quota_test.go
@@ -0,0 +1,99 @@
+package chuteplanner_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutecapacity"
+	"monsoonchute.example/monsoonchute/chutecatalog"
+	"monsoonchute.example/monsoonchute/chutefreshness"
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chuterunner"
+	"monsoonchute.example/monsoonchute/chutetask"
+)
+
+// limit gives the job a workspace with a quota of so many tasks, each of which requests 1000 thousandths of a core, of which runs of
+// ended jobs on the worker use some.
+func (s *scheduler) limit(tasks, used int, worker chutetask.WorkerID) {
+	s.environment.Catalog.Workspaces = []chutecatalog.Workspace{{Name: "a", Limit: chutecapacity.Resources{Processor: 1000 * tasks}}}
+	j, _ := s.state.Live.Get(testID)
+	j.Workspace = "a"
+	s.state.Live = s.state.Live.Set(testID, j)
+	w, _ := s.state.Pool.Get(worker)
+	for i := range used {
+		id := chutegraph.RunID{Task: chutegraph.TaskID{StepID: chutegraph.StepID{Job: "00000000000000cc"}, Index: i}, Number: 1}
+		run := chutepool.Run{ID: id, Workspace: "a", Request: chutecapacity.Resources{Processor: 1000}}
+		w = w.WithRun(run.WithPhase(chutepool.RunStopping, s.now))
+	}
+	s.state.Pool = s.state.Pool.With(w)
+}
+
+// effects runs a planning pass and returns its effects.
+func (s *scheduler) effects() []chuteaction.Effect {
+	s.state.List = chutefreshness.New(s.now, 0)
+	t := chuterunner.NewTransition(chuteaction.NewTransition(s.now, 0), s.state, s.environment)
+	s.planner, s.state = s.planner.Plan(t), t.State
+	return t.Effects
+}
+
+// TestAStepThatWaitsForItsQuotaSaysSo guards against a job that waits beside free workers without a reason, and against runs of jobs
+// that have ended and do not count while they are being stopped.
+func TestAStepThatWaitsForItsQuotaSaysSo(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(chutegraph.Step{Count: 2, Gang: true})
+	s.environment.Catalog.Queues[0].Approval = nil
+	s.limit(3, 2, "w00")
+	is.Equal(s.waitReason(), "limit")
+	is.Equal(s.started(), 0)
+}
+
+// TestNoApprovalIsRequestedForAStepThatItsQuotaHoldsBack guards against an approval service that is busy with steps that cannot start.
+func TestNoApprovalIsRequestedForAStepThatItsQuotaHoldsBack(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(chutegraph.Step{Count: 1})
+	s.limit(1, 1, "w00")
+	is.Equal(s.plan(), 0)
+	s.limit(2, 1, "w00")
+	is.True(s.plan() > 0)
+}
+
+// TestAQuarantineStartsWithinItsQuota guards against quarantined tasks that start above a quota, and against those that run beside others
+// because their quota holds them back.
+func TestAQuarantineStartsWithinItsQuota(t *testing.T) {
+	is := is.New(t)
+	s := newSuspect()
+	s.limit(1, 1, failing)
+	s.now = s.now.Add(1)
+	s.effects()
+	is.Equal(s.started(), 0)
+	s.limit(2, 1, failing)
+	s.now = s.now.Add(1e9)
+	s.effects()
+	is.Equal(s.started(), 1)
+	is.Equal(s.runsOn(sound), 1)
+}
+
+// TestMetricsTellWhatWorkspacesUse guards against a quota of which operators cannot see how much is used.
+func TestMetricsTellWhatWorkspacesUse(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(chutegraph.Step{Count: 5})
+	s.environment.Catalog.Queues[0].Approval = nil
+	s.limit(3, 2, "w00")
+	values := make(map[string]float64)
+	for _, effect := range s.effects() {
+		if g, ok := effect.(chuteaction.SetGauge); ok {
+			name := g.Gauge
+			for _, label := range g.Labels {
+				name += " " + label.Value
+			}
+			values[name] = g.Value
+		}
+	}
+	is.Equal(values["workspace-use a processor"], 2000.0)
+	is.Equal(values["workspace-quota a processor"], 3000.0)
+	is.Equal(values["workspace-waiting-tasks a"], 4.0)
+	is.Equal(s.started(), 1)
+}
