--- a/chutequota/quotas.go
+++ b/chutequota/quotas.go
@@ -52,7 +52,7 @@
 func New(catalog chutecatalog.Catalog, ledger Ledger) Quotas {
 	var q Quotas
 	for _, w := range catalog.Workspaces {
-		if (w.Limit == chutecapacity.Resources{}) {
+		if _, known := q.index[w.Name]; known || w.Limit == (chutecapacity.Resources{}) {
 			continue
 		}
 		if q.index == nil {
