Reserve quota only for steps that fit on the workers and that the quota holds back now

Cause: found by reading: a step that no worker could hold, or that had been held back once and then waited for capacity, would have kept a part of its workspace's quota reserved for good.

--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -38,6 +38,7 @@
 	heldSince map[chutegraph.StepID]time.Time
 	// reservedFor is the step for which the free part of each workspace's quota is reserved; never changed once stored.
 	reservedFor map[string]chutegraph.StepID
+	roomChecks  roomChecks
 	quotaReport quotaReport
 }
 
--- a/chuteplanner/quota_test.go
+++ b/chuteplanner/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -66,11 +67,11 @@
 	is := is.New(t)
 	s := newSuspect()
 	s.limit(1, 1, failing)
-	s.now = s.now.Add(1)
+	s.now = s.now.Add(time.Nanosecond)
 	s.effects()
 	is.Equal(s.started(), 0)
 	s.limit(2, 1, failing)
-	s.now = s.now.Add(1e9)
+	s.now = s.now.Add(time.Second)
 	s.effects()
 	is.Equal(s.started(), 1)
 	is.Equal(s.runsOn(sound), 1)
@@ -97,3 +98,23 @@
 	is.Equal(values["workspace-waiting-tasks a"], 4.0)
 	is.Equal(s.started(), 1)
 }
+
+// TestNoQuotaIsReservedForAStepThatFitsNowhere guards against a workspace that loses a part of its quota to a step that never starts.
+func TestNoQuotaIsReservedForAStepThatFitsNowhere(t *testing.T) {
+	for label, want := range map[string]int{"": 1, "absent": 0} {
+		is := is.New(t)
+		s := newScheduler(chutegraph.Step{Count: 2, Gang: true, Label: label})
+		s.environment.Catalog.Queues[0].Approval = nil
+		s.limit(3, 2, "w00")
+		reserved := 0
+		for range 6 {
+			s.now = s.now.Add(time.Second)
+			for _, effect := range s.effects() {
+				if c, ok := effect.(chuteaction.Count); ok && c.Counter == "quota-reserved" {
+					reserved++
+				}
+			}
+		}
+		is.Equal(reserved, want)
+	}
+}
