--- a/chuteplanner/quota_test.go
+++ b/chuteplanner/quota_test.go
@@ -118,3 +118,14 @@
 		is.Equal(reserved, want)
 	}
 }
+
+// TestBestEffortTasksCountWithTheirProcessorTime guards against best-effort tasks that run above a quota, since they reserve no processor
+// time on their workers.
+func TestBestEffortTasksCountWithTheirProcessorTime(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(chutegraph.Step{Count: 6, BestEffort: true})
+	s.environment.Catalog.Queues[0].Approval = nil
+	s.limit(4, 1, "w00")
+	s.effects()
+	is.Equal(s.started(), 3)
+}
