--- a/chuteplanner/demand.go
+++ b/chuteplanner/demand.go
@@ -68,7 +68,7 @@
 	}
 	priority := p.Priority(j)
 	d := chuteplacement.Demand{
-		ID: id, Step: step, Service: p.Service(j), Priority: priority, MayPreempt: priority == 0, Guaranteed: p.guaranteed[j.ID], Nominated: p.nominated[id],
+		ID: id, Step: step, Service: p.Service(j), Workspace: j.Workspace, Priority: priority, MayPreempt: priority == 0, Guaranteed: p.guaranteed[j.ID], Nominated: p.nominated[id],
 		Indexes: indexes, TasksByWorker: make(map[chutetask.WorkerID]int),
 	}
 	for _, task := range tasks {
@@ -76,7 +76,9 @@
 			d.TasksByWorker[task.Worker]++
 		}
 	}
-	if q, ok := p.Environment.Catalog.Queue(j.Queue); ok && q.Approval != nil {
+	if q, ok := p.Environment.Catalog.Queue(j.Queue); ok && q.Approval != nil && p.heldByQuota(d) {
+		d.Tickets = make(map[chutetask.WorkerID]string) // approvals are requested once the quota allows a start
+	} else if ok && q.Approval != nil {
 		d.Tickets, p.approvals = p.approvals.Tickets(p.Transition.Transition, j, id)
 		if len(d.Tickets) == 0 {
 			return list
