chutegang: a report from before a start ends no part

The answer to a poll that was sent before a start order may arrive after the answer to that order. The part then counted as running and was missing from the report, so that it counted as lost, its accelerators were released and its job was started again while the part still ran. A part must now be listed only by answers to polls that were sent after the start order had expired or after all parts were known to run.

The test fails without the change (stopping != running).

--- a/chutegang/report.go
+++ b/chutegang/report.go
@@ -76,13 +76,12 @@
 }
 
 // mustBeReported reports whether the answer to a poll that was sent at the given time must list the part if the part
-// runs. That is not so while the worker may still accept the part's start order.
+// runs. That is not so if the worker may have accepted the part's start order after the poll: the answers to the two may
+// arrive in either order.
 func mustBeReported(j chutejob.Job, p chutejob.Part, sent time.Time) bool {
 	switch p.State {
-	case chutejob.PartRunning:
-		return true
-	case chutejob.PartOrdered:
-		return sent.After(j.PhaseSince.Add(StartOrderValidity)) || j.Phase != chutejob.PhaseStarting
+	case chutejob.PartOrdered, chutejob.PartRunning:
+		return sent.After(j.StartOrderedAt.Add(StartOrderValidity)) || j.Phase == chutejob.PhaseRunning && sent.After(j.PhaseSince)
 	case chutejob.PartPending, chutejob.PartDone, chutejob.PartFailed, chutejob.PartStopped:
 		return false
 	}
--- a/chutegang/report_test.go
+++ b/chutegang/report_test.go
@@ -142,3 +142,17 @@
 	r, _ := s.state.Registry.Get(workerID(0))
 	is.Equal(r.Health.Suspensions, 1)
 }
+
+// TestAReportFromBeforeAStartEndsNoPart guards against a running part that counts as lost, and whose job is started again
+// beside it, since the answer to an earlier poll arrives after the answer to the start order.
+func TestAReportFromBeforeAStartEndsNoPart(t *testing.T) {
+	is := is.New(t)
+	s := newShard(2)
+	s.run("job", 0, 1)
+	s.handle(func(t *chutegang.Transition) {
+		sent := s.now.Add(-2 * time.Second) // a second before the start orders
+		t.HandleReport(chuteevent.WorkerPolled{Worker: workerID(0), SentAt: sent, ReceivedAt: s.now, Lease: time.Minute, Report: chuteorder.Report{Clock: time.Hour}})
+	})
+	j, _ := s.state.LiveJob("job")
+	is.Equal(j.Phase, chutejob.PhaseRunning)
+}
--- a/chutejob/job.go
+++ b/chutejob/job.go
@@ -27,6 +27,7 @@
 	Parts               []Part                   `json:"parts"`
 	Guaranteed          bool                     `json:"guaranteed"` // runs in a cell of its workspace's guarantee
 	SubmittedAt         time.Time                `json:"submitted"`
+	StartOrderedAt      time.Time                `json:"ordered-at"` // when the start orders of the attempt were sent, or it was adopted
 	RunningSince        time.Time                `json:"started"`    // when all parts of the attempt had started
 	EndedAt             time.Time                `json:"ended"`      // zero until it ends
 	PhaseSince          time.Time                `json:"since"`      // when the current phase began
@@ -92,6 +93,7 @@
 	for i := range j.Parts {
 		j.Parts[i].State = PartOrdered
 	}
+	j.StartOrderedAt = now
 	return j.WithPhase(PhaseStarting, now)
 }
 
