chutedocument: limit and weight of workspaces

The document had a quota that each shard's owner compares with its own jobs alone, so that the sum over shards may reach several times the quota, and no share by which workspaces are served when all is in use.

--- a/chutedocument/change.go
+++ b/chutedocument/change.go
@@ -64,7 +64,7 @@
 	if err := next.check(); err != nil {
 		return d, err
 	}
-	return next.withAllotments(d, topology)
+	return next.withLimitVersions(d).withAllotments(d, topology)
 }
 
 // withSections returns the document with the new values of the changed sections.
@@ -87,6 +87,29 @@
 	return d
 }
 
+// withLimitVersions returns the document with the versions of its limits set, given the document before the change.
+func (d Document) withLimitVersions(previous Document) Document {
+	limits := make(map[string]Limit, len(previous.Workspaces))
+	for _, w := range previous.Workspaces {
+		limits[w.Name] = w.Limit
+	}
+	d.Workspaces = slices.Clone(d.Workspaces)
+	for i, w := range d.Workspaces {
+		old, limit := limits[w.Name], w.Limit.Accelerators
+		w.Limit = Limit{Accelerators: limit, Since: old.Since, Version: old.Version}
+		switch {
+		case limit == 0:
+			w.Limit = Limit{}
+		case old.Accelerators == 0 || d.Policy.Shards != previous.Policy.Shards:
+			w.Limit.Since, w.Limit.Version = d.Version, d.Version
+		case old.Accelerators != limit:
+			w.Limit.Version = d.Version
+		}
+		d.Workspaces[i] = w
+	}
+	return d
+}
+
 // withZone returns the zones, sorted by name, with the zone added or replaced.
 func withZone(zones []Zone, zone Zone) []Zone {
 	next := slices.DeleteFunc(slices.Clone(zones), func(z Zone) bool { return z.Name == zone.Name })
--- a/chutedocument/check.go
+++ b/chutedocument/check.go
@@ -1,6 +1,7 @@
 package chutedocument
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 const (
 	maxNameBytes      = 128
 	maxPolicyDuration = 30 * 24 * time.Hour
+	maxWeight         = 1e6
 )
 
 // malformed returns a Malformed error with the formatted detail.
@@ -92,6 +94,9 @@
 		if w.Quota < 0 {
 			return malformed("workspaces[%d].quota: must not be negative", i)
 		}
+		if err := checkLimit(i, w); err != nil {
+			return err
+		}
 		if _, known := d.Team(w.Team); w.Team != "" && len(d.Teams) > 0 && !known {
 			return malformed("workspaces[%d].team: %q is not a team", i, w.Team)
 		}
@@ -107,6 +112,18 @@
 	return nil
 }
 
+// checkLimit checks the limit and the weight of the workspace at the index. That the limit covers the guarantees is
+// checked with them.
+func checkLimit(index int, w Workspace) error {
+	if w.Limit.Accelerators < 0 {
+		return malformed("workspaces[%d].limit.accelerators: must not be negative", index)
+	}
+	if math.IsNaN(w.Weight) || w.Weight < 0 || w.Weight > maxWeight || w.Weight > 0 && w.Weight < 1/maxWeight {
+		return malformed("workspaces[%d].weight: must be 0 or %v to %v", index, 1/maxWeight, maxWeight)
+	}
+	return nil
+}
+
 // checkGuarantees checks the guarantees of the workspace at the index and returns the number of its guaranteed shapes.
 func checkGuarantees(index int, w Workspace) (int, error) {
 	cells, accelerators := 0, 0
@@ -123,6 +140,9 @@
 	if w.Quota > 0 && accelerators > w.Quota {
 		return 0, malformed("workspaces[%d].quota: %d is under the guaranteed %d", index, w.Quota, accelerators)
 	}
+	if w.Limit.Accelerators > 0 && accelerators > w.Limit.Accelerators {
+		return 0, malformed("workspaces[%d].limit.accelerators: %d is under the guaranteed %d", index, w.Limit.Accelerators, accelerators)
+	}
 	return cells, nil
 }
 
--- a/chutedocument/document.go
+++ b/chutedocument/document.go
@@ -36,6 +36,32 @@
 	Team       string      `json:"team"`
 	Quota      int         `json:"quota"` // limit on the accelerators held at once; 0 means no limit
 	Guarantees []Guarantee `json:"guarantees"`
+	Limit      Limit       `json:"limit"`
+	Weight     float64     `json:"weight"` // share of the accelerators, relative to other workspaces, when all are in use
+}
+
+// Limit is what the jobs of a workspace may have in use across all shards. Apply maintains the versions.
+type Limit struct {
+	Accelerators int `json:"accelerators"` // 0 means no limit
+	Since        int `json:"since"`        // version of the document since which there has been a limit for the same shards
+	Version      int `json:"version"`      // version of the document that set Accelerators to the present value
+}
+
+// Guaranteed returns the number of accelerators in the guarantees of the workspace.
+func (w Workspace) Guaranteed() int {
+	sum := 0
+	for _, g := range w.Guarantees {
+		sum += g.Count * g.Shape.Total()
+	}
+	return sum
+}
+
+// ShareWeight returns the weight of the workspace, where an absent one counts as 1.
+func (w Workspace) ShareWeight() float64 {
+	if w.Weight == 0 {
+		return 1
+	}
+	return w.Weight
 }
 
 // Zone is the setting of the operators for one availability zone.
@@ -119,6 +145,11 @@
 	return d.Workspaces[index], true
 }
 
+// HasWeights reports whether any workspace has a weight.
+func (d Document) HasWeights() bool {
+	return slices.ContainsFunc(d.Workspaces, func(w Workspace) bool { return w.Weight > 0 })
+}
+
 // Team returns the team with the name, and false if there is none.
 func (d Document) Team(name string) (Team, bool) {
 	index := slices.IndexFunc(d.Teams, func(t Team) bool { return t.Name == name })
--- a/chutedocument/document_test.go
+++ b/chutedocument/document_test.go
@@ -1,6 +1,7 @@
 package chutedocument_test
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -47,6 +48,13 @@
 	}}}
 }
 
+// limitedWorkspace returns a change to a workspace with eight guaranteed accelerators, the limit and the weight.
+func limitedWorkspace(limit int, weight float64) chutedocument.Change {
+	workspaces := guaranteedWorkspaces(1, 2, 4, chutetopology.LevelRack)
+	(*workspaces)[0].Limit.Accelerators, (*workspaces)[0].Weight = limit, weight
+	return chutedocument.Change{Team: "a", Override: true, Workspaces: workspaces}
+}
+
 func TestRefusedChanges(t *testing.T) {
 	policy := chutedocument.DefaultPolicy()
 	bad := policy
@@ -64,6 +72,10 @@
 		{"bad policy", chutedocument.Change{Team: "b", Policy: &bad}, chuteresult.Malformed, "policy.shards"},
 		{"too many guarantees", chutedocument.Change{Team: "a", Base: baseVersions(1), Workspaces: guaranteedWorkspaces(9, 1, 2, chutetopology.LevelWorker)}, chuteresult.GuaranteesNotMet, "workspace w: shape 1x2 in worker"},
 		{"fits in no rack", chutedocument.Change{Team: "a", Base: baseVersions(1), Workspaces: guaranteedWorkspaces(1, 3, 4, chutetopology.LevelRack)}, chuteresult.GuaranteesNotMet, "workspace w: shape 3x4 in rack"},
+		{"negative limit", limitedWorkspace(-1, 0), chuteresult.Malformed, "workspaces[0].limit.accelerators"},
+		{"negative weight", limitedWorkspace(0, -1), chuteresult.Malformed, "workspaces[0].weight"},
+		{"weight that is no number", limitedWorkspace(0, math.NaN()), chuteresult.Malformed, "workspaces[0].weight"},
+		{"limit under the guarantee", limitedWorkspace(7, 0), chuteresult.Malformed, "workspaces[0].limit.accelerators: 7 is under the guaranteed 8"},
 		{"several parts within one worker", chutedocument.Change{Team: "a", Base: baseVersions(1), Workspaces: guaranteedWorkspaces(1, 2, 1, chutetopology.LevelWorker)}, chuteresult.Malformed, "workspaces[0].guarantees[0].parts"},
 	}
 	for _, c := range cases {
@@ -117,3 +129,31 @@
 	}
 	is.Equal(document.Stamps[chutedocument.SectionZones].Version, 3)
 }
+
+// TestLimitsAreNumbered guards against entries of an earlier limit that count for a later one: Since must change when
+// the limit was absent in between or the shards change, and must not change with the value.
+func TestLimitsAreNumbered(t *testing.T) {
+	is := is.New(t)
+	document := ownedDocument(t)
+	policy := chutedocument.DefaultPolicy()
+	policy.Shards = 2
+	moreShards := chutedocument.Change{Team: "b", Override: true, Policy: &policy}
+	for _, c := range []struct {
+		change  chutedocument.Change
+		since   int
+		version int
+	}{
+		{limitedWorkspace(8, 0), 2, 2},
+		{limitedWorkspace(8, 1), 2, 2},
+		{limitedWorkspace(12, 1), 2, 4},
+		{limitedWorkspace(0, 1), 0, 0},
+		{limitedWorkspace(12, 1), 6, 6},
+		{moreShards, 7, 7},
+	} {
+		after, err := document.Apply(c.change, topology, now)
+		is.NoErr(err)
+		document = after
+		is.Equal(document.Workspaces[0].Limit.Since, c.since)
+		is.Equal(document.Workspaces[0].Limit.Version, c.version)
+	}
+}
--- a/chuteform/document.go
+++ b/chuteform/document.go
@@ -73,7 +73,10 @@
 func parseWorkspaces(sections []workspaceSection) ([]chutedocument.Workspace, error) {
 	workspaces := make([]chutedocument.Workspace, 0, len(sections))
 	for i, s := range sections {
-		w := chutedocument.Workspace{Name: s.Name, Team: s.Team, Quota: s.Quota}
+		w := chutedocument.Workspace{Name: s.Name, Team: s.Team, Quota: s.Quota, Weight: s.Weight}
+		if s.Limit != nil {
+			w.Limit.Accelerators = s.Limit.Accelerators
+		}
 		for j, g := range s.Guarantees {
 			level, ok := chutetopology.ParseLevel(g.Within)
 			if !ok {
@@ -134,7 +137,10 @@
 		file.Base[string(s)] = document.Stamps[s].Version
 	}
 	for _, w := range document.Workspaces {
-		section := workspaceSection{Name: w.Name, Team: w.Team, Quota: w.Quota}
+		section := workspaceSection{Name: w.Name, Team: w.Team, Quota: w.Quota, Weight: w.Weight}
+		if w.Limit.Accelerators > 0 {
+			section.Limit = &limitSection{Accelerators: w.Limit.Accelerators}
+		}
 		for _, g := range w.Guarantees {
 			section.Guarantees = append(section.Guarantees, guaranteeSection{
 				Count: g.Count, Parts: g.Shape.Parts, Accelerators: g.Shape.Accelerators, Within: g.Shape.Within.String(),
--- a/chuteform/format_test.go
+++ b/chuteform/format_test.go
@@ -62,6 +62,7 @@
 	is := is.New(t)
 	change, err := chuteform.ParseDocument(chutedev.SampleDocument())
 	is.NoErr(err)
+	(*change.Workspaces)[0].Limit.Accelerators, (*change.Workspaces)[0].Weight = 64, 2.5
 	topology := chutesimulation.Topology(2, 2, 2, 8)
 	document, err := chutedocument.New().Apply(change, topology, time.Unix(1, 0))
 	is.NoErr(err)
--- a/chuteform/section.go
+++ b/chuteform/section.go
@@ -28,9 +28,15 @@
 	Name       string             `toml:"name"`
 	Team       string             `toml:"team"`
 	Quota      int                `toml:"quota"`
+	Weight     float64            `toml:"weight,omitempty"`
+	Limit      *limitSection      `toml:"limit,omitempty"`
 	Guarantees []guaranteeSection `toml:"guarantees"`
 }
 
+type limitSection struct {
+	Accelerators int `toml:"accelerators"`
+}
+
 type guaranteeSection struct {
 	Count        int    `toml:"count"`
 	Parts        int    `toml:"parts"`
