Enforce the limits of workspaces over all shards, and serve by share

Each owner compared a workspace's quota with its own shard alone. A ledger for each workspace with a limit, a row of the store, now allots the limit to the shards (chutelimit). Owners change their own entries under their fence and the row's version, start nothing beyond them, give back what they do not need, and reserve free parts for jobs that are covered by a guarantee, urgent, or have waited 10 s. After the introduction of a limit all shards record what runs before anything starts; after a reduction nothing starts until the sum is within it. A covered job stops borrowers of its workspace. With weights in the document, workspaces are served by accelerators in use / weight.

The simulation checks at each start what a workspace runs on all workers.

--- a/chuteadmission/causes.go
+++ b/chuteadmission/causes.go
@@ -7,8 +7,9 @@
 	"monsoonchute.example/monsoonchute/chutejob"
 )
 
-// Causes returns why the job waits, as texts for the operator. For a job that does not wait it returns the phase.
-func Causes(t *chutegang.Transition, j chutejob.Job) []string {
+// Causes returns why the job waits, as texts for the operator. For a job that does not wait it returns the phase. The
+// text limit says why the limit of its workspace holds the job back; it is empty if it does not.
+func Causes(t *chutegang.Transition, j chutejob.Job, limit string) []string {
 	if j.Phase != chutejob.PhaseWaiting {
 		return []string{fmt.Sprintf("phase: %s since %s", j.Phase, t.Now().Sub(j.PhaseSince).Round(1e6))}
 	}
@@ -19,6 +20,9 @@
 	if refusal, never := Rejection(t, j.Spec); never {
 		causes = append(causes, "never: "+refusal.Detail)
 	}
+	if limit != "" {
+		causes = append(causes, limit)
+	}
 	free, usable := t.State.Inventory.Free(), t.State.Inventory.Usable()
 	if _, fits := usable.Place(j.Spec.Shape); !fits {
 		causes = append(causes, fmt.Sprintf("workers: %d accelerators are usable and %s fits none of their blocks; a zone or suspected workers must return",
--- a/chuteadmission/check.go
+++ b/chuteadmission/check.go
@@ -21,6 +21,10 @@
 		return chuteresult.New(chuteresult.OverQuota, "shape: %s holds %d accelerators, the quota of %s is %d",
 			spec.Shape, spec.Shape.Total(), w.Name, w.Quota), true
 	}
+	if limit := w.Limit.Accelerators; limit > 0 && spec.Shape.Total() > limit {
+		return chuteresult.New(chuteresult.OverQuota, "shape: %s holds %d accelerators, the limit of workspace %s is %d",
+			spec.Shape, spec.Shape.Total(), w.Name, limit), true
+	}
 	team, ok := t.Environment.Document.Team(w.Team)
 	if ok && team.Quota > 0 && spec.Shape.Total() > team.Quota {
 		return chuteresult.New(chuteresult.OverQuota, "shape: %s holds %d accelerators, the quota of team %s is %d",
--- a/chuteallocator/allocator.go
+++ b/chuteallocator/allocator.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -32,48 +33,75 @@
 	Inventory chuteinventory.Inventory
 	Waiting   []chutejob.Job // jobs that may start now
 	Holding   []chutejob.Job // jobs that hold accelerators or have some assigned
+	Rooms     map[string]int // by workspace with a limit: accelerators that its jobs may take now beyond those in use
 
 	MaxGrants int // limit on the grants of one pass
 }
 
+// Decision is the result of a planning pass.
+type Decision struct {
+	Inventory chuteinventory.Inventory // accounts for the grants
+	Grants    []Grant
+	Held      map[string]Held // by workspace whose limit holds jobs back
+}
+
 // pass is the state of one planning pass.
 type pass struct {
 	view             View
 	inventory        chuteinventory.Inventory
 	grants           []Grant
+	rooms            map[string]int       // what Rooms leaves after the grants of this pass
+	held             map[string]Held      // by workspace
+	counted          map[chutejob.ID]bool // jobs counted as held back
+	startabilities   map[startKey]startability
 	granted          map[chutejob.ID]bool
 	preempted        map[chutejob.ID]bool
 	borrowed         []chutetopology.Block // blocks granted to borrowers in this pass
 	usage            usage
+	weights          map[string]float64           // by workspace, nil without weights
 	movableOnly      []chutetopology.WorkerID     // workers kept clear of jobs that cannot move, for a starved gang
 	borrowFailed     map[chutetopology.Shape]bool // shapes without a free placement in this pass
 	preemptionFailed map[chutetopology.Shape]bool // shapes without a placement even after preemption
 }
 
-// Plan returns the grants of one pass and the inventory that accounts for them. It serves jobs from cells that fit them
+// Plan returns the grants of one pass. It serves jobs from cells that fit them
 // closely, then from free accelerators, then from any cell that they fit, and at last by preemption. At each of these
 // stages it serves urgent jobs first, then starved jobs, then those in the lowest band of accelerator time, then those
-// that were submitted first.
-func Plan(view View) (chuteinventory.Inventory, []Grant) {
+// that were submitted first. If the document has weights, the workspaces' shares come directly after urgency.
+func Plan(view View) Decision {
 	if len(view.Waiting) == 0 {
-		return view.Inventory, nil
+		return Decision{Inventory: view.Inventory}
 	}
 	p := &pass{
 		view: view, inventory: view.Inventory, usage: countUsage(view),
-		granted: make(map[chutejob.ID]bool), preempted: make(map[chutejob.ID]bool),
+		rooms: maps.Clone(view.Rooms), held: make(map[string]Held), counted: make(map[chutejob.ID]bool),
+		startabilities: make(map[startKey]startability),
+		granted:        make(map[chutejob.ID]bool), preempted: make(map[chutejob.ID]bool),
 		borrowFailed: make(map[chutetopology.Shape]bool), preemptionFailed: make(map[chutetopology.Shape]bool),
 	}
 	queue := slices.Clone(view.Waiting)
 	slices.SortFunc(queue, p.compare)
 	p.restrictToMovable(queue)
 	for _, serve := range []func(chutejob.Job){p.claimCloseFit, p.borrow, p.claimAnyFit, p.preempt} {
-		for _, j := range queue {
-			if !p.granted[j.ID] && len(p.grants) < view.MaxGrants && p.usage.allows(j) {
+		p.serveInOrder(queue, func(j chutejob.Job) {
+			if !p.granted[j.ID] && len(p.grants) < view.MaxGrants && p.usage.allows(j) && p.hasRoom(j) {
 				serve(j)
 			}
-		}
+		})
+	}
+	return Decision{Inventory: p.inventory, Grants: p.grants, Held: p.held}
+}
+
+// serveInOrder calls serve for each job of the queue, in the order of the queue or, if the document has weights, by the
+// shares of the workspaces.
+func (p *pass) serveInOrder(queue []chutejob.Job, serve func(chutejob.Job)) {
+	if p.view.Document.HasWeights() {
+		p.serveByShare(queue, serve)
+		return
+	}
+	for _, j := range queue {
+		serve(j)
 	}
-	return p.inventory, p.grants
 }
 
 // compare orders jobs in the queue by urgency, starvation, band of accelerator time and time of submission.
@@ -215,4 +243,10 @@
 	}
 	p.grants = append(p.grants, g)
 	p.usage.add(j)
+	if _, limited := p.rooms[j.Spec.Workspace]; limited {
+		p.rooms[j.Spec.Workspace] -= j.Spec.Shape.Total()
+		if p.held[j.Spec.Workspace].Job == j.ID {
+			delete(p.held, j.Spec.Workspace)
+		}
+	}
 }
--- a/chuteallocator/usage.go
+++ b/chuteallocator/usage.go
@@ -14,10 +14,11 @@
 	teams      map[string]int
 }
 
-// countUsage returns the usage of the jobs that hold accelerators; it counts nothing if the document has no quota.
+// countUsage returns the usage of the jobs that hold accelerators; it counts nothing if the document has no quota and
+// no weight.
 func countUsage(view View) usage {
 	u := usage{document: view.Document, workspaces: make(map[string]int), teams: make(map[string]int)}
-	if !hasQuota(view.Document) {
+	if !hasQuota(view.Document) && !view.Document.HasWeights() {
 		return u
 	}
 	for _, j := range view.Holding {
--- a/chutegang/state.go
+++ b/chutegang/state.go
@@ -9,6 +9,7 @@
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chuteinventory"
 	"monsoonchute.example/monsoonchute/chutejob"
+	"monsoonchute.example/monsoonchute/chutelimit"
 	"monsoonchute.example/monsoonchute/chuteorder"
 	"monsoonchute.example/monsoonchute/chuteregistry"
 	"monsoonchute.example/monsoonchute/chutetable"
@@ -69,6 +70,16 @@
 	Jobs []chutejob.ID
 }
 
+// PendingLimitRead reads how the limit of a workspace is allotted.
+type PendingLimitRead struct {
+	Workspace string
+}
+
+// PendingLimitWrite records how the limit of a workspace is allotted.
+type PendingLimitWrite struct {
+	Ledger chutelimit.Ledger
+}
+
 func (PendingRecovery) sealedPending()  {}
 func (PendingDelete) sealedPending()    {}
 func (PendingSubmit) sealedPending()    {}
@@ -77,6 +88,9 @@
 func (PendingFinish) sealedPending()    {}
 func (PendingRejection) sealedPending() {}
 
+func (PendingLimitRead) sealedPending()  {}
+func (PendingLimitWrite) sealedPending() {}
+
 // PlacedTask is a task and the worker that keeps its record.
 type PlacedTask struct {
 	Worker chutetopology.WorkerID
@@ -150,7 +164,7 @@
 			if p.Job.ID == id {
 				return true
 			}
-		case PendingRecovery, PendingReserve, PendingCancel, PendingFinish, PendingDelete:
+		case PendingRecovery, PendingReserve, PendingCancel, PendingFinish, PendingDelete, PendingLimitRead, PendingLimitWrite:
 		}
 	}
 	return false
--- a/chutegang/transition.go
+++ b/chutegang/transition.go
@@ -48,6 +48,11 @@
 	t.Emit(chuteevent.LogLine{Component: component, Warning: true, Text: fmt.Sprintf(format, values...)})
 }
 
+// Log writes a line to the log.
+func (t *Transition) Log(format string, values ...any) {
+	t.Emit(chuteevent.LogLine{Component: component, Text: fmt.Sprintf(format, values...)})
+}
+
 // TrackOperation records the purpose of a new store operation and returns its token.
 func (t *Transition) TrackOperation(p Pending) chuteevent.Token {
 	t.State.sequence++
--- a/chutehost/operation.go
+++ b/chutehost/operation.go
@@ -88,7 +88,7 @@
 			t.observeHost(row, stored.Version)
 		case chutetable.ShardRow:
 			t.observeShard(row, stored.Version)
-		case chutetable.JobRow, chutetable.DocumentRow, chutetable.IntentRow:
+		case chutetable.JobRow, chutetable.DocumentRow, chutetable.IntentRow, chutetable.LimitRow:
 		}
 	}
 	if p.kind == operationScanHosts {
--- a/chuteresult/result.go
+++ b/chuteresult/result.go
@@ -99,7 +99,7 @@
 	{StaleBase, "stale-base", 409, "The section changed since the version the change was based on."},
 	{NotFound, "not-found", 404, "The named thing does not exist."},
 	{NeverFits, "never-fits", 422, "The shape fits no part of the topology, even when empty."},
-	{OverQuota, "over-quota", 429, "The team's or workspace's quota would be exceeded."},
+	{OverQuota, "over-quota", 429, "The team's or workspace's quota or limit would be exceeded."},
 	{GuaranteesNotMet, "guarantees-not-met", 422, "The guaranteed shapes cannot all be packed at once."},
 	{Stopping, "stopping", 503, "The entry host is stopping; another one takes the request."},
 	{NotOwner, "not-owner", 421, "The entry host does not own the shard."},
--- a/chuteshard/call.go
+++ b/chuteshard/call.go
@@ -104,7 +104,7 @@
 		t.answerUnknown(from, id)
 		return
 	}
-	t.Answer(from, chutecall.ExplainReply{Job: j, Causes: chuteadmission.Causes(t.Transition, j)})
+	t.Answer(from, chutecall.ExplainReply{Job: j, Causes: chuteadmission.Causes(t.Transition, j, t.limitCause(j))})
 }
 
 func (t *transition) list(from chuteevent.Origin) {
--- a/chuteshard/pending.go
+++ b/chuteshard/pending.go
@@ -27,7 +27,7 @@
 		t.Acknowledge(p.Acknowledged)
 	case chutegang.PendingDelete:
 		t.State = t.State.WithoutEnded(p.Jobs)
-	case chutegang.PendingRecovery:
+	case chutegang.PendingRecovery, chutegang.PendingLimitRead, chutegang.PendingLimitWrite:
 	}
 }
 
@@ -40,7 +40,8 @@
 		t.Answer(p.Call, chutecall.Refuse(chuteresult.NotOwner, "shard %d has another owner", t.State.Shard))
 	case chutegang.PendingRejection:
 		t.Answer(p.Call, chutecall.Refuse(chuteresult.NotOwner, "shard %d has another owner", t.State.Shard))
-	case chutegang.PendingReserve, chutegang.PendingFinish, chutegang.PendingRecovery, chutegang.PendingDelete:
+	case chutegang.PendingReserve, chutegang.PendingFinish, chutegang.PendingRecovery, chutegang.PendingDelete,
+		chutegang.PendingLimitRead, chutegang.PendingLimitWrite:
 	}
 }
 
@@ -67,6 +68,10 @@
 		}
 	case chutegang.PendingRecovery:
 		t.Emit(t.readJobs())
+	case chutegang.PendingLimitRead:
+		t.handleLimitFailed(p.Workspace)
+	case chutegang.PendingLimitWrite:
+		t.handleLimitFailed(p.Ledger.Workspace)
 	case chutegang.PendingDelete: // the next deletion covers the same jobs
 	}
 }
--- a/chuteshard/plan.go
+++ b/chuteshard/plan.go
@@ -21,13 +21,14 @@
 	}
 	t.State.PlanDue = false
 	t.state.plannedAt = t.Now()
-	inventory, grants := chuteallocator.Plan(t.planView())
-	t.State.Inventory = inventory
-	for _, g := range grants {
+	decision := chuteallocator.Plan(t.planView())
+	t.State.Inventory = decision.Inventory
+	for _, g := range decision.Grants {
 		t.preempt(g.Victims)
 		t.grant(g)
 	}
-	t.State.PlanDue = len(grants) > 0
+	t.State.PlanDue = len(decision.Grants) > 0
+	t.syncLimits(decision.Held)
 }
 
 // planView returns the input of a planning pass: the jobs that hold accelerators and the jobs that may start now.
@@ -41,6 +42,7 @@
 			view.Waiting = append(view.Waiting, j)
 		}
 	}
+	view.Rooms = t.limitRooms()
 	return view
 }
 
--- a/chuteshard/step.go
+++ b/chuteshard/step.go
@@ -3,6 +3,7 @@
 import (
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chuteevent"
+	"monsoonchute.example/monsoonchute/chutegang"
 )
 
 // Outcome is the result of handling one event.
@@ -70,6 +71,12 @@
 		return t.outcome()
 	}
 	t.State = t.State.WithoutPending(event.Operation())
+	if write, ok := p.(chutegang.PendingLimitWrite); ok {
+		if e, committed := event.(chuteevent.TableCommitted); committed {
+			t.handleLimitCommitted(write, e)
+			return t.outcome()
+		}
+	}
 	switch e := event.(type) {
 	case chuteevent.TableCommitted:
 		if e.Accepted {
@@ -79,9 +86,18 @@
 			t.rejectPending(p)
 		}
 	case chuteevent.TableRead:
-		t.recover(e.Rows)
+		t.handleRead(p, e)
 	case chuteevent.TableFailed:
 		t.retryPending(p)
 	}
 	return t.outcome()
 }
+
+// handleRead handles the rows of a read: of the shard's jobs after a takeover, or of a workspace's limit.
+func (t *transition) handleRead(p chutegang.Pending, e chuteevent.TableRead) {
+	if read, ok := p.(chutegang.PendingLimitRead); ok {
+		t.handleLimitRead(read.Workspace, e.Rows)
+		return
+	}
+	t.recover(e.Rows)
+}
--- a/chutesimulation/check.go
+++ b/chutesimulation/check.go
@@ -15,6 +15,9 @@
 	// ZoneOutStartBound is the longest time after a document that takes a zone out is accepted in which tasks may still
 	// start there: the longest age of a document in use, the validity of an order, and the time to write the document.
 	ZoneOutStartBound = 4 * time.Second
+	// LimitBound is the longest time after a document that lowers a limit is accepted in which starts may still follow the
+	// limit before it, for the same reasons.
+	LimitBound = ZoneOutStartBound
 	// PartialRunBound is the longest time for which some parts of an attempt may run without the others: the time after
 	// which a silent worker counts as lost, one poll, and the expiry of the lost worker's leases on its own clock.
 	PartialRunBound = 6*time.Second + 2*time.Second + 21*time.Second + 3*time.Second
@@ -37,6 +40,44 @@
 	}
 }
 
+// checkLimit reports a violation if a start raises what a workspace runs on all workers above its limit.
+func (s *Simulation) checkLimit(e chuteevent.SendOrder) {
+	start, isStart := e.Order.(chuteorder.StartTask)
+	workspace := s.workspaces[start.Task.Job]
+	limit := s.highestLimit(workspace)
+	if !isStart || limit == 0 {
+		return
+	}
+	use := 0
+	for _, w := range s.Workers {
+		for task, mask := range w.Agent.Running(s.Now) {
+			if s.workspaces[task.Job] == workspace {
+				use += mask.Count()
+			}
+		}
+	}
+	if use > limit {
+		s.ReportViolation("the start of task %s makes workspace %s run %d accelerators, its limit is %d", start.Task, workspace, use, limit)
+	}
+}
+
+// highestLimit returns the highest limit of the workspace among the documents that may be in force, and 0 if one of them
+// has none.
+func (s *Simulation) highestLimit(workspace string) int {
+	highest := 0
+	for i := len(s.documents) - 1; i >= 0; i-- {
+		w, _ := s.documents[i].Workspace(workspace)
+		if w.Limit.Accelerators == 0 {
+			return 0
+		}
+		highest = max(highest, w.Limit.Accelerators)
+		if s.Now.Sub(s.acceptedAt[i]) > LimitBound {
+			return highest
+		}
+	}
+	return 0
+}
+
 // PartialRuns holds, by attempt, the time since which some but not all of its parts have run.
 type PartialRuns map[attemptID]time.Time
 
--- a/chutesimulation/effects.go
+++ b/chutesimulation/effects.go
@@ -121,7 +121,9 @@
 			} else if row.Owner != "" {
 				s.shardOwners[key] = row.BootID
 			}
-		case chutetable.HostRow, chutetable.JobRow, chutetable.IntentRow:
+		case chutetable.JobRow:
+			s.workspaces[row.Job.ID] = row.Job.Spec.Workspace
+		case chutetable.HostRow, chutetable.IntentRow, chutetable.LimitRow:
 		}
 	}
 }
@@ -179,6 +181,7 @@
 	response := w.Agent.HandleOrder(s.Now, chuteworker.EncodeOrder(e.Fence, e.Order))
 	if response.Accepted {
 		s.checkStart(w, e)
+		s.checkLimit(e)
 		ended.Outcome, ended.Task = chuteorder.OutcomeAccepted, response.Task
 	}
 	s.schedule(s.messageDelay(), func() { s.deliver(h, boot, ended) })
--- a/chutesimulation/simulation.go
+++ b/chutesimulation/simulation.go
@@ -9,6 +9,7 @@
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chutedocument"
 	"monsoonchute.example/monsoonchute/chuteevent"
+	"monsoonchute.example/monsoonchute/chutejob"
 	"monsoonchute.example/monsoonchute/chutestandin"
 	"monsoonchute.example/monsoonchute/chutetable"
 	"monsoonchute.example/monsoonchute/chutetopology"
@@ -72,6 +73,7 @@
 	documents   []chutedocument.Document // accepted ones, by version from 1
 	acceptedAt  []time.Time              // acceptance time of each document
 	shardOwners map[string]string        // boot id of the owner by shard and epoch
+	workspaces  map[chutejob.ID]string   // of the recorded jobs
 	check       func(*Simulation)
 }
 
@@ -95,7 +97,7 @@
 		Now: StartTime(), Table: chutestandin.NewTable(), Workers: make(map[chutetopology.WorkerID]*Worker),
 		Replies: make(map[chuteevent.CallID]Reply), Counters: make(map[string]int), tick: 100 * time.Millisecond,
 		random: rand.New(rand.NewPCG(seed, seed)), topology: topology, cutLinks: make(map[[2]chutetable.HostID]bool),
-		shardOwners: make(map[string]string),
+		shardOwners: make(map[string]string), workspaces: make(map[chutejob.ID]string),
 	}
 	for _, option := range options {
 		option(s)
--- a/chutetable/row.go
+++ b/chutetable/row.go
@@ -6,6 +6,7 @@
 
 	"monsoonchute.example/monsoonchute/chutedocument"
 	"monsoonchute.example/monsoonchute/chutejob"
+	"monsoonchute.example/monsoonchute/chutelimit"
 	"monsoonchute.example/monsoonchute/chuteresult"
 )
 
@@ -64,6 +65,12 @@
 	Answer     Answer             `json:"answer"`
 }
 
+// LimitRow records how the limit of a workspace is allotted to the shards. The owner of a shard writes it on condition
+// that it still owns the shard and that the row is the one that it read.
+type LimitRow struct {
+	Ledger chutelimit.Ledger `json:"ledger"`
+}
+
 // Answer is a backend server's complete answer to a request.
 type Answer struct {
 	Status      int    `json:"status"`
@@ -76,6 +83,7 @@
 func (JobRow) sealedRow()      {}
 func (DocumentRow) sealedRow() {}
 func (IntentRow) sealedRow()   {}
+func (LimitRow) sealedRow()    {}
 
 // StoredRow is a row with its key and version in the table service.
 type StoredRow struct {
@@ -103,6 +111,7 @@
 	DocumentHeadKey       Key = "document/head"
 	DocumentHistoryPrefix Key = "document/history/"
 	IntentPrefix          Key = "intent/"
+	LimitPrefix           Key = "limit/"
 )
 
 // HostKey returns the key of an entry host's row.
@@ -134,3 +143,8 @@
 func IntentKey(requestID string) Key {
 	return IntentPrefix + Key(requestID)
 }
+
+// LimitKey returns the key of the row that allots the limit of a workspace.
+func LimitKey(workspace string) Key {
+	return LimitPrefix + Key(workspace)
+}
--- a/chutewire/wire.go
+++ b/chutewire/wire.go
@@ -41,6 +41,7 @@
 	rows = newRegistry(map[string]any{
 		"host": chutetable.HostRow{}, "shard": chutetable.ShardRow{}, "job": chutetable.JobRow{},
 		"document": chutetable.DocumentRow{}, "intent": chutetable.IntentRow{},
+		"limit": chutetable.LimitRow{},
 	})
 	calls = newRegistry(map[string]any{
 		"submit-job": chutecall.SubmitJob{}, "show-job": chutecall.ShowJob{}, "cancel-job": chutecall.CancelJob{},
