Show what workspaces use, their limits and weights

monsoonchute workspace list and GET /v1/workspaces showed guarantees and quotas alone. They now show the guaranteed accelerators, the limit, the weight, what is in use over all shards and the number of waiting jobs. The front asks the owner of each shard (new call ShowUse); shards that do not answer are named.

--- a/chutecall/call.go
+++ b/chutecall/call.go
@@ -1,6 +1,7 @@
 package chutecall
 
 import (
+	"slices"
 	"time"
 
 	"monsoonchute.example/monsoonchute/chutedocument"
@@ -48,6 +49,11 @@
 	Shard int `json:"shard"`
 }
 
+// ShowUse asks what the workspaces use of one shard.
+type ShowUse struct {
+	Shard int `json:"shard"`
+}
+
 // ApplyDocument asks for a change of the operators' document.
 type ApplyDocument struct {
 	Change chutedocument.Change `json:"change"`
@@ -68,6 +74,7 @@
 func (CancelJob) sealedCall()      {}
 func (ExplainJob) sealedCall()     {}
 func (ListJobs) sealedCall()       {}
+func (ShowUse) sealedCall()        {}
 func (ApplyDocument) sealedCall()  {}
 func (ShowDocument) sealedCall()   {}
 func (ListWorkspaces) sealedCall() {}
@@ -78,6 +85,7 @@
 func (CancelJob) sealedShardCall()  {}
 func (ExplainJob) sealedShardCall() {}
 func (ListJobs) sealedShardCall()   {}
+func (ShowUse) sealedShardCall()    {}
 
 // Reply answers a call: one of the types of this package.
 //
@@ -114,14 +122,44 @@
 	Warnings []string               `json:"warnings"` // guaranteed shapes that would not fit without one of the zones
 }
 
+// WorkspaceUse is what a workspace uses of one shard or of several.
+type WorkspaceUse struct {
+	InUse   int `json:"in-use"`  // accelerators of jobs from their grant to the end of their attempt
+	Waiting int `json:"waiting"` // number of waiting jobs
+}
+
+// UseReply contains what the workspaces that have live jobs use of one shard.
+type UseReply struct {
+	Workspaces map[string]WorkspaceUse `json:"workspaces"`
+}
+
 // WorkspaceStatus describes one workspace.
 type WorkspaceStatus struct {
 	Workspace chutedocument.Workspace `json:"workspace"`
+	Use       WorkspaceUse            `json:"use"` // on the shards that answered
 }
 
 // WorkspacesReply contains the workspaces in the document.
 type WorkspacesReply struct {
-	Workspaces []WorkspaceStatus `json:"workspaces"`
+	Workspaces    []WorkspaceStatus `json:"workspaces"`
+	UnknownShards []int             `json:"unknown-shards"` // shards whose use is not counted
+}
+
+// WithUse returns the reply with the use of one more shard added.
+func (r WorkspacesReply) WithUse(use UseReply) WorkspacesReply {
+	r.Workspaces = slices.Clone(r.Workspaces)
+	for i, w := range r.Workspaces {
+		u := use.Workspaces[w.Workspace.Name]
+		r.Workspaces[i].Use.InUse += u.InUse
+		r.Workspaces[i].Use.Waiting += u.Waiting
+	}
+	return r
+}
+
+// WithUnknownShard returns the reply without the use of the shard.
+func (r WorkspacesReply) WithUnknownShard(shard int) WorkspacesReply {
+	r.UnknownShards = append(slices.Clone(r.UnknownShards), shard)
+	return r
 }
 
 // HostStatus is the state of one entry host, as the answering host knows it.
@@ -176,6 +214,7 @@
 func (ExplainReply) sealedReply()    {}
 func (DocumentReply) sealedReply()   {}
 func (WorkspacesReply) sealedReply() {}
+func (UseReply) sealedReply()        {}
 func (StatusReply) sealedReply()     {}
 
 // Refuse returns a reply that contains only a result with the code and the formatted detail.
@@ -192,7 +231,7 @@
 		return r.Result
 	case DocumentReply:
 		return r.Result
-	case JobsReply, ExplainReply, WorkspacesReply, StatusReply:
+	case JobsReply, ExplainReply, WorkspacesReply, UseReply, StatusReply:
 		return chuteresult.Result{Code: chuteresult.Done}
 	}
 	return chuteresult.Result{Code: chuteresult.Done}
--- a/chuteclient/client.go
+++ b/chuteclient/client.go
@@ -187,7 +187,7 @@
 	return c.call(fasthttp.MethodDelete, "/v1/jobs/"+url.PathEscape(id), nil)
 }
 
-// ListWorkspaces returns the workspaces with their quotas and guarantees.
+// ListWorkspaces returns the workspaces with their guarantees, limits and weights, and what they use.
 func (c *Client) ListWorkspaces() (chuteform.Reply, error) {
 	return c.call(fasthttp.MethodGet, "/v1/workspaces", nil)
 }
--- a/chutecore/call.go
+++ b/chutecore/call.go
@@ -80,7 +80,7 @@
 	switch call.(type) {
 	case chutecall.SubmitJob, chutecall.CancelJob:
 		return true
-	case chutecall.ShowJob, chutecall.ExplainJob, chutecall.ListJobs:
+	case chutecall.ShowJob, chutecall.ExplainJob, chutecall.ListJobs, chutecall.ShowUse:
 		return false
 	}
 	return true
@@ -103,6 +103,8 @@
 	switch c := call.(type) {
 	case chutecall.ListJobs:
 		return c.Shard
+	case chutecall.ShowUse:
+		return c.Shard
 	case chutecall.SubmitJob:
 		return jobShard(c.Job)
 	case chutecall.ShowJob:
--- a/chuteform/reply.go
+++ b/chuteform/reply.go
@@ -18,6 +18,7 @@
 	Causes     []string    `json:"causes,omitempty"`
 	Document   *Document   `json:"document,omitempty"`
 	Workspaces []Workspace `json:"workspaces,omitempty"`
+	Uncounted  []int       `json:"uncounted-shards,omitempty"` // shards that the use of the workspaces leaves out
 	Status     *Status     `json:"status,omitempty"`
 }
 
@@ -44,6 +45,16 @@
 	Team       string   `json:"team"`
 	Quota      int      `json:"quota"`
 	Guarantees []string `json:"guarantees"`
+	Guaranteed int      `json:"guaranteed"` // accelerators in the guarantees
+	Limit      Limit    `json:"limit"`
+	Weight     float64  `json:"weight"`
+	InUse      int      `json:"in-use"`  // accelerators of jobs from their grant to the end of their attempt
+	Waiting    int      `json:"waiting"` // number of waiting jobs
+}
+
+// Limit is the JSON form of the limit of a workspace.
+type Limit struct {
+	Accelerators int `json:"accelerators"` // 0 means no limit
 }
 
 // Status is the JSON form of the system's state as one entry host knows it.
@@ -113,8 +124,10 @@
 		result.Document = &document
 	case chutecall.WorkspacesReply:
 		for _, w := range r.Workspaces {
-			result.Workspaces = append(result.Workspaces, newWorkspace(w.Workspace))
+			result.Workspaces = append(result.Workspaces, newWorkspace(w))
 		}
+		result.Uncounted = r.UnknownShards
+	case chutecall.UseReply:
 	case chutecall.StatusReply:
 		status := newStatus(r)
 		result.Status = &status
@@ -139,8 +152,12 @@
 	return document, nil
 }
 
-func newWorkspace(w chutedocument.Workspace) Workspace {
-	workspace := Workspace{Name: w.Name, Team: w.Team, Quota: w.Quota, Guarantees: []string{}}
+func newWorkspace(s chutecall.WorkspaceStatus) Workspace {
+	w := s.Workspace
+	workspace := Workspace{
+		Name: w.Name, Team: w.Team, Quota: w.Quota, Guarantees: []string{}, Guaranteed: w.Guaranteed(),
+		Limit: Limit{Accelerators: w.Limit.Accelerators}, Weight: w.ShareWeight(), InUse: s.Use.InUse, Waiting: s.Use.Waiting,
+	}
 	for _, g := range w.Guarantees {
 		workspace.Guarantees = append(workspace.Guarantees, formatGuarantee(g))
 	}
--- a/chutefront/operator.go
+++ b/chutefront/operator.go
@@ -96,8 +96,32 @@
 	})
 }
 
+// listWorkspaces requests the workspaces, and their use from the owner of every shard. Once a shard does not answer, it
+// asks no further ones, so that shards without an owner do not add up their timeouts, and names those that are not
+// counted.
 func (f *Front) listWorkspaces(c fiber.Ctx) error {
-	return f.serveCall(c, func(string) (chutecall.Call, error) { return chutecall.ListWorkspaces{}, nil })
+	requestID, _, err := parseRequestID(c)
+	if err != nil {
+		return f.sendResult(c, "", chuteresult.FromError(err))
+	}
+	reply := f.call(requestID, chutecall.ListWorkspaces{})
+	workspaces, ok := reply.(chutecall.WorkspacesReply)
+	document, known := f.call(requestID, chutecall.ShowDocument{}).(chutecall.DocumentReply)
+	if !ok || !known {
+		return f.sendReply(c, requestID, reply)
+	}
+	for shard := range document.Document.Policy.Shards {
+		if len(workspaces.UnknownShards) > 0 {
+			workspaces = workspaces.WithUnknownShard(shard)
+			continue
+		}
+		if use, ok := f.call(requestID, chutecall.ShowUse{Shard: shard}).(chutecall.UseReply); ok {
+			workspaces = workspaces.WithUse(use)
+		} else {
+			workspaces = workspaces.WithUnknownShard(shard)
+		}
+	}
+	return f.sendReply(c, requestID, workspaces)
 }
 
 func (f *Front) showStatus(c fiber.Ctx) error {
--- a/chuteshard/call.go
+++ b/chuteshard/call.go
@@ -31,6 +31,8 @@
 		t.explain(from, c.Job)
 	case chutecall.ListJobs:
 		t.list(from)
+	case chutecall.ShowUse:
+		t.showUse(from)
 	}
 }
 
@@ -113,6 +115,21 @@
 	t.Answer(from, chutecall.JobsReply{Jobs: jobs[:min(len(jobs), maxListed)]})
 }
 
+// showUse answers with what the workspaces use of the shard.
+func (t *transition) showUse(from chuteevent.Origin) {
+	reply := chutecall.UseReply{Workspaces: make(map[string]chutecall.WorkspaceUse)}
+	for _, j := range t.State.Live() {
+		use := reply.Workspaces[j.Spec.Workspace]
+		if j.Phase == chutejob.PhaseWaiting {
+			use.Waiting++
+		} else {
+			use.InUse += j.Spec.Shape.Total()
+		}
+		reply.Workspaces[j.Spec.Workspace] = use
+	}
+	t.Answer(from, reply)
+}
+
 // cancel validates a cancellation and records it. The call is answered once the cancellation is recorded.
 func (t *transition) cancel(from chuteevent.Origin, id chutejob.ID) {
 	j, ok := t.State.Job(id)
--- a/chutewire/wire.go
+++ b/chutewire/wire.go
@@ -47,12 +47,12 @@
 		"submit-job": chutecall.SubmitJob{}, "show-job": chutecall.ShowJob{}, "cancel-job": chutecall.CancelJob{},
 		"explain-job": chutecall.ExplainJob{}, "list-jobs": chutecall.ListJobs{},
 		"apply-document": chutecall.ApplyDocument{}, "show-document": chutecall.ShowDocument{},
-		"list-workspaces": chutecall.ListWorkspaces{}, "status": chutecall.Status{},
+		"list-workspaces": chutecall.ListWorkspaces{}, "status": chutecall.Status{}, "show-use": chutecall.ShowUse{},
 	})
 	replies = newRegistry(map[string]any{
 		"result": chutecall.ResultReply{}, "job": chutecall.JobReply{}, "jobs": chutecall.JobsReply{},
 		"explain": chutecall.ExplainReply{}, "document": chutecall.DocumentReply{},
-		"workspaces": chutecall.WorkspacesReply{}, "status": chutecall.StatusReply{},
+		"workspaces": chutecall.WorkspacesReply{}, "use": chutecall.UseReply{}, "status": chutecall.StatusReply{},
 	})
 	messages = newRegistry(map[string]any{
 		"heartbeat": chuteevent.Heartbeat{}, "heartbeat-answer": chuteevent.HeartbeatAnswer{},
--- a/chutewire/wire_test.go
+++ b/chutewire/wire_test.go
@@ -10,6 +10,7 @@
 	"monsoonchute.example/monsoonchute/chutedocument"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chutejob"
+	"monsoonchute.example/monsoonchute/chutelimit"
 	"monsoonchute.example/monsoonchute/chuteresult"
 	"monsoonchute.example/monsoonchute/chutetable"
 	"monsoonchute.example/monsoonchute/chutetopology"
@@ -30,6 +31,7 @@
 		chutetable.ShardRow{Shard: 1, Owner: "h", BootID: "b", Epoch: 4},
 		chutetable.JobRow{Job: sampleJob()},
 		chutetable.DocumentRow{Document: chutedocument.New()},
+		chutetable.LimitRow{Ledger: chutelimit.Ledger{Workspace: "w", Since: 1, Version: 2, Entries: []chutelimit.Entry{{Shard: 1, Accelerators: 3}}}},
 		chutetable.IntentRow{RequestID: "r", Digest: 7, Finished: true, Result: chuteresult.New(chuteresult.Done, "d"), Answer: chutetable.Answer{Status: 200, Body: []byte("x")}},
 	}
 }
@@ -40,6 +42,7 @@
 		chuteevent.HeartbeatAnswer{Sequence: 1, DocumentVersion: 2, DocumentAge: time.Second, Leaving: []string{"b"}},
 		chuteevent.ForwardCall{ID: 9, RequestID: "r", Call: chutecall.SubmitJob{Job: "j", Spec: sampleJob().Spec}},
 		chuteevent.ForwardReply{ID: 9, Reply: chutecall.JobReply{Job: sampleJob()}},
+		chuteevent.ForwardReply{ID: 9, Reply: chutecall.UseReply{Workspaces: map[string]chutecall.WorkspaceUse{"w": {InUse: 2, Waiting: 1}}}},
 		chuteevent.ShardReleased{Shard: 3},
 		chuteevent.DocumentChanged{DocumentVersion: 4},
 	}
--- a/cmd/monsoonchute/output.go
+++ b/cmd/monsoonchute/output.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -51,7 +52,10 @@
 		e.printDocument(*reply.Document)
 	}
 	for _, w := range reply.Workspaces {
-		e.printf("%s team %s quota %d guarantees: %s\n", w.Name, w.Team, w.Quota, strings.Join(w.Guarantees, ", "))
+		e.printWorkspace(w)
+	}
+	if len(reply.Uncounted) > 0 {
+		e.printf("not counted in use and waiting: shards %v\n", reply.Uncounted)
 	}
 	if reply.Status != nil {
 		e.printStatus(*reply.Status)
@@ -73,6 +77,15 @@
 	}
 }
 
+func (e environment) printWorkspace(w chuteform.Workspace) {
+	limit := "none"
+	if w.Limit.Accelerators > 0 {
+		limit = strconv.Itoa(w.Limit.Accelerators)
+	}
+	e.printf("%s team %s quota %d guaranteed %d limit %s weight %g in use %d, %d jobs waiting, guarantees: %s\n", w.Name, w.Team,
+		w.Quota, w.Guaranteed, limit, w.Weight, w.InUse, w.Waiting, strings.Join(w.Guarantees, ", "))
+}
+
 func (e environment) printDocument(d chuteform.Document) {
 	for _, w := range d.Warnings {
 		e.printf("warning: %s\n", w)
