chutegang: a restarted agent's report still ends its parts at once

The change for reports from before a start also delayed the loss of parts on workers whose agent had restarted. The answer to the stop order, which says that the new agent does not know the task, then came first, and the job counted as never executed. Parts whose agent has restarted, and parts that are only ordered, follow the earlier rule again.

--- a/chutegang/report.go
+++ b/chutegang/report.go
@@ -61,7 +61,7 @@
 		return
 	}
 	for i, p := range j.Parts {
-		if p.Block.Worker != e.Worker || !mustBeReported(j, p, e.SentAt) || containsTask(e.Report.Tasks, taskID(j, i)) {
+		if p.Block.Worker != e.Worker || !mustBeReported(j, p, e) || containsTask(e.Report.Tasks, taskID(j, i)) {
 			continue
 		}
 		t.Count("part-lost", "absent")
@@ -75,13 +75,16 @@
 	}
 }
 
-// mustBeReported reports whether the answer to a poll that was sent at the given time must list the part if the part
-// runs. That is not so if the worker may have accepted the part's start order after the poll: the answers to the two may
-// arrive in either order.
-func mustBeReported(j chutejob.Job, p chutejob.Part, sent time.Time) bool {
+// mustBeReported reports whether the report must list the part if the part runs. That is not so while the worker may still
+// accept the part's start order, or if it may have accepted the order after the poll: the answers to the two may arrive in
+// either order. A restarted agent runs no part from before.
+func mustBeReported(j chutejob.Job, p chutejob.Part, e chuteevent.WorkerPolled) bool {
 	switch p.State {
-	case chutejob.PartOrdered, chutejob.PartRunning:
-		return sent.After(j.StartOrderedAt.Add(StartOrderValidity)) || j.Phase == chutejob.PhaseRunning && sent.After(j.PhaseSince)
+	case chutejob.PartRunning:
+		return p.BootID != e.Report.BootID || e.SentAt.After(j.StartOrderedAt.Add(StartOrderValidity)) ||
+			j.Phase == chutejob.PhaseRunning && e.SentAt.After(j.PhaseSince)
+	case chutejob.PartOrdered:
+		return e.SentAt.After(j.PhaseSince.Add(StartOrderValidity)) || j.Phase != chutejob.PhaseStarting
 	case chutejob.PartPending, chutejob.PartDone, chutejob.PartFailed, chutejob.PartStopped:
 		return false
 	}
