chuteoutlier: a record of each worker, and runs withheld by it

A worker on which runs of two jobs failed in a row got no new runs for 6 s, and then as many as fit, which failed at once; the next attempt of a failed task could go to any worker, the one that had failed it too. Jobs with two attempts failed while most workers were sound.

Each worker has a record of its speed and ends. New runs are withheld wholly or in part from workers that fail what they start or are slow, from half of a service at most and not for a cause that a queue, rack or zone has in common; they are readmitted by 1, 2, 4 and then all runs as these succeed. The next run of a failed task goes where work of its queue has lately succeeded, if there is room. This replaces the cooldown in chutepool.

The tests of the cooldown ask the verdicts instead, with the same numbers; the test of the quarantine's workers puts the failure into the records.

--- a/chuteplacement/place.go
+++ b/chuteplacement/place.go
@@ -135,8 +135,11 @@
 }
 
 // antiAffinityAllows reports whether the worker may get one more task of the step, beside those taken in this
-// placement.
+// placement, and one more start in this pass.
 func (p *pass) antiAffinityAllows(d Demand, worker, taken int) bool {
+	if w := p.workers[worker]; w.MaxStarts > 0 && w.starts+taken >= w.MaxStarts {
+		return false
+	}
 	if d.Step.AntiAffinity == 0 {
 		return true
 	}
--- a/chuteplanner/demand.go
+++ b/chuteplanner/demand.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"monsoonchute.example/monsoonchute/chutecandidate"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -35,7 +36,8 @@
 		for k, steps := range j.Occurrences {
 			for s := range steps {
 				id := chutegraph.StepID{Job: j.ID, Occurrence: k, Step: s}
-				list = p.appendDemand(list, j, id, p.ordinaryIndexes(j, id))
+				fresh, retried := chutecandidate.SplitRetries(j, id, p.ordinaryIndexes(j, id))
+				list = p.appendDemand(p.appendDemand(list, j, id, retried), j, id, fresh)
 				alone = p.appendDemand(alone, j, id, p.quarantinedIndexes(j, id))
 			}
 		}
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -34,6 +34,7 @@
 	demands, quarantined := p.demands()
 	p.nominated = make(map[chutegraph.StepID]map[int]chutetask.WorkerID)
 	p.updateWaiting(demands)
+	chutecandidate.ExcludeForRetries(p.Transition.Transition, demands)
 	plan := p.planQuarantine(quarantined)
 	demands = append(demands, plan.beside...)
 	p.openReservations(demands)
--- a/chuterenewal/report.go
+++ b/chuterenewal/report.go
@@ -76,6 +76,7 @@
 		return
 	}
 	t.Speeds = t.Speeds.WithProgress(r.ID.Task.StepID, id, float64(percent-r.Percent), t.Now.Sub(r.ProgressReadAt), t.Now)
+	t.Outliers = t.Outliers.WithSpeed(id, t.Speeds.Speed(id, t.Now), t.Speeds.Slow(id, t.Now), t.Now)
 }
 
 // stopUnexpected stops a run that the worker should not have. The run takes capacity until it has ended.
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -88,7 +88,7 @@
 	}
 	if t.forgettable(w) {
 		t.Pool = t.Pool.Without(w.ID)
-		t.Speeds = t.Speeds.WithoutWorker(w.ID)
+		t.Speeds, t.Outliers = t.Speeds.WithoutWorker(w.ID), t.Outliers.WithoutWorker(w.ID)
 		t.Emit(chuteaction.DisconnectWorker{Worker: w.ID})
 		return
 	}
--- a/chutewait/view.go
+++ b/chutewait/view.go
@@ -29,7 +29,9 @@
 
 func newView(t *chuteledger.Transition) *view {
 	v := &view{unusable: make(map[string]int)}
-	for _, w := range t.Pool.All() {
+	all := t.Pool.All()
+	verdicts := t.Outliers.Judge(all, t.Now)
+	for _, w := range all {
 		if !w.Listed {
 			continue
 		}
@@ -39,6 +41,10 @@
 			v.unusable[obstacle]++
 			continue
 		}
+		if verdicts.Withhold(w.ID) {
+			v.unusable["held-back"]++
+			continue
+		}
 		v.usable = append(v.usable, worker)
 		for _, r := range w.Runs() {
 			if r.Phase != chutepool.RunStarted && t.Now.Sub(r.PhaseSince) >= minUnconfirmedAge {
