chutecandidate: retries wait for proven workers, and no gang probes a worker

Workers that had become bad a moment ago counted as proven for 15 s.

A retry waits for 2 s rather than use workers that have failed since a success; workers where its queue has succeeded within 4 s come first; gangs do not start on workers whose starts are limited. A job of which nothing has run for 2 s may use withheld workers. The first reading of a step is doubted only if it is slow.

--- a/chutecandidate/candidate.go
+++ b/chutecandidate/candidate.go
@@ -29,6 +29,22 @@
 	return workers
 }
 
+// WithWithheld returns the workers on which tasks may start beside others, as if new runs were withheld from none by its record. It
+// returns none if new runs are not withheld from any.
+func WithWithheld(t *chuteledger.Transition, taken map[chutetask.WorkerID]bool) []chuteplacement.Worker {
+	all := t.Pool.All()
+	if len(t.Outliers.Judge(all, t.Now)) == 0 {
+		return nil
+	}
+	var workers []chuteplacement.Worker
+	for _, w := range all {
+		if !taken[w.ID] && Obstacle(t, w) == "" {
+			workers = append(workers, Worker(t, w))
+		}
+	}
+	return workers
+}
+
 // Obstacle returns what keeps tasks that run beside others off the worker, in kebab case, or an empty text.
 func Obstacle(t *chuteledger.Transition, w chutepool.Worker) string {
 	o := t.StartObstacle(w)
--- a/chutecandidate/retry.go
+++ b/chutecandidate/retry.go
@@ -13,11 +13,15 @@
 const (
 	// maxRetryWait is how long after a failure a task rather waits for another worker than starts where it failed, or where
 	// others have failed. A job with room may not stand for 3 s, of which the failed run and the start take a part.
-	maxRetryWait = time.Second
+	maxRetryWait = 2 * time.Second
 	// maxRetriesJudged is the number of demands with failed tasks in a pass for which workers with free capacity are compared.
 	maxRetriesJudged = 32
 )
 
+// successMemories are the times within which work of the queue should have succeeded on the worker of a next run, the best first:
+// workers that have become bad lately have succeeded before.
+var successMemories = []time.Duration{4 * time.Second, 15 * time.Second}
+
 // SplitRetries returns the indexes of the waiting tasks of a step that have not failed and of those that have, which may not start
 // on every worker. A gang is not split.
 func SplitRetries(j chutetask.Job, id chutegraph.StepID, indexes []int) (fresh, retried []int) {
@@ -41,7 +45,7 @@
 
 // ExcludeForRetries sets, for the demands of tasks that have failed, the workers on which their next runs may not start. A next run
 // goes where work of its queue has lately succeeded, if that has room now; else not to a worker on which a run has failed since
-// one last succeeded; else not to that of the task's failed run; else anywhere.
+// one last succeeded, for which it waits for a while; else not to that of the task's failed run; else anywhere.
 func ExcludeForRetries(t *chuteledger.Transition, demands []chuteplacement.Demand) {
 	var usable []chuteplacement.Worker
 	judged := 0
@@ -72,17 +76,23 @@
 	if !judged {
 		return doubtful
 	}
-	unproven := excluding(usable, func(id chutetask.WorkerID) bool { return failed[id] || !t.Outliers.Of(id).ProvenFor(j.Queue, t.Now) })
-	tiers := []map[chutetask.WorkerID]bool{unproven, doubtful, failed}
-	for _, excluded := range tiers {
-		if d.Excluded = excluded; chuteplacement.Fits(usable, d) {
-			return excluded
+	for _, within := range successMemories {
+		d.Excluded = excluding(usable, func(id chutetask.WorkerID) bool {
+			return failed[id] || !t.Outliers.Of(id).ProvenFor(j.Queue, within, t.Now)
+		})
+		if chuteplacement.Fits(usable, d) {
+			return d.Excluded
 		}
 	}
-	for _, excluded := range tiers[1:] {
-		if d.Excluded = excluded; t.Now.Sub(failedAt) < maxRetryWait && chuteplacement.FitsEmpty(usable, d) {
-			return excluded
-		}
+	if d.Excluded = doubtful; chuteplacement.Fits(usable, d) {
+		return doubtful
+	}
+	waits := t.Now.Sub(failedAt) < maxRetryWait
+	if d.Excluded = doubtful; waits && chuteplacement.FitsEmpty(usable, d) {
+		return doubtful
+	}
+	if d.Excluded = failed; chuteplacement.Fits(usable, d) || waits && chuteplacement.FitsEmpty(usable, d) {
+		return failed
 	}
 	return nil
 }
--- a/chuteentry/fakeuneven_test.go
+++ b/chuteentry/fakeuneven_test.go
@@ -1,6 +1,7 @@
 package chuteentry_test
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -82,6 +83,26 @@
 	return r.resumed
 }
 
+// trafficStream submits so many jobs a second.
+type trafficStream struct {
+	rate      float64
+	submitJob func()
+}
+
+// submit submits jobs until the end. They depend on the random source alone, so that they are the same whatever the scheduler does.
+func (s trafficStream) submit(sm *simulation, random *rand.Rand, end time.Time) {
+	sm.after(time.Duration(random.ExpFloat64()/s.rate*float64(time.Second)), func() {
+		if !sm.now.Before(end) {
+			return
+		}
+		others := sm.random
+		sm.random = random
+		s.submitJob()
+		sm.random = others
+		s.submit(sm, random, end)
+	})
+}
+
 // unevenDay is how workers differ in a simulated day.
 type unevenDay struct {
 	name      string
@@ -135,13 +156,16 @@
 // play plays the day and returns its outcome.
 func (d unevenDay) play(seed uint64, load float64) (*simulation, outcome) {
 	sm := newUnevenSimulation(seed)
-	d.playOn(sm, load)
+	d.playOn(sm, seed, load)
 	return sm, sm.outcome()
 }
 
 // playOn plays the day on the simulation.
-func (d unevenDay) playOn(sm *simulation, load float64) {
-	sm.submitMixedTraffic(load, 34*time.Second)
+func (d unevenDay) playOn(sm *simulation, seed uint64, load float64) {
+	rate := load / tightLoad
+	for i, stream := range []trafficStream{{0.9 * rate, sm.submitLargeGang}, {2 * rate, sm.submitUrgentGang}, {0.89 * rate, sm.submitWideJob}} {
+		stream.submit(sm, rand.New(rand.NewPCG(seed, uint64(i)+2)), sm.now.Add(34*time.Second))
+	}
 	var differing []*fakeWorker
 	workers := sm.sortedWorkers()
 	for _, i := range sm.random.Perm(len(workers))[:int(d.share*float64(len(workers)))] {
--- a/chuteentry/uneven_test.go
+++ b/chuteentry/uneven_test.go
@@ -14,8 +14,8 @@
 		{name: "even", lasting: time.Second},
 		{name: "slow", share: 0.3, slowdown: 5, lasting: 14 * time.Second},
 		{name: "failing", share: 0.15, failRate: 1, lasting: 14 * time.Second, maxFailed: 2},
-		{name: "failing in part", share: 0.2, failRate: 0.5, lasting: 14 * time.Second, maxFailed: 3},
-		{name: "flapping", share: 0.25, failRate: 1, lasting: 16 * time.Second, flapping: 2 * time.Second, maxFailed: 4},
+		{name: "failing in part", share: 0.2, failRate: 0.5, lasting: 14 * time.Second, maxFailed: 1},
+		{name: "flapping", share: 0.25, failRate: 1, lasting: 16 * time.Second, flapping: 2 * time.Second, maxFailed: 3},
 		{name: "slow and a new leader", share: 0.2, slowdown: 8, lasting: 14 * time.Second, crash: true},
 	}
 }
--- a/chuteoutlier/record.go
+++ b/chuteoutlier/record.go
@@ -94,13 +94,11 @@
 	return r.failedJobs > 0 && r.lastFailedJob == job
 }
 
-// successMemory is how long the success of a run counts in favour of a worker.
-const successMemory = 15 * time.Second
-
-// ProvenFor reports whether work of the queue has recently succeeded on the worker, and nothing has failed there since a success.
-func (r Record) ProvenFor(queue string, now time.Time) bool {
+// ProvenFor reports whether work of the queue has succeeded on the worker within the time, and nothing has failed there since a
+// success.
+func (r Record) ProvenFor(queue string, within time.Duration, now time.Time) bool {
 	doneAt := r.ends[queue].doneAt
-	return !r.FailedSinceSuccess() && !doneAt.IsZero() && now.Sub(doneAt) < successMemory
+	return !r.FailedSinceSuccess() && !doneAt.IsZero() && now.Sub(doneAt) < within
 }
 
 // Trust returns how far the worker is trusted now, from 0 to fullTrust. It rises while there is no further evidence against the worker.
--- a/chuteplacement/view.go
+++ b/chuteplacement/view.go
@@ -27,7 +27,7 @@
 	Free      chutecapacity.Resources
 	Stopping  chutecapacity.Resources // reserved by runs that are being stopped
 	Ending    chutecapacity.Resources // reserved by runs that are expected to end very soon
-	MaxStarts int                     // how many tasks may start there in the pass; 0 for any number
+	MaxStarts int                     // how many tasks without a gang may start there in the pass; 0 for any number and gangs
 	Penalty   float64                 // added to the worker's score; tasks go to the lowest score; 0 for a healthy worker
 }
 
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -42,6 +42,7 @@
 	if len(plan.emptied) > 0 {
 		p.startOnEmptied(demands)
 	}
+	p.startOnWithheld(demands, plan.taken)
 	p.findStanding(demands, len(plan.emptied) > 0)
 	p.planSpareQuarantine(plan, waiting)
 	p.waits = p.waits.Next(p.Transition.Transition, demands)
--- a/chutespeed/gang.go
+++ b/chutespeed/gang.go
@@ -26,8 +26,8 @@
 	suspectResidual = 0.25
 )
 
-// WithReading returns the estimates after the reading. The first reading of a step sets its estimate, unless its queue and its
-// estimated run time tell what to expect.
+// WithReading returns the estimates after the reading. The first reading of a step sets its estimate, unless it is slow by what the
+// queue and the estimated run time tell to expect.
 func (s Speeds) WithReading(r Reading, now time.Time) Speeds {
 	if r.Interval < minInterval {
 		return s
@@ -38,7 +38,7 @@
 	if !known {
 		expected, expectable := s.base(r)
 		s = s.withPrior(r, rate-pace)
-		if !expectable {
+		if !expectable || rate-pace-expected >= slowThreshold {
 			s.steps = s.steps.Set(r.Step, rate-pace)
 			return s
 		}
