--- a/chuteoutlier/record.go
+++ b/chuteoutlier/record.go
@@ -55,7 +55,6 @@
 	heldUntil     time.Time // no new runs start before this time
 	holds         int       // number of such times since there was full trust
 	speed         float64   // relative speed as of the latest progress that showed it slow
-	doneAt        time.Time // time of the latest successful end
 	failedAt      time.Time // time of the latest failure
 	failedJobs    int       // number of different jobs in a row whose runs have failed since the latest success
 	lastFailedJob chutegraph.JobID
@@ -147,7 +146,7 @@
 // the latest evidence against it.
 func (r Record) withDone(queue string, begunAt, now time.Time) Record {
 	r = r.withEnd(queue, queueEnd{at: now, doneAt: now})
-	r.doneAt, r.failedJobs = now, 0
+	r.failedJobs = 0
 	if r.cause == CauseFailures && begunAt.After(r.failedAt) {
 		return r.withConfidence(now)
 	}
