Keep the check of a step until it has been repeated

Cause: once the check interval had passed, all checks of whether a step fits on the workers were dropped, and each pass made only eight. With more than eight due steps, reservations of quota lapsed every 5 s.

Change: each check has its own time and counts until it is repeated, the oldest first and at most eight in a pass. Only steps for which quota would be reserved are checked.

--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -38,7 +38,8 @@
 	heldSince map[chutegraph.StepID]time.Time
 	// reservedFor is the step for which the free part of each workspace's quota is reserved; never changed once stored.
 	reservedFor map[string]chutegraph.StepID
-	roomChecks  roomChecks
+	// fitChecks tells of the steps that quotas hold back whether they would fit on the workers; never changed once stored.
+	fitChecks   map[chutegraph.StepID]fitCheck
 	quotaReport quotaReport
 }
 
--- a/chuteplanner/quota.go
+++ b/chuteplanner/quota.go
@@ -1,10 +1,8 @@
 package chuteplanner
 
 import (
-	"maps"
 	"time"
 
-	"monsoonchute.example/monsoonchute/chutecandidate"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutequota"
@@ -29,7 +27,7 @@
 // reserved keeps its part of the quota meanwhile.
 func (p *pass) reserveQuotas(quarantined, demands []chuteplacement.Demand) {
 	held := make(map[chutegraph.StepID]time.Time)
-	room := p.roomChecks.forPass(p.Now)
+	checker := newFitChecker(p)
 	for _, list := range [][]chuteplacement.Demand{quarantined, demands} {
 		for _, d := range list {
 			if !p.quotas.Limited(d.Workspace) {
@@ -44,54 +42,15 @@
 			}
 			held[d.ID] = since
 			due := d.NeedsReservation || p.heldByQuota(d) && p.Now.Sub(since) >= max(minReservationWait, d.Step.Estimate)
-			if due && room.fits(p, d) {
-				p.quotas.Reserve(d.StartRequest())
+			if request := d.StartRequest(); due && p.quotas.MayReserve(request) && checker.fits(d) {
+				p.quotas.Reserve(request)
 			}
 		}
 	}
-	p.heldSince, p.roomChecks = held, room
+	p.heldSince, p.fitChecks = held, checker.finish(held)
 	p.logReservations()
 }
 
-const (
-	// roomCheckInterval is how long it counts whether a step would fit on the workers if nothing ran there.
-	roomCheckInterval = 5 * time.Second
-	// maxRoomChecks is the largest number of steps that a pass checks; a check looks at all workers.
-	maxRoomChecks = 8
-)
-
-// roomChecks are the steps that have been checked for whether they would fit on the workers if nothing ran there. A quota that is
-// reserved for a step that fits nowhere would be lost to its workspace.
-type roomChecks struct {
-	at    time.Time
-	steps map[chutegraph.StepID]bool // never changed once the pass has ended
-	left  int                        // number of steps that the pass may check
-}
-
-// forPass returns the checks that still count, for a pass that may add some.
-func (c roomChecks) forPass(now time.Time) roomChecks {
-	if now.Sub(c.at) >= roomCheckInterval {
-		return roomChecks{at: now, steps: make(map[chutegraph.StepID]bool), left: maxRoomChecks}
-	}
-	return roomChecks{at: c.at, steps: maps.Clone(c.steps), left: maxRoomChecks}
-}
-
-// fits reports whether one task of the demand, or its gang, would fit on the workers if nothing ran there.
-func (c *roomChecks) fits(p *pass, d chuteplacement.Demand) bool {
-	verdict, known := c.steps[d.ID]
-	if known || c.left == 0 {
-		return verdict
-	}
-	c.left--
-	workers := chutecandidate.Usable(p.Transition.Transition, nil)
-	for i := range workers {
-		workers[i].Free = workers[i].Capacity
-	}
-	d.Tickets = nil // requested once the quota allows a start
-	c.steps[d.ID] = chuteplacement.Fits(workers, d)
-	return c.steps[d.ID]
-}
-
 // logReservations logs for which steps the quotas begin to be reserved.
 func (p *pass) logReservations() {
 	reserved := p.quotas.Reservations()
--- a/chuteplanner/quota_test.go
+++ b/chuteplanner/quota_test.go
@@ -1,6 +1,7 @@
 package chuteplanner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -129,3 +130,36 @@
 	s.effects()
 	is.Equal(s.started(), 3)
 }
+
+// TestReservationsOfManyWorkspacesLast guards against reservations of quota that lapse each time their checks are repeated, since more
+// steps are due than a pass checks.
+func TestReservationsOfManyWorkspacesLast(t *testing.T) {
+	const workspaces = 20
+	is := is.New(t)
+	s := newScheduler(chutegraph.Step{Count: 2, Gang: true})
+	s.environment.Catalog.Queues[0].Approval = nil
+	j, _ := s.state.Live.Get(testID)
+	s.state.Live = s.state.Live.Delete(testID)
+	w, _ := s.state.Pool.Get("w00")
+	for i := range workspaces {
+		name := fmt.Sprint("a", i)
+		s.environment.Catalog.Workspaces = append(s.environment.Catalog.Workspaces, chutecatalog.Workspace{Name: name, Limit: chutecapacity.Resources{Processor: 2000}})
+		sub := j.Submission
+		sub.ID, sub.Workspace = chutegraph.JobID(fmt.Sprintf("%016x", i)), name
+		s.state.Live = s.state.Live.Set(sub.ID, chutetask.New(sub, int64(i), s.now).WithOccurrenceBegun(0))
+		id := chutegraph.RunID{Task: chutegraph.TaskID{StepID: chutegraph.StepID{Job: "00000000000000cc"}, Index: i}, Number: 1}
+		run := chutepool.Run{ID: id, Workspace: name, Request: chutecapacity.Resources{Processor: 1000}}
+		w = w.WithRun(run.WithPhase(chutepool.RunStarted, s.now))
+	}
+	s.state.Pool = s.state.Pool.With(w)
+	reserved := 0
+	for range 60 {
+		s.now = s.now.Add(500 * time.Millisecond)
+		for _, effect := range s.effects() {
+			if c, ok := effect.(chuteaction.Count); ok && c.Counter == "quota-reserved" {
+				reserved++
+			}
+		}
+	}
+	is.Equal(reserved, workspaces)
+}
--- a/chutequota/draft.go
+++ b/chutequota/draft.go
@@ -46,19 +46,24 @@
 	}
 }
 
-// Reserve reserves what the request needs for it, unless its workspace has a reservation for a step of the same or a higher priority,
-// or could never start it.
-func (d *Draft) Reserve(r Request) {
+// MayReserve reports whether what the request needs may be reserved for it: its workspace has no reservation for a step of the same or
+// a higher priority, and could start it.
+func (d *Draft) MayReserve(r Request) bool {
 	i, limited := d.index[r.Workspace]
 	if !limited || r.Guaranteed || !d.EverAllows(r) || r.need() == (chutecapacity.Resources{}) {
-		return
+		return false
 	}
-	a := &d.accounts[i]
-	exists := a.reservation != Reservation{}
-	if exists && a.reservation.Priority <= r.Priority {
+	reservation := d.accounts[i].reservation
+	return reservation == Reservation{} || reservation.Priority > r.Priority
+}
+
+// Reserve reserves what the request needs for it, if MayReserve allows it.
+func (d *Draft) Reserve(r Request) {
+	if !d.MayReserve(r) {
 		return
 	}
-	if !exists {
+	a := &d.accounts[d.index[r.Workspace]]
+	if none := (Reservation{}); a.reservation == none {
 		d.reserved++
 	}
 	a.reservation = Reservation{Step: r.Step, Priority: r.Priority, Need: r.need()}
