Let long-running tasks use a reserved quota however full the service is

Cause: the exception from reservations of quota applied only while the service was less than half used.

Result: TestTasksThatLastUseAReservedQuotaInAFullService passes and failed before; go test ./chuteplacement passes.

--- a/chuteplacement/quota.go
+++ b/chuteplacement/quota.go
@@ -11,7 +11,7 @@
 func (d Demand) QuotaRequest() chutequota.Request {
 	return chutequota.Request{
 		Workspace: d.Workspace, Step: d.ID, Priority: d.Priority, Guaranteed: d.Guaranteed, Each: d.Step.Request, Tasks: len(d.Indexes),
-		MayUseReserved: d.MayUseReserved && d.MayUseAnyRack,
+		MayUseReserved: d.MayUseReserved && (d.MayUseAnyRack || d.Step.LongRunning), // for tasks that last however full the service is
 	}
 }
 
--- a/chuteplacement/quota_test.go
+++ b/chuteplacement/quota_test.go
@@ -141,6 +141,17 @@
 	is.Equal(describe(chuteplacement.Plan(view)), nil)
 }
 
+// TestTasksThatLastUseAReservedQuotaInAFullService guards against long-running tasks that stand beside a reserved quota because the
+// service is at least half used.
+func TestTasksThatLastUseAReservedQuotaInAFullService(t *testing.T) {
+	is := is.New(t)
+	lasts := ofA(demand("lasts", 1, 1, 1, func(s *chutegraph.Step) { s.LongRunning = true }))
+	lasts.MayUseReserved = true
+	view := chuteplacement.View{Workers: workers(1), Demands: []chuteplacement.Demand{lasts}}
+	view.Quotas = quotaOf(8, 3, 0).WithReservation(ofA(demand("gang", 1, 8, 1, gang)).QuotaRequest())
+	is.Equal(describe(chuteplacement.Plan(view)), []string{"lasts>w0"})
+}
+
 // TestPlansKeepTheQuotas plans for random views with quotas. It guards against starts above a quota by any way, and against runs of
 // other workspaces that are evicted for what a quota holds back.
 func TestPlansKeepTheQuotas(t *testing.T) {
