Open a reserved quota by the use before the start

Cause: the exception from reservations compared the use after the start with half of the quota, so that a task that needs more than the rest of that half stood beside free quota.

Change: while less than half of each limited resource is used, what is reserved is open to one start; to the tasks of a step that last one by one.

Result: TestAReservedQuotaIsOpenWhileLessThanHalfIsUsed passes and failed before; go test ./chuteplacement ./chutequota ./chuteplanner passes.

--- a/chuteplacement/quota_test.go
+++ b/chuteplacement/quota_test.go
@@ -152,6 +152,27 @@
 	is.Equal(describe(chuteplacement.Plan(view)), []string{"lasts>w0"})
 }
 
+// TestAReservedQuotaIsOpenWhileLessThanHalfIsUsed guards against a job that stands beside a reserved quota because its start would use
+// more than half, and against tasks that last which all start because less than half was used before the first.
+func TestAReservedQuotaIsOpenWhileLessThanHalfIsUsed(t *testing.T) {
+	is := is.New(t)
+	lasts := func(s *chutegraph.Step) { s.LongRunning = true }
+	for _, c := range []struct {
+		used, each int
+		change     func(*chutegraph.Step)
+		want       []string
+	}{
+		{3, 2, nil, []string{"x>w0"}}, {3, 5, nil, []string{"x>w0"}}, {4, 1, nil, nil},
+		{0, 2, lasts, []string{"x>w0", "x>w0"}}, {3, 1, lasts, []string{"x>w0"}},
+	} {
+		d := ofA(demand("x", 1, 4, c.each, c.change))
+		d.MayUseReserved, d.MayUseAnyRack = true, true
+		view := chuteplacement.View{Workers: workers(8), Demands: []chuteplacement.Demand{d}}
+		view.Quotas = quotaOf(8, c.used, 0).WithReservation(ofA(demand("gang", 1, 8, 1, gang)).QuotaRequest())
+		is.Equal(describe(chuteplacement.Plan(view)), c.want)
+	}
+}
+
 // TestPlansKeepTheQuotas plans for random views with quotas. It guards against starts above a quota by any way, and against runs of
 // other workspaces that are evicted for what a quota holds back.
 func TestPlansKeepTheQuotas(t *testing.T) {
--- a/chutequota/quotas.go
+++ b/chutequota/quotas.go
@@ -39,7 +39,7 @@
 	Guaranteed bool
 	Each       chutecapacity.Resources // what one task requests
 	Tasks      int                     // number of tasks that start together
-	// MayUseReserved lets it use what is reserved for others while its workspace uses less than half of its quota.
+	// MayUseReserved lets a start use what is reserved for others while its workspace uses less than half of its quota before it.
 	MayUseReserved bool
 }
 
@@ -106,7 +106,17 @@
 	if !limited {
 		return r.Tasks
 	}
-	return copiesWithin(r.Each, a.limit, a.available(r), r.Tasks)
+	unreserved := r
+	unreserved.MayUseReserved = false
+	count := copiesWithin(r.Each, a.limit, a.available(unreserved), r.Tasks)
+	if !r.MayUseReserved {
+		return count
+	}
+	// What is reserved is open to each start by itself.
+	for a.use = a.use.Plus(r.Each.Times(count)); count < r.Tasks && fits(r.Each, a.limit, a.available(r)); count++ {
+		a.use = a.use.Plus(r.Each)
+	}
+	return count
 }
 
 // Allows reports whether all tasks of the request may start together.
@@ -153,12 +163,16 @@
 	if !a.reservedFrom(r) {
 		return free
 	}
-	unreserved := free.Minus(a.reservation.Need)
-	if !r.MayUseReserved {
-		return unreserved
+	if r.MayUseReserved && a.underHalfUsed() {
+		return free
 	}
-	half := chutecapacity.Resources{Processor: a.limit.Processor / 2, Memory: a.limit.Memory / 2, Accelerators: a.limit.Accelerators / 2}
-	return larger(unreserved, half.Minus(a.use))
+	return free.Minus(a.reservation.Need)
+}
+
+// underHalfUsed reports whether less than half of the quota is in use, of each resource that is limited.
+func (a account) underHalfUsed() bool {
+	under := func(use, limit int) bool { return limit <= 0 || 2*use < limit }
+	return under(a.use.Processor, a.limit.Processor) && under(a.use.Memory, a.limit.Memory) && under(a.use.Accelerators, a.limit.Accelerators)
 }
 
 // reservedFrom reports whether what is reserved is withheld from the request.
@@ -167,13 +181,6 @@
 	return a.reservation.Need != none && a.reservation.Step != r.Step && !r.Guaranteed && r.Priority >= a.reservation.Priority
 }
 
-// larger returns the larger amount of each resource.
-func larger(a, b chutecapacity.Resources) chutecapacity.Resources {
-	return chutecapacity.Resources{
-		Processor: max(a.Processor, b.Processor), Memory: max(a.Memory, b.Memory), Accelerators: max(a.Accelerators, b.Accelerators),
-	}
-}
-
 // fits reports whether the need is at most what is available of each resource that it has and that is limited.
 func fits(need, limit, available chutecapacity.Resources) bool {
 	within := func(need, limit, available int) bool { return need <= 0 || limit <= 0 || need <= available }
