Request approvals for steps for which quota is freed or reserved

Cause: approvals were requested once the quota allowed a start, and a step without one is no demand of the pass. So others of its workspace retook the quota that had been freed for a guaranteed step or reserved, and the wait of the step for its quota started over.

Change: approvals of a step that its quota holds back are requested if a guarantee covers it or quota is reserved for it. The time since when a step is held back is kept while only its approval is outstanding.

Result: TestApprovalsAreRequestedForAStepForWhichQuotaIsFreed and TestTheWaitForAQuotaOutlastsAnApproval pass and failed before; go test ./chuteplanner passes.

--- a/chuteplanner/demand.go
+++ b/chuteplanner/demand.go
@@ -76,17 +76,29 @@
 			d.TasksByWorker[task.Worker]++
 		}
 	}
-	if q, ok := p.Environment.Catalog.Queue(j.Queue); ok && q.Approval != nil && p.heldByQuota(d) {
-		d.Tickets = make(map[chutetask.WorkerID]string) // approvals are requested once the quota allows a start
-	} else if ok && q.Approval != nil {
-		d.Tickets, p.approvals = p.approvals.Tickets(p.Transition.Transition, j, id)
-		if len(d.Tickets) == 0 {
-			return list
-		}
+	if q, ok := p.Environment.Catalog.Queue(j.Queue); ok && q.Approval != nil && !p.approve(&d, j) {
+		p.awaitingApproval = append(p.awaitingApproval, id)
+		return list
 	}
 	return append(list, rankedDemand{demand: d, order: j.AcceptanceOrder})
 }
 
+// approve gives the demand its approval tickets and requests those that it lacks. It reports whether the demand counts in this pass:
+// without a ticket, it does while its quota holds it back. Approvals are then only requested for a demand for which quota is freed or
+// reserved, since others of its workspace would retake that quota while the approval is outstanding.
+func (p *pass) approve(d *chuteplacement.Demand, j chutetask.Job) bool {
+	d.Tickets = make(map[chutetask.WorkerID]string)
+	held := p.heldByQuota(*d)
+	if held && !d.Guaranteed && p.reservedFor[d.Workspace] != d.ID {
+		return true
+	}
+	var tickets map[chutetask.WorkerID]string
+	if tickets, p.approvals = p.approvals.Tickets(p.Transition.Transition, j, d.ID); len(tickets) > 0 {
+		d.Tickets = tickets
+	}
+	return held || len(tickets) > 0
+}
+
 // startsWithinRow returns how many of so many tasks of the step may start so that the job's progress still fits in a row of the
 // store. Only a scheduled job can outgrow it, when its occurrences overlap; others are refused when they are handed in.
 func (p *pass) startsWithinRow(j chutetask.Job, step chutegraph.Step, count int) int {
--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -68,6 +68,8 @@
 	weights    map[string]float64        // of the workspaces; nil if the configuration has none
 	quotas     *chutequota.Draft         // what the workspaces may still start beside what this pass has started
 	rowRoom    map[chutegraph.JobID]int  // bytes left in the rows of the scheduled jobs that have been looked at
+	// awaitingApproval are the steps that no quota holds back but that lack an approval.
+	awaitingApproval []chutegraph.StepID
 	// quarantineWaits becomes quarantineDueSince after the pass.
 	quarantineWaits *immutable.SortedMap[chutegraph.StepID, time.Time]
 }
--- a/chuteplanner/quota.go
+++ b/chuteplanner/quota.go
@@ -27,6 +27,11 @@
 // reserved keeps its part of the quota meanwhile.
 func (p *pass) reserveQuotas(quarantined, demands []chuteplacement.Demand) {
 	held := make(map[chutegraph.StepID]time.Time)
+	for _, id := range p.awaitingApproval {
+		if since, known := p.heldSince[id]; known {
+			held[id] = since
+		}
+	}
 	checker := newFitChecker(p)
 	for _, list := range [][]chuteplacement.Demand{quarantined, demands} {
 		for _, d := range list {
--- a/chuteplanner/quota_test.go
+++ b/chuteplanner/quota_test.go
@@ -163,3 +163,50 @@
 	}
 	is.Equal(reserved, workspaces)
 }
+
+// TestApprovalsAreRequestedForAStepForWhichQuotaIsFreed guards against quota that is freed or reserved for a step and retaken by others
+// while its approval is outstanding.
+func TestApprovalsAreRequestedForAStepForWhichQuotaIsFreed(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(chutegraph.Step{Count: 1})
+	s.limit(1, 1, "w00")
+	s.environment.Catalog.Workspaces[0].GuaranteedAccelerators = 1
+	s.environment.Catalog.Queues[0].Priority = 0
+	is.True(s.plan() > 0)
+	is.Equal(s.started(), 0)
+
+	s = newScheduler(chutegraph.Step{Count: 1})
+	s.limit(1, 1, "w00")
+	asked := 0
+	for range 6 {
+		asked += s.plan()
+	}
+	is.True(asked > 0)
+	is.Equal(s.started(), 0)
+	s.limit(2, 1, "w00")
+	s.plan()
+	is.Equal(s.started(), 1)
+}
+
+// TestTheWaitForAQuotaOutlastsAnApproval guards against a step whose wait for its quota starts over when its approval is outstanding for a
+// while, so that quota is never reserved for it.
+func TestTheWaitForAQuotaOutlastsAnApproval(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(chutegraph.Step{Count: 1})
+	s.refused[testID] = true
+	reserved := 0
+	for i := range 6 {
+		quota := 1
+		if i == 2 || i == 3 {
+			quota = 2 // the quota allows the step, which has no approval
+		}
+		s.limit(quota, 1, "w00")
+		s.now = s.now.Add(time.Second)
+		for _, effect := range s.effects() {
+			if c, ok := effect.(chuteaction.Count); ok && c.Counter == "quota-reserved" {
+				reserved++
+			}
+		}
+	}
+	is.Equal(reserved, 1)
+}
