Evict a workspace's own runs only for steps that fit on the workers

Cause: a demand that a guarantee covers and that fits on no usable worker evicted runs of its workspace in pass after pass.

Change: own runs are evicted only if the gang, or one task, would fit on the workers of the pass if nothing ran there. Approval tickets are ignored, since they may be outstanding until the quota allows the start.

Result: the new case of TestAQuotaHoldsBackStarts passes and failed before; go test ./chuteplacement passes.

--- a/chuteplacement/quota.go
+++ b/chuteplacement/quota.go
@@ -52,16 +52,25 @@
 }
 
 // holdBack gives up the capacity that is kept for tasks which the quota of their workspace holds back. For a demand that a guarantee
-// covers, it evicts runs of lower priority of the same workspace.
+// covers, it evicts runs of lower priority of the same workspace, unless it fits nowhere: then it would evict runs in pass after pass.
 func (p *pass) holdBack(d Demand) {
 	for i := range d.Indexes {
 		p.releaseClaim(d.single(i))
 	}
-	if d.Guaranteed {
+	if d.Guaranteed && p.startFitsEmpty(d) {
 		p.evictOwn(d)
 	}
 }
 
+// startFitsEmpty reports whether the workers could hold the gang, or one task of a demand without a gang, if nothing ran there.
+func (p *pass) startFitsEmpty(d Demand) bool {
+	d.Tickets = nil // may be outstanding until the quota allows a start
+	if !d.Step.Gang {
+		d = d.single(0)
+	}
+	return p.fitsEmpty(d)
+}
+
 // evictOwn evicts the cheapest runs of lower priority of the demand's workspace whose end lets its tasks start, all of a gang or as
 // many as possible otherwise. What becomes free of the quota is kept for them in this pass.
 func (p *pass) evictOwn(d Demand) {
--- a/chuteplacement/quota_test.go
+++ b/chuteplacement/quota_test.go
@@ -104,6 +104,11 @@
 			held(8, 8, 0, of([]int{8, 0}, []chuteeviction.Group{ownGroup("a", "own", 2, 1, 4, 1)}, guaranteed(ofA(demand("x", 0, 2, 4, gang))))),
 			nil,
 		},
+		{
+			"no own runs are evicted for a task that fits on no worker",
+			held(8, 8, 0, of([]int{8, 0}, []chuteeviction.Group{ownGroup("a", "own", 2, 1, 8, 1)}, guaranteed(ofA(demand("x", 0, 1, 2, func(s *chutegraph.Step) { s.Label = "absent" }))))),
+			nil,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
