Keep the quota of a crash suspect while a worker is emptied for it

Cause: a suspect for which a worker was being emptied lost its quota to small tasks in the same pass.

Change: the suspect uses its quota for the rest of the pass, as a nominated task does.

Result: TestAWorkerThatIsEmptiedKeepsItsQuota passes and failed before; go test ./chuteplanner passes.

--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -139,7 +139,7 @@
 	return len(starts) > 0
 }
 
-// emptyWorkers takes the workers that empty soonest for the demand, and returns them.
+// emptyWorkers takes the workers that empty soonest and the quota for the demand, for this pass, and returns the workers.
 func (p *pass) emptyWorkers(d chuteplacement.Demand, taken map[chutetask.WorkerID]bool) []chutetask.WorkerID {
 	var emptied []chutetask.WorkerID
 	for _, s := range p.placeAlone(d, p.quarantineWorkers(d, taken, false)) {
@@ -147,6 +147,7 @@
 		emptied = append(emptied, s.Worker)
 	}
 	if len(emptied) > 0 {
+		p.quotas.Use(d.Workspace, d.ID, d.Step.Request.Times(len(emptied))) // or others would take its quota until it starts
 		p.waitForQuarantine(d, "no-empty-worker")
 	}
 	return emptied
--- a/chuteplanner/quota_test.go
+++ b/chuteplanner/quota_test.go
@@ -210,3 +210,25 @@
 	}
 	is.Equal(reserved, 1)
 }
+
+// TestAWorkerThatIsEmptiedKeepsItsQuota guards against a crash suspect whose quota small tasks take while a worker is emptied for it.
+func TestAWorkerThatIsEmptiedKeepsItsQuota(t *testing.T) {
+	is := is.New(t)
+	s := newSuspect()
+	w, _ := s.state.Pool.Get(sound)
+	other := chutegraph.RunID{Task: chutegraph.TaskID{StepID: chutegraph.StepID{Job: "00000000000000bb"}}, Number: 1}
+	s.state.Pool = s.state.Pool.With(w.WithRun(chutepool.Run{ID: other, Reserved: w.Capacity}))
+	s.limit(1, 0, failing)
+	j, _ := s.state.Live.Get(testID)
+	sub := j.Submission
+	sub.ID, sub.Workspace = "00000000000000dd", "a"
+	s.state.Live = s.state.Live.Set(sub.ID, chutetask.New(sub, 2, s.now).WithOccurrenceBegun(0))
+	s.now = s.now.Add(time.Second)
+	s.effects()
+	is.Equal(s.runsOn(failing), 0) // the suspect waits for the other worker, on which a run does not count towards the quota
+	s.state.Pool = s.state.Pool.With(w)
+	s.now = s.now.Add(time.Second)
+	s.effects()
+	is.Equal(s.runsOn(sound), 1)
+	is.Equal(s.started(), 1)
+}
