Place quarantined tasks by the quotas of the pass once

Cause: a demand that needs quarantine is split by the quotas, and then placed without its guarantee, so that a reservation withheld the quota from it again. The missing start was taken for a lack of workers without runs that last, and the suspect ran beside others.

Change: what has been split already is placed with empty quotas. A deferred demand is split again before it starts, since others have started meanwhile.

Result: TestAGuaranteedSuspectStartsInQuarantineBesideAReservedQuota passes and failed before; go test ./chuteplanner passes.

--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -11,6 +11,7 @@
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chutequarantine"
+	"monsoonchute.example/monsoonchute/chutequota"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
@@ -126,9 +127,9 @@
 	return plan
 }
 
-// startAlone starts the tasks of the demand on empty workers that are not taken, and reports whether any started.
+// startAlone starts the tasks of the demand, which its quota allows, on empty workers that are not taken, and reports whether any started.
 func (p *pass) startAlone(d chuteplacement.Demand, taken map[chutetask.WorkerID]bool) bool {
-	starts := p.placeAlone(d, p.quarantineWorkers(d, taken, true))
+	starts := p.placeAlone(d, p.quarantineWorkers(d, taken, true), chutequota.Quotas{})
 	if len(starts) > 0 {
 		p.Log(component, "step starts in quarantine", d.ID.Job, "step", d.ID, "tasks", len(starts), "waited", p.waitedForQuarantine(d.ID))
 	}
@@ -139,10 +140,11 @@
 	return len(starts) > 0
 }
 
-// emptyWorkers takes the workers that empty soonest and the quota for the demand, for this pass, and returns the workers.
+// emptyWorkers takes the workers that empty soonest and the quota for the demand, which its quota
+// allows, for this pass, and returns the workers.
 func (p *pass) emptyWorkers(d chuteplacement.Demand, taken map[chutetask.WorkerID]bool) []chutetask.WorkerID {
 	var emptied []chutetask.WorkerID
-	for _, s := range p.placeAlone(d, p.quarantineWorkers(d, taken, false)) {
+	for _, s := range p.placeAlone(d, p.quarantineWorkers(d, taken, false), chutequota.Quotas{}) {
 		taken[s.Worker] = true
 		emptied = append(emptied, s.Worker)
 	}
@@ -165,7 +167,7 @@
 		if !d.Step.Gang {
 			d.Indexes = d.Indexes[:1]
 		}
-		for _, s := range p.placeAlone(d, chutecandidate.Usable(p.Transition.Transition, nil)) {
+		for _, s := range p.placeAlone(d, chutecandidate.Usable(p.Transition.Transition, nil), p.quotas.Snapshot()) {
 			p.assign(s, false)
 		}
 	}
@@ -181,7 +183,8 @@
 // have been placed, unless others of the service go on waiting.
 func (p *pass) planSpareQuarantine(plan quarantinePlan, othersWait map[string]bool) {
 	for _, d := range plan.deferred {
-		if othersWait[d.Service] || !p.startOnSpare(d, plan.taken) {
+		allowed, _ := d.SplitByQuota(p.quotas.Quotas) // others have started since it was deferred
+		if othersWait[d.Service] || len(allowed.Indexes) == 0 || !p.startOnSpare(allowed, plan.taken) {
 			p.waitForQuarantine(d, "share-taken")
 		}
 	}
@@ -257,12 +260,13 @@
 	})
 }
 
-// placeAlone returns where the tasks of the demand start, as far as the quotas allow, if only the given workers exist.
-func (p *pass) placeAlone(d chuteplacement.Demand, workers []chuteplacement.Worker) []chuteplacement.Start {
+// placeAlone returns where the tasks of the demand start, as far as the quotas allow, if only the given workers exist. It plans without
+// the guarantee, so that a demand which has been split by the quotas already is to be placed with empty ones.
+func (p *pass) placeAlone(d chuteplacement.Demand, workers []chuteplacement.Worker, quotas chutequota.Quotas) []chuteplacement.Start {
 	d.MayPreempt, d.Guaranteed = false, false
 	d.TasksByWorker = maps.Clone(d.TasksByWorker)
 	var starts []chuteplacement.Start
-	for _, decision := range chuteplacement.Plan(chuteplacement.View{Workers: workers, Demands: []chuteplacement.Demand{d}, Quotas: p.quotas.Snapshot()}) {
+	for _, decision := range chuteplacement.Plan(chuteplacement.View{Workers: workers, Demands: []chuteplacement.Demand{d}, Quotas: quotas}) {
 		if s, ok := decision.(chuteplacement.Start); ok {
 			starts = append(starts, s)
 		}
@@ -281,7 +285,7 @@
 	withoutFailed := func(all []chuteplacement.Worker) []chuteplacement.Worker {
 		return slices.DeleteFunc(slices.Clone(all), func(w chuteplacement.Worker) bool { return p.failedLast(w, d.ID.Job) })
 	}
-	if len(p.placeAlone(d, withoutFailed(p.workersAlone(taken, false)))) == 0 {
+	if len(p.placeAlone(d, withoutFailed(p.workersAlone(taken, false)), chutequota.Quotas{})) == 0 {
 		return workers
 	}
 	return withoutFailed(workers)
--- a/chuteplanner/quota_test.go
+++ b/chuteplanner/quota_test.go
@@ -225,10 +225,52 @@
 	s.state.Live = s.state.Live.Set(sub.ID, chutetask.New(sub, 2, s.now).WithOccurrenceBegun(0))
 	s.now = s.now.Add(time.Second)
 	s.effects()
-	is.Equal(s.runsOn(failing), 0) // the suspect waits for the other worker, on which a run does not count towards the quota
+	is.Equal(s.runsOn(failing), 0) // no small task has taken the quota of the suspect, which waits for the other worker
 	s.state.Pool = s.state.Pool.With(w)
 	s.now = s.now.Add(time.Second)
 	s.effects()
 	is.Equal(s.runsOn(sound), 1)
 	is.Equal(s.started(), 1)
 }
+
+// TestAGuaranteedSuspectStartsInQuarantineBesideAReservedQuota guards against a suspect that runs beside others, since a reservation of
+// quota that its guarantee does not heed is taken for a lack of workers.
+func TestAGuaranteedSuspectStartsInQuarantineBesideAReservedQuota(t *testing.T) {
+	is := is.New(t)
+	s := newSuspect()
+	s.environment.Catalog.Queues[0].Priority = 0
+	s.limit(2, 1, failing)
+	s.environment.Catalog.Workspaces[0].Limit.Accelerators = 2
+	s.environment.Catalog.Workspaces[0].GuaranteedAccelerators = 1
+	for _, id := range []chutetask.WorkerID{failing, sound} {
+		w, _ := s.state.Pool.Get(id)
+		w.Capacity.Accelerators = 2
+		s.state.Pool = s.state.Pool.With(w)
+	}
+	w, _ := s.state.Pool.Get(failing)
+	used := chutegraph.RunID{Task: chutegraph.TaskID{StepID: chutegraph.StepID{Job: "00000000000000ee"}}, Number: 1}
+	run := chutepool.Run{ID: used, Workspace: "a", Request: chutecapacity.Resources{Accelerators: 1}}
+	s.state.Pool = s.state.Pool.With(w.WithRun(run.WithPhase(chutepool.RunStarted, s.now)))
+	suspect, _ := s.state.Live.Get(testID)
+	s.state.Live = s.state.Live.Delete(testID)
+	sub := suspect.Submission
+	sub.ID, sub.Workspace = "00000000000000dd", "a"
+	sub.Spec = chutegraph.Spec{Steps: []chutegraph.Step{{Count: 1, Request: chutecapacity.Resources{Processor: 1000, Accelerators: 2}}}}
+	s.state.Live = s.state.Live.Set(sub.ID, chutetask.New(sub, 2, s.now).WithOccurrenceBegun(0))
+	reserved := 0
+	for range 6 {
+		s.now = s.now.Add(time.Second)
+		for _, effect := range s.effects() {
+			if c, ok := effect.(chuteaction.Count); ok && c.Counter == "quota-reserved" {
+				reserved++
+			}
+		}
+	}
+	is.Equal(reserved, 1)
+	s.state.Live = s.state.Live.Set(testID, suspect)
+	s.now = s.now.Add(time.Second)
+	s.effects()
+	is.Equal(s.started(), 1)
+	w, _ = s.state.Pool.Get(sound)
+	is.True(w.InQuarantine())
+}
