Search no further parts of a step that has found no capacity

Cause: in the order of shares a step comes in many parts. After one had failed, each further part was searched again, and used up the 24 searches for runs to evict, so that other demands found none.

Change: a pass remembers the steps of which a task has found no capacity. Of their further parts, only tasks with a claim are scheduled.

Result: TestTheFurtherPartsOfAStepThatFailedAreNotSearched passes and failed before; go test ./chuteplacement ./chuteplanner passes.

--- a/chuteplacement/pass.go
+++ b/chuteplacement/pass.go
@@ -18,10 +18,11 @@
 	decisions []Decision
 	// preemptAttempts is the number of demands for which a search for runs to evict was made.
 	preemptAttempts int
-	reserved        map[string]bool           // services in which capacity is reserved for a demand that waits
-	waiting         map[waitingTask]int       // number of tasks of a step for which capacity is kept on a worker
-	claims          map[chutegraph.TaskID]int // index of the worker on which nominated capacity is kept for a task
-	quotas          *chutequota.Draft         // what the workspaces may start beside what this pass starts or nominates
+	failed          map[chutegraph.StepID]bool // steps of which a task has found no capacity
+	reserved        map[string]bool            // services in which capacity is reserved for a demand that waits
+	waiting         map[waitingTask]int        // number of tasks of a step for which capacity is kept on a worker
+	claims          map[chutegraph.TaskID]int  // index of the worker on which nominated capacity is kept for a task
+	quotas          *chutequota.Draft          // what the workspaces may start beside what this pass starts or nominates
 }
 
 // waitingTask stands for the tasks of a step that wait for capacity on the worker with the index.
@@ -59,6 +60,7 @@
 	p := &pass{
 		index: make(map[chutetask.WorkerID]int), groups: chuteeviction.New(view.RunGroups),
 		waiting: make(map[waitingTask]int), claims: make(map[chutegraph.TaskID]int), reserved: make(map[string]bool),
+		failed: make(map[chutegraph.StepID]bool),
 		quotas: view.Quotas.Draft(),
 	}
 	byRack := make(map[string]int)
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -68,15 +68,19 @@
 }
 
 // scheduleEach schedules the waiting tasks one by one until one doesn't fit, and of the others those with a claim. After the first,
-// something of the job runs, which is enough unless its tasks last.
+// something of the job runs, which is enough unless its tasks last. A further part of a step of which a task has found no capacity in
+// this pass would find none either, and would use up preemptAttempts.
 func (p *pass) scheduleEach(d Demand) {
-	fits := true
+	fits := !p.failed[d.ID]
 	for i := range d.Indexes {
 		if single := d.single(i); fits || p.claimed(single) {
 			fits = p.scheduleTogether(single) && fits
 		}
 		d.MayUseReserved = d.MayUseReserved && d.Step.LongRunning
 	}
+	if !fits {
+		p.failed[d.ID] = true
+	}
 }
 
 // scheduleTogether starts all waiting tasks of the demand or none of them. It reports whether it has found capacity,
--- a/chuteplacement/plan_test.go
+++ b/chuteplacement/plan_test.go
@@ -368,3 +368,18 @@
 		})
 	}
 }
+
+// TestTheFurtherPartsOfAStepThatFailedAreNotSearched guards against a step in many parts that uses up the searches of a pass for runs to
+// evict, so that others find none.
+func TestTheFurtherPartsOfAStepThatFailedAreNotSearched(t *testing.T) {
+	is := is.New(t)
+	view := chuteplacement.View{Workers: workers(0, 0, 0, 0, 0), RunGroups: []chuteeviction.Group{group("low", 2, 1, 8, 4)}}
+	whole := demand("x", 0, 40, 8, func(s *chutegraph.Step) { s.Label = "r0" })
+	for i := range whole.Indexes {
+		part := whole
+		part.Indexes = whole.Indexes[i : i+1]
+		view.Demands = append(view.Demands, part)
+	}
+	view.Demands = append(view.Demands, demand("y", 0, 1, 8, nil))
+	is.Equal(describe(chuteplacement.Plan(view)), []string{"low!w4"})
+}
