--- a/chuteplacement/quota_test.go
+++ b/chuteplacement/quota_test.go
@@ -167,8 +167,11 @@
 		change     func(*chutegraph.Step)
 		want       []string
 	}{
-		{3, 2, nil, []string{"x>w0"}}, {3, 5, nil, []string{"x>w0"}}, {4, 1, nil, nil},
-		{0, 2, lasts, []string{"x>w0", "x>w0"}}, {3, 1, lasts, []string{"x>w0"}},
+		{3, 2, nil, []string{"x>w0"}},
+		{3, 5, nil, []string{"x>w0"}},
+		{4, 1, nil, nil},
+		{0, 2, lasts, []string{"x>w0", "x>w0"}},
+		{3, 1, lasts, []string{"x>w0"}},
 	} {
 		d := ofA(demand("x", 1, 4, c.each, c.change))
 		d.MayUseReserved, d.MayUseAnyRack = true, true
--- a/chuteplanner/quota.go
+++ b/chuteplanner/quota.go
@@ -26,12 +26,7 @@
 // as a whole, or one task. Without that, small tasks would take each part of the quota that becomes free. A gang for which capacity is
 // reserved keeps its part of the quota meanwhile.
 func (p *pass) reserveQuotas(quarantined, demands []chuteplacement.Demand) {
-	held := make(map[chutegraph.StepID]time.Time)
-	for _, id := range p.awaitingApproval {
-		if since, known := p.heldSince[id]; known {
-			held[id] = since
-		}
-	}
+	held := p.heldBeforeApproval()
 	checker := newFitChecker(p)
 	for _, list := range [][]chuteplacement.Demand{quarantined, demands} {
 		for _, d := range list {
@@ -56,6 +51,17 @@
 	p.logReservations()
 }
 
+// heldBeforeApproval returns since when a quota had held back the steps of which only the approval is outstanding now.
+func (p *pass) heldBeforeApproval() map[chutegraph.StepID]time.Time {
+	held := make(map[chutegraph.StepID]time.Time)
+	for _, id := range p.awaitingApproval {
+		if since, known := p.heldSince[id]; known {
+			held[id] = since
+		}
+	}
+	return held
+}
+
 // logReservations logs for which steps the quotas begin to be reserved.
 func (p *pass) logReservations() {
 	reserved := p.quotas.Reservations()
