--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -38,7 +38,8 @@
 	heldSince map[chutegraph.StepID]time.Time
 	// reservedFor is the step for which the free part of each workspace's quota is reserved; never changed once stored.
 	reservedFor map[string]chutegraph.StepID
-	roomChecks  roomChecks
+	// fitChecks tells of the steps that quotas hold back whether they would fit on the workers; never changed once stored.
+	fitChecks   map[chutegraph.StepID]fitCheck
 	quotaReport quotaReport
 }
 
@@ -67,6 +68,8 @@
 	weights    map[string]float64        // of the workspaces; nil if the configuration has none
 	quotas     *chutequota.Draft         // what the workspaces may still start beside what this pass has started
 	rowRoom    map[chutegraph.JobID]int  // bytes left in the rows of the scheduled jobs that have been looked at
+	// awaitingApproval are the steps that no quota holds back but that lack an approval.
+	awaitingApproval []chutegraph.StepID
 	// quarantineWaits becomes quarantineDueSince after the pass.
 	quarantineWaits *immutable.SortedMap[chutegraph.StepID, time.Time]
 }
