--- a/chutecandidate/candidate.go
+++ b/chutecandidate/candidate.go
@@ -2,7 +2,6 @@
 
 import (
 	"monsoonchute.example/monsoonchute/chuteledger"
-	"monsoonchute.example/monsoonchute/chuteoutlier"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -11,36 +10,11 @@
 // Usable returns the workers on which tasks may start beside others, without those that are taken.
 func Usable(t *chuteledger.Transition, taken map[chutetask.WorkerID]bool) []chuteplacement.Worker {
 	var workers []chuteplacement.Worker
-	all := t.Pool.All()
-	verdicts := t.Outliers.Judge(all, t.Now)
-	for _, w := range all {
-		if taken[w.ID] || verdicts.Withhold(w.ID) || Obstacle(t, w) != "" {
+	for _, w := range t.Pool.All() {
+		if taken[w.ID] || Obstacle(t, w) != "" {
 			continue
 		}
-		worker := Worker(t, w)
-		switch verdict := verdicts.Of(w.ID).(type) {
-		case chuteoutlier.Limited:
-			worker.MaxStarts = verdict.Starts
-			worker.Penalty = max(worker.Penalty, doubtPenalty)
-		case chuteoutlier.Admitted, chuteoutlier.Held:
-		}
-		workers = append(workers, worker)
-	}
-	return workers
-}
-
-// WithWithheld returns the workers on which tasks may start beside others, as if new runs were withheld from none by its record. It
-// returns none if new runs are not withheld from any.
-func WithWithheld(t *chuteledger.Transition, taken map[chutetask.WorkerID]bool) []chuteplacement.Worker {
-	all := t.Pool.All()
-	if len(t.Outliers.Judge(all, t.Now)) == 0 {
-		return nil
-	}
-	var workers []chuteplacement.Worker
-	for _, w := range all {
-		if !taken[w.ID] && Obstacle(t, w) == "" {
-			workers = append(workers, Worker(t, w))
-		}
+		workers = append(workers, Worker(t, w))
 	}
 	return workers
 }
@@ -76,8 +50,6 @@
 	slowPenalty = 4.0
 	// coldPenalty puts a worker that is still slow after its start after all others but the slow ones.
 	coldPenalty = 3.0
-	// doubtPenalty puts a worker whose recovery is to be shown by few runs after those that are not in doubt.
-	doubtPenalty = 2.0
 	// speedWeight is the weight of a speed below 1.3 relative to that of capacity that stays unused.
 	speedWeight = 0.3
 )
--- a/chuteledger/state.go
+++ b/chuteledger/state.go
@@ -9,7 +9,6 @@
 	"monsoonchute.example/monsoonchute/chutefreshness"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteoutage"
-	"monsoonchute.example/monsoonchute/chuteoutlier"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chutespeed"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -30,7 +29,6 @@
 	Accused     []chutegraph.TaskID                                           // tasks on hold that may have to be given up; never modified
 	Outages     chuteoutage.History
 	Speeds      chutespeed.Speeds
-	Outliers    chuteoutlier.Records
 	Cordoned    map[chutetask.WorkerID]bool // workers whose machines go down soon, which get no new runs; never modified
 	FinalLeases map[chutetask.WorkerID]bool // workers whose leases are not extended, and which get no new runs; never modified
 	PlanDue     bool                        // something has changed since the latest planning pass
@@ -40,7 +38,7 @@
 // New returns the state of a scheduler that becomes leader now, without jobs and workers.
 func New(epoch int64, bounds Bounds, now time.Time) State {
 	return State{
-		Epoch: epoch, Bounds: bounds, LeaderSince: now, Pool: chutepool.New(), Speeds: chutespeed.New(), Outliers: chuteoutlier.New(),
+		Epoch: epoch, Bounds: bounds, LeaderSince: now, Pool: chutepool.New(), Speeds: chutespeed.New(),
 		Live:       immutable.NewSortedMap[chutegraph.JobID, chutetask.Job](chutegraph.JobOrder{}),
 		Ended:      immutable.NewSortedMap[chutegraph.JobID, chutetask.Job](chutegraph.JobOrder{}),
 		Dirty:      immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
@@ -118,7 +116,6 @@
 				t.Speeds = t.Speeds.WithoutStep(chutegraph.StepID{Job: j.ID, Occurrence: k, Step: step})
 			}
 		}
-		t.Outliers = t.Outliers.WithoutJob(j.ID)
 		t.Live = t.Live.Delete(j.ID)
 		t.Unbegun = t.Unbegun.Delete(j.ID)
 		t.Ended = t.Ended.Set(j.ID, j)
--- a/chuteplacement/fit.go
+++ b/chuteplacement/fit.go
@@ -28,11 +28,6 @@
 	return newPass(View{Workers: workers}).fits(d)
 }
 
-// FitsEmpty reports whether all waiting tasks of the demand would fit on the workers if nothing ran there.
-func FitsEmpty(workers []Worker, d Demand) bool {
-	return newPass(View{Workers: workers}).fitsEmpty(d)
-}
-
 func (p *pass) fits(d Demand) bool {
 	if !d.Step.Gang {
 		d = d.single(0)
--- a/chuteplacement/pass.go
+++ b/chuteplacement/pass.go
@@ -37,7 +37,6 @@
 	free        chutecapacity.Resources // free now
 	afterStops  chutecapacity.Resources // free once all runs that are being stopped have ended
 	afterEnds   chutecapacity.Resources // free once the runs that are expected to end soon have ended as well
-	starts      int                     // number of tasks that start there in the pass
 	reservation chutecapacity.Resources // reserved for a demand that waits, and so not free for others
 }
 
--- a/chuteplacement/place.go
+++ b/chuteplacement/place.go
@@ -135,11 +135,8 @@
 }
 
 // antiAffinityAllows reports whether the worker may get one more task of the step, beside those taken in this
-// placement, and one more start in this pass.
+// placement.
 func (p *pass) antiAffinityAllows(d Demand, worker, taken int) bool {
-	if w := p.workers[worker]; w.MaxStarts > 0 && (d.Step.Gang || w.starts+taken >= w.MaxStarts) {
-		return false // the failure of one member would cost all others of a gang their work
-	}
 	if d.Step.AntiAffinity == 0 {
 		return true
 	}
--- a/chuteplacement/plan.go
+++ b/chuteplacement/plan.go
@@ -137,7 +137,6 @@
 func (p *pass) start(d Demand, placed []int) {
 	for i, w := range placed {
 		p.decisions = append(p.decisions, Start{Task: d.task(i), Worker: p.workers[w].ID})
-		p.workers[w].starts++
 		if d.Step.AntiAffinity > 0 {
 			d.TasksByWorker[p.workers[w].ID]++
 		}
--- a/chuteplacement/reservation.go
+++ b/chuteplacement/reservation.go
@@ -38,11 +38,6 @@
 		if d.Step.AntiAffinity > 0 {
 			copies = min(copies, max(0, d.Step.AntiAffinity-d.TasksByWorker[p.workers[w].ID]))
 		}
-		if limit := p.workers[w].MaxStarts; limit > 0 && d.Step.Gang {
-			continue
-		} else if limit > 0 {
-			copies = min(copies, limit)
-		}
 		for range copies {
 			chosen = append(chosen, w)
 		}
--- a/chuteplacement/view.go
+++ b/chuteplacement/view.go
@@ -21,16 +21,15 @@
 
 // Worker is a worker on which tasks may start.
 type Worker struct {
-	ID        chutetask.WorkerID
-	Service   string
-	Rack      string
-	Labels    []string
-	Capacity  chutecapacity.Resources
-	Free      chutecapacity.Resources
-	Stopping  chutecapacity.Resources // reserved by runs that are being stopped
-	Ending    chutecapacity.Resources // reserved by runs that are expected to end very soon
-	MaxStarts int                     // how many tasks without a gang may start there in the pass; 0 for any number and gangs
-	Penalty   float64                 // added to the worker's score; tasks go to the lowest score; 0 for a healthy worker
+	ID       chutetask.WorkerID
+	Service  string
+	Rack     string
+	Labels   []string
+	Capacity chutecapacity.Resources
+	Free     chutecapacity.Resources
+	Stopping chutecapacity.Resources // reserved by runs that are being stopped
+	Ending   chutecapacity.Resources // reserved by runs that are expected to end very soon
+	Penalty  float64                 // added to the worker's score; tasks go to the lowest score; 0 for a healthy worker
 }
 
 // Demand is a step with tasks that wait for a worker.
--- a/chuteplanner/demand.go
+++ b/chuteplanner/demand.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"monsoonchute.example/monsoonchute/chutecandidate"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -36,8 +35,7 @@
 		for k, steps := range j.Occurrences {
 			for s := range steps {
 				id := chutegraph.StepID{Job: j.ID, Occurrence: k, Step: s}
-				fresh, retried := chutecandidate.SplitRetries(j, id, p.ordinaryIndexes(j, id))
-				list = p.appendDemand(p.appendDemand(list, j, id, retried), j, id, fresh)
+				list = p.appendDemand(list, j, id, p.ordinaryIndexes(j, id))
 				alone = p.appendDemand(alone, j, id, p.quarantinedIndexes(j, id))
 			}
 		}
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -35,7 +35,6 @@
 	demands, quarantined := p.demands()
 	p.nominated = make(map[chutegraph.StepID]map[int]chutetask.WorkerID)
 	p.updateWaiting(demands)
-	chutecandidate.ExcludeForRetries(p.Transition.Transition, demands)
 	p.reserveQuotas(quarantined, demands)
 	plan := p.planQuarantine(quarantined)
 	ordinary := demands
@@ -45,7 +44,6 @@
 	if len(plan.emptied) > 0 {
 		p.startOnEmptied(demands)
 	}
-	p.startOnWithheld(demands, plan.taken)
 	p.findStanding(demands, len(plan.emptied) > 0)
 	p.planSpareQuarantine(plan, waiting)
 	p.waits = p.waits.Next(p.Transition.Transition, demands, p.quotas.Quotas)
--- a/chuteplanner/quarantine.go
+++ b/chuteplanner/quarantine.go
@@ -293,16 +293,15 @@
 
 // failedLast reports whether a run of the job was the latest to fail on the worker.
 func (p *pass) failedLast(worker chuteplacement.Worker, job chutegraph.JobID) bool {
-	return p.Outliers.Of(worker.ID).FailedLast(job)
+	w, ok := p.Pool.Get(worker.ID)
+	return ok && w.FailureStreak > 0 && w.LastFailedJob == job
 }
 
 // workersAlone returns the workers without runs, or all as if they had none, that may hold a quarantine and are not taken.
 func (p *pass) workersAlone(taken map[chutetask.WorkerID]bool, empty bool) []chuteplacement.Worker {
 	var workers []chuteplacement.Worker
-	all := p.Pool.All()
-	verdicts := p.Outliers.Judge(all, p.Now)
-	for _, w := range all {
-		if verdicts.Withhold(w.ID) || !w.Usable(p.Now) || !p.MayStartOn(w) || w.InQuarantine() || taken[w.ID] {
+	for _, w := range p.Pool.All() {
+		if !w.Usable(p.Now) || !p.MayStartOn(w) || w.InQuarantine() || taken[w.ID] {
 			continue
 		}
 		if empty && w.RunCount() > 0 || p.hasLongRunning(w) {
--- a/chutepool/worker.go
+++ b/chutepool/worker.go
@@ -26,28 +26,30 @@
 	Lost             bool          // it did not answer before its lease expired, or has ended
 	LostAt           time.Time     // when it was last found lost; zero if never
 	Clock            Clock
-	Renewing         bool          // a renewal has no answer yet
-	RenewedAt        time.Time     // when the latest renewal was sent
-	ReportDue        bool          // the scheduler must request a report of its runs at once
-	LeavesAt         time.Time     // when a draining worker may leave; zero if it isn't draining or the time is unknown
-	RenewAfter       time.Time     // no renewal is sent before this time
-	MissedRenewals   int           // number of unanswered renewals since the latest answer
-	LeaseEnd         time.Duration // end of the latest lease on the worker's clock
-	LeaseExpiryBound time.Time     // nothing runs there after this time unless the lease is renewed
-	LeaseExtendedAt  time.Time     // when that time was last put off; zero if never
-	HandledEnd       int64         // number of the latest run end that was handled
-	RecordedEnd      int64         // number of the latest run end whose effect is recorded
-	AcknowledgedEnd  int64         // number of the latest run end that the worker may delete
-	RefusalStreak    int           // refused starts in a row for the runs' own sake; those that were ordered together count once
-	RefusedAt        time.Time     // latest such refusal that counts
-	CooldownUntil    time.Time     // nothing is started there before this time
-	ColdUntil        time.Time     // it is slow after its start until this time
-	CrashedAt        time.Time     // when it was last found to have crashed; zero if never
-	RestartFoundAt   time.Time     // when its present incarnation became known; zero for the first
-	Maintained       bool          // the maintenance of its machine was ordered, which ends it
-	RestartSeen      bool          // its clock shows a restart that its incarnation does not show yet
-	StartedBefore    time.Time     // its present process had started by then, by its steady clock; zero if unknown
-	SetBack          bool          // its present process says that it has started earlier than the one before: its clock was set
+	Renewing         bool             // a renewal has no answer yet
+	RenewedAt        time.Time        // when the latest renewal was sent
+	ReportDue        bool             // the scheduler must request a report of its runs at once
+	LeavesAt         time.Time        // when a draining worker may leave; zero if it isn't draining or the time is unknown
+	RenewAfter       time.Time        // no renewal is sent before this time
+	MissedRenewals   int              // number of unanswered renewals since the latest answer
+	LeaseEnd         time.Duration    // end of the latest lease on the worker's clock
+	LeaseExpiryBound time.Time        // nothing runs there after this time unless the lease is renewed
+	LeaseExtendedAt  time.Time        // when that time was last put off; zero if never
+	HandledEnd       int64            // number of the latest run end that was handled
+	RecordedEnd      int64            // number of the latest run end whose effect is recorded
+	AcknowledgedEnd  int64            // number of the latest run end that the worker may delete
+	FailureStreak    int              // number of runs of different jobs that failed there in a row
+	RefusalStreak    int              // refused starts in a row for the runs' own sake; those that were ordered together count once
+	RefusedAt        time.Time        // latest such refusal that counts
+	LastFailedJob    chutegraph.JobID // job of the latest failure in the streak
+	CooldownUntil    time.Time        // nothing is started there before this time
+	ColdUntil        time.Time        // it is slow after its start until this time
+	CrashedAt        time.Time        // when it was last found to have crashed; zero if never
+	RestartFoundAt   time.Time        // when its present incarnation became known; zero for the first
+	Maintained       bool             // the maintenance of its machine was ordered, which ends it
+	RestartSeen      bool             // its clock shows a restart that its incarnation does not show yet
+	StartedBefore    time.Time        // its present process had started by then, by its steady clock; zero if unknown
+	SetBack          bool             // its present process says that it has started earlier than the one before: its clock was set
 	runs             *immutable.SortedMap[chutegraph.RunID, Run]
 	quarantined      int // number of runs in quarantine
 	reserved         chutecapacity.Resources
@@ -95,7 +97,7 @@
 	w.HandledEnd, w.RecordedEnd, w.AcknowledgedEnd = 0, 0, 0
 	w.ReportClock, w.LeaseEnd = 0, 0
 	w.AnsweredFrom = ""
-	w.RefusalStreak = 0
+	w.FailureStreak, w.RefusalStreak = 0, 0
 	w.Draining, w.LeavesAt, w.Maintained = false, time.Time{}, false
 	for _, r := range w.Runs() {
 		r.AfterRestart = false
--- a/chuterenewal/report.go
+++ b/chuterenewal/report.go
@@ -1,14 +1,9 @@
 package chuterenewal
 
 import (
-	"fmt"
-	"strconv"
-
 	"monsoonchute.example/monsoonchute/chutecrash"
-	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chuterunner"
-	"monsoonchute.example/monsoonchute/chutespeed"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
@@ -89,36 +84,7 @@
 	if paced || t.LongRunning(r) || r.ProgressReadAt.IsZero() || percent >= 100 || r.Inherited && r.Percent == 0 {
 		return
 	}
-	reading := chutespeed.Reading{Step: r.ID.Task.StepID, Worker: id, Percent: float64(percent - r.Percent), Interval: t.Now.Sub(r.ProgressReadAt)}
-	if j, ok := t.Live.Get(r.ID.Task.Job); ok {
-		step := j.Step(reading.Step)
-		reading.Queue, reading.Estimate = j.Queue, step.Estimate
-		if step.Gang {
-			reading.Members = workersOf(j, reading.Step)
-		}
-	}
-	t.Speeds = t.Speeds.WithReading(reading, t.Now)
-	if !t.Speeds.Informative(reading) {
-		return
-	}
-	before := t.Outliers.Of(id).Trust(t.Now)
-	t.Outliers = t.Outliers.WithSpeed(id, t.Speeds.Speed(id, t.Now), t.Speeds.Slow(id, t.Now), t.Now)
-	if after := t.Outliers.Of(id).Trust(t.Now); after != before {
-		t.Count("worker-trust", strconv.Itoa(after))
-		t.Log(component, "progress changes the trust in the worker", r.ID.Task.Job, "worker", id, "trust", after, "speed",
-			fmt.Sprintf("%.2f", t.Speeds.Speed(id, t.Now)))
-	}
-}
-
-// workersOf returns the workers of the active tasks of a step.
-func workersOf(j chutetask.Job, id chutegraph.StepID) []chutetask.WorkerID {
-	var workers []chutetask.WorkerID
-	for _, task := range j.Tasks(id) {
-		if task.Phase == chutetask.TaskActive {
-			workers = append(workers, task.Worker)
-		}
-	}
-	return workers
+	t.Speeds = t.Speeds.WithProgress(r.ID.Task.StepID, id, float64(percent-r.Percent), t.Now.Sub(r.ProgressReadAt), t.Now)
 }
 
 // stopUnexpected stops a run that the worker should not have. The run takes capacity until it has ended.
--- a/chuterunner/end.go
+++ b/chuterunner/end.go
@@ -6,9 +6,9 @@
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
-// ApplyListedEnd applies the end of a run, as its worker reports it, to the worker's record and to the task.
+// ApplyListedEnd applies the end of a run, as its worker reports it, to the worker's failures and to the task.
 func (t *Transition) ApplyListedEnd(w chutepool.Worker, end chutetask.RunEnd) {
-	t.trackEnd(w, end)
+	t.trackFailures(w, end)
 	if _, ok := w.Run(end.Run); !ok {
 		t.applyEnd(w.ID, end)
 		return
@@ -136,16 +136,13 @@
 	t.StopRun(task.Worker, chutegraph.RunID{Task: id, Number: task.Run}, "task-done")
 }
 
-// trackEnd adds the end of a run to the record of its worker.
-func (t *Transition) trackEnd(w chutepool.Worker, end chutetask.RunEnd) {
-	queue := ""
-	if j, ok := t.Job(end.Run.Task.Job); ok {
-		queue = j.Queue
-	}
-	r, _ := w.Run(end.Run)
-	attributed := false
-	if t.Outliers, attributed = t.Outliers.WithEnd(w.ID, queue, end, r.StartedAt, t.Now); attributed {
-		t.Count("worker-failure", queue)
-		t.Log(component, "run failed on the worker", end.Run.Task.Job, "run", end.Run, "worker", w.ID, "trust", t.Outliers.Of(w.ID).Trust(t.Now))
-	}
+// trackFailures counts the jobs whose runs failed in a row on a worker, and starts a cooldown after several.
+func (t *Transition) trackFailures(w chutepool.Worker, end chutetask.RunEnd) {
+	w, due := w.WithRunEnd(end)
+	if due && t.Pool.MayCoolDown(w, t.Now) {
+		w = w.WithFailureCooldown(t.Now)
+		t.Count("worker-cooldown", "failures")
+		t.Log(component, "worker gets no new runs during its cooldown", end.Run.Task.Job, "worker", w.ID, "failures", w.FailureStreak)
+	}
+	t.PutWorker(w)
 }
--- a/chuterunner/worker.go
+++ b/chuterunner/worker.go
@@ -20,7 +20,6 @@
 	}
 	w.RenewAfter = t.Now
 	t.PutWorker(w)
-	t.Outliers = t.Outliers.WithoutWorker(w.ID)
 	for _, r := range w.Runs() {
 		t.applyRestart(w.ID, r)
 	}
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -11,7 +11,6 @@
 	"monsoonchute.example/monsoonchute/chuteleader"
 	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutemembership"
-	"monsoonchute.example/monsoonchute/chutemove"
 	"monsoonchute.example/monsoonchute/chutepacing"
 	"monsoonchute.example/monsoonchute/chuteplanner"
 	"monsoonchute.example/monsoonchute/chuterenewal"
@@ -51,7 +50,6 @@
 	workersWatch   chuteaction.Token // subscription to the table of workers; 0 before it begins
 	hostsToken     chuteaction.Token
 	waves          chutewave.State
-	moves          chutemove.State
 	handover       chutehandover.State
 	machineLists   chutemembership.MachineLists
 }
@@ -69,7 +67,6 @@
 			unmerged:       immutable.NewSortedMap[chutegraph.JobID, chuteaction.Row](chutegraph.JobOrder{}),
 			malformed:      immutable.NewSortedMap[chutetask.WorkerID, bool](chutetask.WorkerOrder{}),
 			waves:          chutewave.New(),
-			moves:          chutemove.New(),
 		},
 	}
 	s.runner.FinalLeases = s.handover.NotExtended()
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -41,7 +41,6 @@
 	u.FinalLeases = u.handover.NotExtended()
 	u.countPending()
 	u.waves = u.waves.Tick(u.Transition)
-	u.moves = u.moves.Tick(u.Transition)
 	u.planner = u.planner.Plan(u.Transition)
 	return u.state()
 }
@@ -89,7 +88,7 @@
 	}
 	if t.forgettable(w) {
 		t.Pool = t.Pool.Without(w.ID)
-		t.Speeds, t.Outliers = t.Speeds.WithoutWorker(w.ID), t.Outliers.WithoutWorker(w.ID)
+		t.Speeds = t.Speeds.WithoutWorker(w.ID)
 		t.Emit(chuteaction.DisconnectWorker{Worker: w.ID})
 		return
 	}
--- a/chutespeed/speed.go
+++ b/chutespeed/speed.go
@@ -34,7 +34,6 @@
 type Speeds struct {
 	workers *immutable.SortedMap[chutetask.WorkerID, estimate]
 	steps   *immutable.SortedMap[chutegraph.StepID, float64] // logarithm of percent per second on a worker with speed 1
-	priors  map[string]prior                                 // by queue; never modified
 }
 
 // estimate is the logarithm of a worker's speed as the sum of a long-term part and a short-term part, which decays.
@@ -80,19 +79,28 @@
 	return math.Exp(base + s.logSpeed(worker, now)), ok
 }
 
-// UsualRate returns the progress of a task of the step on a worker of the usual speed, in percent per second. It returns false if no
-// progress of the step is known.
-func (s Speeds) UsualRate(step chutegraph.StepID) (float64, bool) {
-	base, ok := s.steps.Get(step)
-	return math.Exp(base), ok
-}
-
 // WithProgress returns the estimates after a task of the step advanced by percent on the worker in the interval that
 // ends now. The first reading of a step sets its estimate. After that, the residual, which is the difference
 // between the logarithms of the measured and the expected rate, corrects the estimates of the worker and, to a lesser
 // part, of the step.
 func (s Speeds) WithProgress(step chutegraph.StepID, worker chutetask.WorkerID, percent float64, interval time.Duration, now time.Time) Speeds {
-	return s.WithReading(Reading{Step: step, Worker: worker, Percent: percent, Interval: interval}, now)
+	if interval < minInterval {
+		return s
+	}
+	rate := math.Log(max(percent, minPercent) / interval.Seconds())
+	base, known := s.steps.Get(step)
+	if !known {
+		s.steps = s.steps.Set(step, rate-s.logSpeed(worker, now))
+		return s
+	}
+	residual := rate - base - s.logSpeed(worker, now)
+	e, _ := s.workers.Get(worker)
+	e.shortTerm = e.shortTermAt(now) + shortTermGain*residual
+	e.longTerm = max(-longTermLimit, min(longTermLimit, e.longTerm+longTermGain*max(-longTermLimit, min(longTermLimit, residual))))
+	e.updatedAt = now
+	s.workers = s.workers.Set(worker, e)
+	s.steps = s.steps.Set(step, base+stepGain*max(-1, min(1, residual)))
+	return s
 }
 
 // WithoutWorker returns the estimates without that of the worker.
--- a/chutewait/report.go
+++ b/chutewait/report.go
@@ -37,15 +37,6 @@
 	return now.Sub(w.since) >= minLoggedWait && now.Sub(w.loggedAt) >= repeatInterval
 }
 
-// WaitedFor returns for how long the reports have found the step waiting; 0 if the latest did not.
-func (r Report) WaitedFor(id chutegraph.StepID, now time.Time) time.Duration {
-	wait, waits := r.steps[id]
-	if !waits {
-		return 0
-	}
-	return now.Sub(wait.since)
-}
-
 // Next returns the report after a planning pass that had the demands and has left the quotas, or the same if none is due. It logs why
 // steps go on waiting.
 func (r Report) Next(t *chuteledger.Transition, demands []chuteplacement.Demand, quotas chutequota.Quotas) Report {
--- a/chutewait/view.go
+++ b/chutewait/view.go
@@ -31,9 +31,7 @@
 
 func newView(t *chuteledger.Transition, quotas chutequota.Quotas) *view {
 	v := &view{quotas: quotas, unusable: make(map[string]int)}
-	all := t.Pool.All()
-	verdicts := t.Outliers.Judge(all, t.Now)
-	for _, w := range all {
+	for _, w := range t.Pool.All() {
 		if !w.Listed {
 			continue
 		}
@@ -43,10 +41,6 @@
 			v.unusable[obstacle]++
 			continue
 		}
-		if verdicts.Withhold(w.ID) {
-			v.unusable["held-back"]++
-			continue
-		}
 		v.usable = append(v.usable, worker)
 		for _, r := range w.Runs() {
 			if r.Phase != chutepool.RunStarted && t.Now.Sub(r.PhaseSince) >= minUnconfirmedAge {
