Measure what waiting costs a job, and keep run times by queue

Decisions about order, evictions and reservations have had rules of their own, and the acceptance time of a job was lost with each leader. chuteurgency measures a job by its objective, acceptance, critical path and priority; chuteruntime keeps how long tasks run relative to their estimates. The row of a job gets its acceptance time by the store's clock, which older hosts skip. The end of a run that is past its expected end, or without progress, is predicted from the tail of its queue, where the queue states an objective.

--- a/chuteclock/store.go
+++ b/chuteclock/store.go
@@ -43,6 +43,19 @@
 	return s.readAt.Add(max(0, longest(value-s.reading)))
 }
 
+// Reading returns what the clock shows at the time, to within the delay of an answer, and 0 if it has not been read.
+func (s Store) Reading(at time.Time) time.Duration {
+	if !s.Known() {
+		return 0
+	}
+	return s.reading + at.Sub(s.readAt)
+}
+
+// TimeOf returns when the clock showed the value, to within the delay of an answer, and false if it has not been read.
+func (s Store) TimeOf(value time.Duration) (time.Time, bool) {
+	return s.readAt.Add(value - s.reading), s.Known()
+}
+
 // longest returns the longest time by which one clock may advance while the other advances by the time, or the shortest of a time
 // that lies back, as a negative one.
 func longest(d time.Duration) time.Duration {
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -123,5 +123,6 @@
 	return chuteintake.View{
 		Catalog: s.operators.Catalog(), CatalogAge: s.operators.Age(now), CatalogCurrent: s.operators.Current(now),
 		Pending: pending, PendingCurrent: current, StoreReachable: s.inContact(now),
+		StoreClock: s.storeClock.Reading(now),
 	}
 }
--- a/chuteintake/arrive.go
+++ b/chuteintake/arrive.go
@@ -41,7 +41,9 @@
 	}
 	switch request := e.Call.(type) {
 	case chuteaction.SubmitJob:
-		return s.submit(t, c, submission(c.job, queue, owner, request.Spec), request.ParseError)
+		sub := submission(c.job, queue, owner, request.Spec)
+		sub.AcceptedAt = view.StoreClock
+		return s.submit(t, c, sub, request.ParseError)
 	case chuteaction.ShowJob:
 		return s.readProgress(t, c)
 	case chuteaction.CancelJob:
--- a/chuteintake/state.go
+++ b/chuteintake/state.go
@@ -32,6 +32,7 @@
 	Pending        map[string]int // number of accepted jobs of which no task has started, by queue
 	PendingCurrent bool           // these numbers are recent enough to be shown
 	StoreReachable bool           // the store has answered this host recently
+	StoreClock     time.Duration  // what the store's clock shows; 0 if it has not been read
 }
 
 // State is the immutable state of the calls in progress.
--- a/chuteledger/remaining.go
+++ b/chuteledger/remaining.go
@@ -5,6 +5,7 @@
 
 	"monsoonchute.example/monsoonchute/chutepool"
 	"monsoonchute.example/monsoonchute/chutetask"
+	"monsoonchute.example/monsoonchute/chuteurgency"
 )
 
 // UnknownRemaining is the remaining time of a run whose end cannot be estimated.
@@ -17,9 +18,29 @@
 		return UnknownRemaining
 	}
 	rate, known := t.Speeds.Rate(r.ID.Task.StepID, worker, t.Now)
-	if !known {
-		return UnknownRemaining
+	left := UnknownRemaining
+	if known {
+		seconds := float64(100-r.Percent)/rate - t.Now.Sub(r.ProgressReadAt).Seconds()
+		left = time.Duration(min(seconds, UnknownRemaining.Seconds()) * float64(time.Second))
+	}
+	if left >= 0 && known {
+		return left
+	}
+	if tail, ok := t.tailRemaining(r); ok {
+		return tail
+	}
+	return left
+}
+
+// tailRemaining returns the expected time until the end of a run by how long runs of its queue have taken, for a run without a known
+// rate or past its expected end. It returns false if that cannot be told, or if its job has no objective, so that none is waited for.
+func (t *Transition) tailRemaining(r chutepool.Run) (time.Duration, bool) {
+	j, ok := t.Job(r.ID.Task.Job)
+	if !ok || r.Inherited || r.StartedAt.IsZero() || r.ID.Number > 1 && r.Checkpoint != "" {
+		return 0, false
+	}
+	if chuteurgency.Objective(j.Spec, j.Stretch, j.Target) == 0 {
+		return 0, false
 	}
-	left := float64(100-r.Percent)/rate - t.Now.Sub(r.ProgressReadAt).Seconds()
-	return time.Duration(min(left, UnknownRemaining.Seconds()) * float64(time.Second))
+	return t.Runtimes.Remaining(j.Queue, j.Step(r.ID.Task.StepID).Estimate, t.Now.Sub(r.StartedAt))
 }
--- a/chuteledger/state.go
+++ b/chuteledger/state.go
@@ -10,6 +10,7 @@
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteoutage"
 	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chuteruntime"
 	"monsoonchute.example/monsoonchute/chutespeed"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -29,6 +30,7 @@
 	Accused     []chutegraph.TaskID                                           // tasks on hold that may have to be given up; never modified
 	Outages     chuteoutage.History
 	Speeds      chutespeed.Speeds
+	Runtimes    chuteruntime.Runtimes
 	Cordoned    map[chutetask.WorkerID]bool // workers whose machines go down soon, which get no new runs; never modified
 	FinalLeases map[chutetask.WorkerID]bool // workers whose leases are not extended, and which get no new runs; never modified
 	PlanDue     bool                        // something has changed since the latest planning pass
@@ -38,7 +40,7 @@
 // New returns the state of a scheduler that becomes leader now, without jobs and workers.
 func New(epoch int64, bounds Bounds, now time.Time) State {
 	return State{
-		Epoch: epoch, Bounds: bounds, LeaderSince: now, Pool: chutepool.New(), Speeds: chutespeed.New(),
+		Epoch: epoch, Bounds: bounds, LeaderSince: now, Pool: chutepool.New(), Speeds: chutespeed.New(), Runtimes: chuteruntime.New(),
 		Live:       immutable.NewSortedMap[chutegraph.JobID, chutetask.Job](chutegraph.JobOrder{}),
 		Ended:      immutable.NewSortedMap[chutegraph.JobID, chutetask.Job](chutegraph.JobOrder{}),
 		Dirty:      immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
--- /dev/null
+++ b/chuteledger/urgency.go
@@ -0,0 +1,62 @@
+package chuteledger
+
+import (
+	"time"
+
+	"monsoonchute.example/monsoonchute/chutegraph"
+	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chutetask"
+	"monsoonchute.example/monsoonchute/chuteurgency"
+)
+
+// AcceptedAt returns when the occurrence of the job was accepted or, for one with a start time, was due. For a job whose row does
+// not tell, that is when this host first saw it.
+func (t *Transition) AcceptedAt(j chutetask.Job, occurrence int) time.Time {
+	accepted := j.SeenAt
+	if at, known := t.Environment.StoreClock.TimeOf(j.AcceptedAt); known && j.AcceptedAt > 0 && at.Before(accepted) {
+		accepted = at
+	}
+	if due := time.Unix(0, int64(j.Spec.Due(occurrence))); j.Spec.HasStartTimes() && due.After(accepted) {
+		return due
+	}
+	return accepted
+}
+
+// Facts returns what the urgency of the job depends on, seen from a step of which all tasks are still to run.
+func (t *Transition) Facts(j chutetask.Job, id chutegraph.StepID) chuteurgency.Facts {
+	step := j.Step(id)
+	path := float64(chuteurgency.Path(j.Spec, id.Step)) * t.Runtimes.Typical(j.Queue)
+	return chuteurgency.Facts{
+		Priority: t.Priority(j), AcceptedAt: t.AcceptedAt(j, id.Occurrence), Objective: chuteurgency.Objective(j.Spec, j.Stretch, j.Target),
+		Path: time.Duration(path), Cores: step.Request.Cores() * float64(step.Count),
+	}
+}
+
+// Urgency returns the urgency of the job, seen from such a step.
+func (t *Transition) Urgency(j chutetask.Job, id chutegraph.StepID) chuteurgency.Urgency {
+	return chuteurgency.Of(t.Facts(j, id), t.Now)
+}
+
+// RecordRunTime records how long a run took that has done its whole task. Runs that resumed work, or that an earlier scheduler
+// started, say nothing about that.
+func (t *Transition) RecordRunTime(r chutepool.Run, kind chutetask.EndKind) {
+	j, ok := t.Job(r.ID.Task.Job)
+	if !ok || kind != chutetask.EndDone || r.Inherited || r.StartedAt.IsZero() || r.ID.Number > 1 {
+		return
+	}
+	if step := j.Step(r.ID.Task.StepID); !step.LongRunning {
+		t.Runtimes = t.Runtimes.WithRun(j.Queue, step.Estimate, t.Now.Sub(r.StartedAt))
+	}
+}
+
+// UsualRunTime returns how long runs of the service take, in the queue of it whose runs take longest: capacity that is in use is
+// expected to become free within that time.
+func (t *Transition) UsualRunTime(service string) time.Duration {
+	longest := time.Duration(0)
+	for _, q := range t.Environment.Catalog.Queues {
+		if q.Service == service {
+			longest = max(longest, t.Runtimes.Usual(q.Name))
+		}
+	}
+	return longest
+}
--- a/chuterow/row_test.go
+++ b/chuterow/row_test.go
@@ -19,7 +19,7 @@
 	spec := chutegraph.Spec{Payload: "p", Steps: []chutegraph.Step{
 		{Count: 2, Gang: true, Estimate: time.Second}, {Count: 1, After: []int{0}, Label: "a"},
 	}}
-	job := chutetask.New(chutetask.Submission{ID: "0123456789abcdef", Spec: spec}, 1, time.Time{}).WithOccurrenceBegun(0)
+	job := chutetask.New(chutetask.Submission{ID: "0123456789abcdef", Spec: spec, AcceptedAt: time.Hour}, 1, time.Time{}).WithOccurrenceBegun(0)
 	id := chutegraph.TaskID{StepID: chutegraph.StepID{Job: job.ID}, Index: 1}
 	job = job.WithTask(id, chutetask.Task{}.WithRun(3, "w").WithBegun().WithCheckpoint("c").WithFailure(1).WithFailure(2).
 		WithIncarnation(1_800_000_000_000).WithQuarantine(true).WithCrashes(chutequarantine.NewRecord([]chutequarantine.Crash{
--- a/chuterunner/end.go
+++ b/chuterunner/end.go
@@ -27,6 +27,7 @@
 	}
 	t.PutWorker(w.WithoutRun(id))
 	t.PlanDue = true
+	t.RecordRunTime(r, end.Kind)
 	if !r.Unbegun(end.Kind) {
 		t.NoteRunBegun(id.Task.Job)
 	}
--- a/chutetask/progress.go
+++ b/chutetask/progress.go
@@ -18,6 +18,9 @@
 	Stretch   float64          `json:"stretch"`  // the duration objective is the critical path times Stretch, plus Target
 	Target    time.Duration    `json:"target"`   // see Stretch
 	Spec      chutegraph.Spec  `json:"spec"`
+	// AcceptedAt is when the call that submitted the job arrived, by the store's clock. It is 0 if the host did not know that clock,
+	// and in rows of older hosts.
+	AcceptedAt time.Duration `json:"accepted-at,omitempty"`
 }
 
 // Progress is the part of a job's state that is recorded and outlives the scheduler process.
