--- a/chuteintake/arrive.go
+++ b/chuteintake/arrive.go
@@ -42,7 +42,9 @@
 	}
 	switch request := e.Call.(type) {
 	case chuteaction.SubmitJob:
-		return s.submit(t, c, owner, submission(c.job, queue, owner, request.Spec), request.ParseError)
+		sub := submission(c.job, queue, owner, request.Spec)
+		sub.AcceptedAt = view.StoreClock
+		return s.submit(t, c, owner, sub, request.ParseError)
 	case chuteaction.ShowJob:
 		return s.readProgress(t, c)
 	case chuteaction.CancelJob:
--- a/chuteplanner/quota.go
+++ b/chuteplanner/quota.go
@@ -116,5 +116,5 @@
 
 // sameRank reports whether the shares of the workspaces decide between two demands.
 func sameRank(a, b chuteplacement.Demand) bool {
-	return compareGuaranteed(a, b) == 0 && a.Priority == b.Priority
+	return compareGuaranteed(a, b) == 0 && a.Priority == b.Priority && a.Class == b.Class
 }
