--- a/chuteeviction/group.go
+++ b/chuteeviction/group.go
@@ -53,7 +53,7 @@
 
 // allows reports whether the group may be evicted.
 func (e Eligible) allows(g Group) bool {
-	return g.Priority > e.Above && (e.Lasting || !g.Lasting) && (!e.Weighed || g.Wasted+g.Missed <= e.Gain)
+	return g.Priority > e.Above && (e.Lasting || !g.Lasting) && (!e.Weighed || e.Gain > 0 && g.Wasted+g.Missed <= e.Gain)
 }
 
 // price returns what the stop of the group costs: the value that it loses if that is weighed, and else core-seconds.
@@ -72,6 +72,14 @@
 	return 1
 }
 
+// PenaltyPrice returns what a point of a worker's penalty costs. It decides between stops that lose about the same.
+func (e Eligible) PenaltyPrice() float64 {
+	if e.Weighed {
+		return minLoss
+	}
+	return 1
+}
+
 // minLoss is the least loss that the stop of a group counts as; a job of the lowest priority is worth 1.
 const minLoss = 0.01
 
--- a/chuteledger/urgency.go
+++ b/chuteledger/urgency.go
@@ -9,6 +9,10 @@
 	"monsoonchute.example/monsoonchute/chuteurgency"
 )
 
+// maxRecordTime is the longest usual time from the acceptance of a job until its scheduler reads its row, also while the store is
+// slow.
+const maxRecordTime = 10 * time.Second
+
 // AcceptedAt returns when the occurrence of the job was accepted or, for one with a start time, was due. For a job whose row does
 // not tell, that is when this host first saw it.
 func (t *Transition) AcceptedAt(j chutetask.Job, occurrence int) time.Time {
@@ -16,6 +20,9 @@
 	if at, known := t.Environment.StoreClock.TimeOf(j.AcceptedAt); known && j.AcceptedAt > 0 && at.Before(accepted) {
 		accepted = at
 	}
+	if j.SeenAt.After(t.LeaderSince.Add(maxRecordTime)) && j.SeenAt.Sub(accepted) > maxRecordTime {
+		accepted = j.SeenAt.Add(-maxRecordTime) // the store's clock has jumped
+	}
 	if due := time.Unix(0, int64(j.Spec.Due(occurrence))); j.Spec.HasStartTimes() && due.After(accepted) {
 		return due
 	}
@@ -25,11 +32,15 @@
 // Facts returns what the urgency of the job depends on, seen from a step of which all tasks are still to run.
 func (t *Transition) Facts(j chutetask.Job, id chutegraph.StepID) chuteurgency.Facts {
 	step := j.Step(id)
-	path := float64(chuteurgency.Path(j.Spec, id.Step)) * t.Runtimes.Typical(j.Queue)
-	return chuteurgency.Facts{
-		Priority: t.Priority(j), AcceptedAt: t.AcceptedAt(j, id.Occurrence), Objective: chuteurgency.Objective(j.Spec, j.Stretch, j.Target),
-		Path: time.Duration(path), Cores: step.Request.Cores() * float64(step.Count),
+	f := chuteurgency.Facts{
+		Priority: t.Priority(j), AcceptedAt: t.AcceptedAt(j, id.Occurrence), Cores: step.Request.Cores() * float64(step.Count),
+	}
+	// The critical path is taken by the queue's real run times in both, so that wrong estimates alone make no job late.
+	typical := t.Runtimes.Typical(j.Queue)
+	if f.Objective = chuteurgency.Objective(j.Spec, j.Stretch*typical, j.Target); f.Objective > 0 {
+		f.Path = time.Duration(float64(chuteurgency.Paths(j.Spec)[id.Step]) * typical)
 	}
+	return f
 }
 
 // Urgency returns the urgency of the job, seen from such a step.
--- a/chutemembership/leaving.go
+++ b/chutemembership/leaving.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		step := j.Step(r.ID.Task.StepID)
-		remaining := t.Remaining(w.ID, r, step.LongRunning)
+		remaining := t.RemainingByProgress(w.ID, r, step.LongRunning)
 		stopAtOnce := !step.Checkpointing && !step.LongRunning && remaining < chuteledger.UnknownRemaining
 		if remaining > left && (left <= leaveMargin || stopAtOnce) {
 			t.StopRun(w.ID, r.ID, "worker-leaves")
--- a/chuteoccupancy/appraisal.go
+++ b/chuteoccupancy/appraisal.go
@@ -15,6 +15,10 @@
 // stopDelay is how long a run takes to stop for a demand, and the demand to start then.
 const stopDelay = 300 * time.Millisecond
 
+// leastValuePerWork is the value that a core-second of work counts as at least when a run is stopped, since a job that has lapsed has
+// to complete as well. It is that of a job of the lowest priority with an hour's work of ten cores.
+const leastValuePerWork = 1.0 / 36000
+
 // appraisal tells what jobs are worth relative to the usual work of their queues.
 type appraisal struct {
 	ledger *chuteledger.Transition
@@ -74,16 +78,13 @@
 		return loss{}
 	}
 	f := a.facts(j, id)
-	if f.Objective == 0 {
-		return loss{}
-	}
-	estimate := j.Step(id).Estimate
-	if r.remaining < chuteledger.UnknownRemaining {
-		f.Path += max(0, r.remaining) - estimate
+	if r.remaining < chuteledger.UnknownRemaining && f.Objective > 0 {
+		estimate := float64(j.Step(id).Estimate) * a.ledger.Runtimes.Typical(j.Queue)
+		f.Path = max(0, f.Path-time.Duration(estimate)) + max(0, r.remaining)
 	}
 	lost := time.Duration(unsaved / max(1, r.Reserved.Cores()) * float64(time.Second))
 	return loss{
-		wasted: unsaved * f.ValuePerWork(a.ledger.Now),
+		wasted: unsaved * max(leastValuePerWork, f.ValuePerWork(a.ledger.Now)),
 		missed: f.ValueAfter(0, a.ledger.Now) - f.ValueAfter(restartWait+lost, a.ledger.Now),
 	}
 }
--- a/chuteplacement/evict.go
+++ b/chuteplacement/evict.go
@@ -14,9 +14,6 @@
 // a guarantee covers.
 func (p *pass) preempt(d Demand) bool {
 	plan, ok := p.cheapestScope(d, p.scopes(d), chuteeviction.Eligible{Above: d.Priority, Weighed: d.Weighed, Gain: d.Gain})
-	if ok && d.Weighed && p.groups.Loss(plan.groups) > d.Gain {
-		return false
-	}
 	if !ok && d.Guaranteed {
 		plan, ok = p.cheapestScope(d, p.scopes(d), chuteeviction.Eligible{Above: d.Priority, Lasting: true})
 	}
@@ -40,6 +37,9 @@
 	found := false
 	for _, workers := range scopes {
 		plan, ok := p.cheapestEvictions(d, workers, e)
+		if ok && e.Weighed && p.groups.Loss(plan.groups) > e.Gain {
+			continue
+		}
 		if ok && (!found || plan.cost < best.cost) {
 			best, found = plan, true
 		}
@@ -75,7 +75,7 @@
 				continue
 			}
 			groups, cost, ok := search.Cheapest(p.workers[w].ID, p.workers[w].afterStops, need.Times(taken[w]+1), e)
-			cost += p.workers[w].Penalty
+			cost += p.workers[w].Penalty * e.PenaltyPrice()
 			if ok && (best < 0 || cost < bestCost) {
 				best, bestCost, bestGroups = w, cost, groups
 			}
--- a/chuteplacement/nominate.go
+++ b/chuteplacement/nominate.go
@@ -100,6 +100,7 @@
 // single returns the demand of the i-th waiting task alone.
 func (d Demand) single(i int) Demand {
 	d.Indexes = d.Indexes[i : i+1]
+	d.Gain /= float64(max(1, d.Step.Count)) // the job gains once by all of its tasks
 	return d
 }
 
--- a/chuteplacement/reservation.go
+++ b/chuteplacement/reservation.go
@@ -12,21 +12,26 @@
 
 // reserve is what is reserved in a service for demands that wait.
 type reserve struct {
-	demands   int
-	resources chutecapacity.Resources
+	demands      int
+	accelerators int
+	processor    int // of demands without accelerators
 }
 
 // with returns the reserve with what the demand needs.
 func (r reserve) with(d Demand) reserve {
-	return reserve{demands: r.demands + 1, resources: r.resources.Plus(d.Step.Reserved().Times(len(d.Indexes)))}
+	need := d.Step.Reserved().Times(len(d.Indexes))
+	r.demands++
+	r.accelerators += need.Accelerators
+	if need.Accelerators == 0 {
+		r.processor += need.Processor
+	}
+	return r
 }
 
-// within reports whether the reserve takes at most the part of the capacity, by accelerators or, without any, by processor.
+// within reports whether the reserve takes at most the part of the capacity, by accelerators or, for demands without any, by
+// processor.
 func (r reserve) within(capacity chutecapacity.Resources) bool {
-	if capacity.Accelerators > 0 {
-		return maxReservedPart*r.resources.Accelerators <= capacity.Accelerators
-	}
-	return maxReservedPart*r.resources.Processor <= capacity.Processor
+	return maxReservedPart*r.accelerators <= capacity.Accelerators && maxReservedPart*r.processor <= capacity.Processor
 }
 
 // mayReserve reports whether capacity may be reserved for the demand if it finds none: the first of its service that needs it, and
--- a/chuteplanner/demand.go
+++ b/chuteplanner/demand.go
@@ -45,8 +45,13 @@
 }
 
 func sortedDemands(list []rankedDemand) []chuteplacement.Demand {
+	ranks := make([]chuteurgency.Rank, len(list))
+	for i, r := range list {
+		ranks[i] = r.rank
+	}
+	compareStart := chuteurgency.StartOrder(ranks)
 	slices.SortStableFunc(list, func(a, b rankedDemand) int {
-		return cmp.Or(compareGuaranteed(a.demand, b.demand), chuteurgency.CompareClass(a.rank, b.rank), chuteurgency.CompareStart(a.rank, b.rank))
+		return cmp.Or(compareGuaranteed(a.demand, b.demand), chuteurgency.CompareClass(a.rank, b.rank), compareStart(a.rank, b.rank))
 	})
 	demands := make([]chuteplacement.Demand, len(list))
 	for i, r := range list {
@@ -87,7 +92,7 @@
 	return append(list, rankedDemand{demand: d, rank: rank})
 }
 
-// mayPreempt reports whether runs may be stopped for an urgent step: a guarantee covers its job, that still gains, or runs were
+// mayPreempt reports whether runs may be stopped for an urgent step: a guarantee covers its job, its job still gains, or runs were
 // stopped for the step already.
 func (p *pass) mayPreempt(j chutetask.Job, id chutegraph.StepID, u chuteurgency.Urgency) bool {
 	return p.guaranteed[j.ID] || u.Class != chuteurgency.Lapsed || len(p.nominated[id]) > 0
--- a/chuteplanner/waiting.go
+++ b/chuteplanner/waiting.go
@@ -10,6 +10,7 @@
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteplacement"
+	"monsoonchute.example/monsoonchute/chuteurgency"
 )
 
 // minReservationWait is the shortest wait of a gang after which capacity is reserved for it.
@@ -37,6 +38,7 @@
 // all capacity that becomes free, and a large gang would never start. That is once the latest start of a gang is near or, if its job
 // has no objective, once it has waited long. Urgent gangs need none, because they preempt other runs.
 func (p *pass) updateWaiting(demands []chuteplacement.Demand) {
+	usual := make(map[string]time.Duration) // run time by service
 	updated := immutable.NewSortedMap[chutegraph.StepID, time.Time](chutegraph.StepOrder{})
 	for i, d := range demands {
 		if !d.Step.Gang || d.MayPreempt {
@@ -49,10 +51,14 @@
 		updated = updated.Set(d.ID, since)
 		if d.LatestStart.IsZero() {
 			demands[i].NeedsReservation = p.Now.Sub(since) >= max(minReservationWait, d.Step.Estimate)
+			demands[i].SharesReserved = true
 			continue
 		}
-		demands[i].SharesReserved = p.Now.Before(d.LatestStart)
-		demands[i].NeedsReservation = !p.Now.Add(p.UsualRunTime(d.Service)).Before(d.LatestStart)
+		demands[i].SharesReserved = p.Now.Before(d.LatestStart) || d.Class == chuteurgency.OnTime // it has aged
+		if _, known := usual[d.Service]; !known {
+			usual[d.Service] = p.UsualRunTime(d.Service)
+		}
+		demands[i].NeedsReservation = !p.Now.Add(usual[d.Service]).Before(d.LatestStart)
 	}
 	p.waitingSince = updated
 }
--- a/chuteurgency/path.go
+++ b/chuteurgency/path.go
@@ -1,22 +1,28 @@
 package chuteurgency
 
 import (
-	"slices"
 	"time"
 
 	"monsoonchute.example/monsoonchute/chutegraph"
 )
 
-// Path returns the longest time from the start of the step until the end of the job if nothing waits. Steps without an estimate
-// count as 0.
-func Path(spec chutegraph.Spec, step int) time.Duration {
-	longest := time.Duration(0)
-	for next := step + 1; next < len(spec.Steps); next++ {
-		if slices.Contains(spec.Steps[next].After, step) {
-			longest = max(longest, Path(spec, next))
+// maxPath is the longest critical path that is told; estimates may be of any size.
+const maxPath = 365 * 24 * time.Hour
+
+// Paths returns, for each step, the longest time from its start until the end of the job if nothing waits. Steps without an estimate
+// count as 0. A step comes after earlier ones alone, so that one pass over the steps from the last to the first suffices.
+func Paths(spec chutegraph.Spec) []time.Duration {
+	paths := make([]time.Duration, len(spec.Steps))
+	for i := len(spec.Steps) - 1; i >= 0; i-- {
+		step := spec.Steps[i]
+		paths[i] = min(maxPath, paths[i]+max(0, min(step.Estimate, maxPath)))
+		for _, before := range step.After {
+			if before >= 0 && before < i {
+				paths[before] = max(paths[before], paths[i])
+			}
 		}
 	}
-	return spec.Steps[step].Estimate + longest
+	return paths
 }
 
 // Objective returns the time within which a job is on time: its critical path times stretch, plus the target. It is 0 if neither
@@ -26,13 +32,11 @@
 		return 0
 	}
 	longest := time.Duration(0)
-	for i, step := range spec.Steps {
-		if step.LongRunning || step.Estimate <= 0 {
+	for i, path := range Paths(spec) {
+		if spec.Steps[i].LongRunning || spec.Steps[i].Estimate <= 0 {
 			return 0
 		}
-		if len(step.After) == 0 {
-			longest = max(longest, Path(spec, i))
-		}
+		longest = max(longest, path)
 	}
-	return time.Duration(stretch*float64(longest)) + target
+	return time.Duration(min(float64(maxPath), stretch*float64(longest)+float64(target)))
 }
--- a/chuteurgency/urgency.go
+++ b/chuteurgency/urgency.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -157,11 +158,16 @@
 		cmp.Compare(a.lapsed(), b.lapsed()), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Class(), b.Class()))
 }
 
-// CompareStart orders by latest start where the queues state objectives, and by acceptance.
-func CompareStart(a, b Rank) int {
-	if a.Urgency.LatestStart.IsZero() && b.Urgency.LatestStart.IsZero() {
-		return cmp.Compare(a.Order, b.Order)
+// StartOrder returns the order of jobs of one class: by latest start if any of them has one, and by acceptance otherwise. Where only
+// some have one, the acceptance time stands in for that of the others, so that the order is transitive.
+func StartOrder(ranks []Rank) func(a, b Rank) int {
+	if slices.ContainsFunc(ranks, func(r Rank) bool { return !r.Urgency.LatestStart.IsZero() }) {
+		return compareStart
 	}
+	return func(a, b Rank) int { return cmp.Compare(a.Order, b.Order) }
+}
+
+func compareStart(a, b Rank) int {
 	return cmp.Or(a.startBy().Compare(b.startBy()), cmp.Compare(a.Order, b.Order))
 }
 
--- a/chuteurgency/urgency_test.go
+++ b/chuteurgency/urgency_test.go
@@ -53,7 +53,7 @@
 	if c := chuteurgency.CompareClass(a, b); c != 0 {
 		return c
 	}
-	return chuteurgency.CompareStart(a, b)
+	return chuteurgency.StartOrder([]chuteurgency.Rank{a, b})(a, b)
 }
 
 // TestTheOrderFollowsValueUntilAJobHasAged guards against capacity for jobs without value while others can be on time, and against
