Settings for the memory and the descriptors of a process

The tests of clients that exceed the request limits need a low memory limit on both interfaces. No behaviour depends on them yet.

--- a/chutesettings/settings.go
+++ b/chutesettings/settings.go
@@ -16,6 +16,15 @@
 // MaxFileBytes is the largest settings file, in bytes.
 const MaxFileBytes = 64 << 10
 
+const (
+	// defaultMemoryMB is the default memory limit. A host with ordinary load uses below 100 MiB.
+	defaultMemoryMB = 1024
+	// minMemoryMB is the smallest memory limit that leaves room for two bodies of the largest size beside a host's own memory.
+	minMemoryMB = 256
+	// minFiles is the smallest number of descriptors with which a host reaches the store, workers, peers and clients.
+	minFiles = 256
+)
+
 // Settings are the settings of an entry host that serves the project's own HTTP API, that of package chutefront. Decoding
 // errors, which operators see, contain the names of this type and of its fields.
 type Settings struct {
@@ -27,11 +36,16 @@
 	StopTimeout  chuteform.Duration `toml:"stop-timeout"`      // longest duration of a planned stop
 	DrainDelay   chuteform.Duration `toml:"drain-delay"`       // time for which a stopping host still refuses requests
 	LogLevel     string             `toml:"log-level"`         // lowest level that is logged: debug, info, warn or error
+	MemoryMB     int                `toml:"memory-mb"`         // memory that the process may use, in MiB
+	MaxFiles     int                `toml:"max-files"`         // file descriptors that the process may have open; 0 means the limit of the system
 }
 
 // Default returns the default values of the optional settings.
 func Default() Settings {
-	return Settings{StopTimeout: chuteform.Duration(30 * time.Second), DrainDelay: chuteform.Duration(3 * time.Second), LogLevel: "info"}
+	return Settings{
+		StopTimeout: chuteform.Duration(30 * time.Second), DrainDelay: chuteform.Duration(3 * time.Second), LogLevel: "info",
+		MemoryMB: defaultMemoryMB,
+	}
 }
 
 // Load reads and validates the settings file at the path. The error lists all problems of the file.
@@ -90,6 +104,12 @@
 	if _, err := s.Level(); err != nil {
 		found = append(found, "log-level: must be debug, info, warn or error")
 	}
+	if s.MemoryMB < minMemoryMB {
+		found = append(found, "memory-mb: must be at least "+strconv.Itoa(minMemoryMB))
+	}
+	if s.MaxFiles != 0 && s.MaxFiles < minFiles {
+		found = append(found, "max-files: must be 0 or at least "+strconv.Itoa(minFiles))
+	}
 	return found
 }
 
