Tests that show the fault of clients over the request limits

One test for each front starts the daemon as a process with a limit of 256 MiB and 400 descriptors, sends bodies over the limits from 240 clients, half announced and half in chunks, opens 1,000 idle connections and then makes an ordinary call.

--- /dev/null
+++ b/cmd/monsoonchuted/intake_test.go
@@ -0,0 +1,295 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"monsoonchute.example/monsoonchute/chutedev"
+	"monsoonchute.example/monsoonchute/chutefront"
+	"monsoonchute.example/monsoonchute/platform/standin"
+)
+
+const (
+	// intakeMemoryMB is the memory limit of the processes under test, in MiB, and the bound on their peak resident size.
+	intakeMemoryMB = 256
+	// intakeFiles is the limit of the processes under test on open descriptors, and the bound on their number.
+	intakeFiles = 400
+	// intakeSenders is the number of clients that send bodies over the limits at the same time.
+	intakeSenders = 240
+	// intakeIdle is the number of clients that open connections and send nothing.
+	intakeIdle = 1000
+	// senderPieceBytes is the size of one write of a sender.
+	senderPieceBytes = 64 << 10
+	// senderTimeout is the longest time that a sender waits for the process in one read or write.
+	senderTimeout = 8 * time.Second
+)
+
+// target is an entry host in a process of its own, under attack.
+type target struct {
+	front    string
+	process  *exec.Cmd
+	exited   chan struct{}
+	path     string      // request target of a call with a body
+	header   string      // header lines of such a call
+	size     int         // bytes of a body that the front of the fault reads in full
+	ordinary func() bool // makes an ordinary call and reports whether it was answered
+}
+
+// startTarget starts the process. Its output is kept out of the test's, since refused clients may be logged.
+func startTarget(t *testing.T, command *exec.Cmd, d target) *target {
+	t.Helper()
+	is.New(t).NoErr(command.Start())
+	d.process, d.exited = command, make(chan struct{})
+	group := conc.NewWaitGroup()
+	group.Go(func() { _ = command.Wait(); close(d.exited) })
+	t.Cleanup(func() { _ = command.Process.Kill(); group.Wait() })
+	for range maxPolls {
+		if d.ordinary() {
+			return &d
+		}
+		pause()
+	}
+	t.Fatal("the process answers no ordinary call")
+	return nil
+}
+
+// platformTarget starts an entry host on a stand-in of the platform.
+func platformTarget(t *testing.T) *target {
+	t.Helper()
+	is := is.New(t)
+	store, cleanUp, err := standin.New()
+	is.NoErr(err)
+	t.Cleanup(cleanUp)
+	store.Put("op", "config", standin.Config(3))
+	front := freeAddress(t)
+	// Two ports in a row lie below those that the system gives to outgoing connections, by the number of this process.
+	port := 12_000 + 2*(os.Getpid()%8_000)
+	text, err := json.Marshal(map[string]any{
+		"node_name": "host-0", "zone": "z-0", "ip": "127.0.0.1", "port_range": []int{port, port + 1}, "orders": "request", "heartbeat_ms": 1500,
+		"bind_addresses": map[string]string{"front": front, "ready": freeAddress(t)},
+		"limits":         map[string]any{"cpu_share": 1, "cores": 1, "memory_mb": intakeMemoryMB, "max_fds": intakeFiles},
+		"bounds":         map[string]any{"grace_s": 6, "max_hold_ms": 6000, "gang_timeout_ms": 3000, "stop_timeout_ms": 200, "config_apply_ms": 2000},
+		"platform":       map[string]any{"address": store.StoreAddress(), "form": "table"},
+	})
+	is.NoErr(err)
+	settings := filepath.Join(t.TempDir(), "boot.json")
+	is.NoErr(os.WriteFile(settings, text, 0o600))
+	command := exec.Command(buildDaemon(t), "platform")
+	command.Env = append(os.Environ(), "MONSOONCHUTE_BOOT="+settings)
+	number := 0
+	return startTarget(t, command, target{
+		front: front, path: "/a/00000000000000ff", header: "Host: a.example\r\nX-Api-Key: key-1\r\n", size: 2 << 20,
+		ordinary: func() bool {
+			number++
+			body := `{"spec":"200","steps":[{"count":1,"cpu":1000,"mem_mb":100,"gpu":0,"estimate_ms":200,"after":[]}]}`
+			path := fmt.Sprintf("/a/%016x", number)
+			return ordinaryCall("http://"+front+path, "a.example", body, http.StatusOK)
+		},
+	})
+}
+
+// ownTarget starts an entry host that serves the project's own interface.
+func ownTarget(t *testing.T) *target {
+	t.Helper()
+	is := is.New(t)
+	cluster, cleanUp, err := chutedev.New(slog.New(slog.DiscardHandler), chutedev.WithHosts(0))
+	is.NoErr(err)
+	t.Cleanup(cleanUp)
+	front := freeAddress(t)
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	settings := fmt.Sprintf("host-id = 'entry-0'\navailability-zone = 'zone-a'\nfront-address = %q\npeer-address = %q\nstore-address = %q\n"+
+		"log-level = 'error'\nmemory-mb = %d\nmax-files = %d\n", front, freeAddress(t), cluster.Platform.Address(), intakeMemoryMB, intakeFiles)
+	is.NoErr(os.WriteFile(path, []byte(settings), 0o600))
+	return startTarget(t, exec.Command(buildDaemon(t), "--settings", path), target{
+		front: front, path: "/call/" + chutedev.Service + "/reserve", header: "Host: a.example\r\n", size: 15 << 20,
+		ordinary: func() bool {
+			return ordinaryCall("http://"+front+"/v1/jobs", "", `{}`, http.StatusBadRequest)
+		},
+	})
+}
+
+// ordinaryCall posts the body on a connection of its own and reports whether it gets the status.
+func ordinaryCall(url, host, body string, status int) bool {
+	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return false
+	}
+	request.Host, request.Close = host, true
+	request.Header.Set("X-Api-Key", "key-1")
+	request.Header.Set(chutefront.HeaderRequestID, "ordinary")
+	client := http.Client{Timeout: senderTimeout}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.ReadAll(response.Body)
+	return err == nil && response.StatusCode == status
+}
+
+// dial opens a connection to the front, or returns nil if that fails.
+func (d *target) dial() net.Conn {
+	connection, err := net.DialTimeout("tcp", d.front, senderTimeout)
+	if err != nil {
+		return nil
+	}
+	return connection
+}
+
+// send writes the text and then so many bytes, until the process breaks the connection or reads nothing any more.
+func send(connection net.Conn, text string, size int) {
+	piece := bytes.Repeat([]byte("x"), senderPieceBytes)
+	_ = connection.SetWriteDeadline(time.Now().Add(senderTimeout))
+	if _, err := io.WriteString(connection, text); err != nil {
+		return
+	}
+	for sent := 0; sent < size; sent += len(piece) {
+		_ = connection.SetWriteDeadline(time.Now().Add(senderTimeout))
+		if _, err := connection.Write(piece[:min(len(piece), size-sent)]); err != nil {
+			return
+		}
+	}
+}
+
+// sendAnnounced announces a body and sends all of it but the last byte, then waits until the process closes the connection.
+func (d *target) sendAnnounced() {
+	connection := d.dial()
+	if connection == nil {
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	send(connection, fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n", d.path, d.header, d.size), d.size-1)
+	awaitClose(connection)
+}
+
+// sendChunked sends a body in chunks without its last chunk, then waits until the process closes the connection.
+func (d *target) sendChunked() {
+	connection := d.dial()
+	if connection == nil {
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	size := d.size - d.size/16
+	send(connection, fmt.Sprintf("POST %s HTTP/1.1\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n", d.path, d.header, size), size)
+	awaitClose(connection)
+}
+
+// awaitClose reads until the process closes the connection, at most for senderTimeout.
+func awaitClose(connection net.Conn) {
+	_ = connection.SetReadDeadline(time.Now().Add(senderTimeout))
+	_, _ = io.Copy(io.Discard, connection)
+}
+
+// openIdle opens connections that send nothing and stay open until the test ends.
+func (d *target) openIdle(t *testing.T, count int) {
+	t.Helper()
+	for range count {
+		if connection := d.dial(); connection != nil {
+			t.Cleanup(func() { _ = connection.Close() })
+		}
+	}
+}
+
+// check fails the test unless the process lives within its memory and descriptors and answers an ordinary call.
+func (d *target) check(t *testing.T) {
+	t.Helper()
+	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", d.process.Process.Pid))
+	if err != nil {
+		t.Fatal("the process has ended:", err)
+	}
+	if len(files) > intakeFiles {
+		t.Errorf("the process has %d open descriptors, over %d", len(files), intakeFiles)
+	}
+	answered := false
+	for range 10 {
+		if answered = d.ordinary(); answered {
+			break
+		}
+		pause()
+	}
+	if !answered {
+		t.Error("an ordinary call is not answered")
+	}
+	select {
+	case <-d.exited:
+		t.Error("the process has ended")
+	default:
+	}
+	peak := d.peakMB(t)
+	t.Logf("peak of the resident size: %d MiB; open descriptors: %d", peak, len(files))
+	if peak > intakeMemoryMB {
+		t.Errorf("the process had %d MiB, over %d", peak, intakeMemoryMB)
+	}
+}
+
+// peakMB returns the highest resident size of the process so far, in MiB.
+func (d *target) peakMB(t *testing.T) int {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.process.Process.Pid))
+	is.New(t).NoErr(err)
+	for line := range strings.Lines(string(text)) {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmHWM:" {
+			kb, err := strconv.Atoi(fields[1])
+			is.New(t).NoErr(err)
+			return kb >> 10
+		}
+	}
+	t.Fatal("the peak of the resident size is not known")
+	return 0
+}
+
+// flood sends bodies over the limits from many clients at once, half of them announced and half in chunks.
+func (d *target) flood() {
+	var senders conc.WaitGroup
+	for i := range intakeSenders {
+		if i%2 == 0 {
+			senders.Go(d.sendAnnounced)
+		} else {
+			senders.Go(d.sendChunked)
+		}
+	}
+	senders.Wait()
+}
+
+// TestPlatformHostOutlivesClientsOverTheLimits guards against a process that runs out of memory by bodies that clients
+// send, or out of descriptors by connections that they leave idle.
+func TestPlatformHostOutlivesClientsOverTheLimits(t *testing.T) {
+	d := platformTarget(t)
+	d.flood()
+	d.openIdle(t, intakeIdle)
+	d.check(t)
+}
+
+// TestOwnHostOutlivesClientsOverTheLimits guards against the same fault of the project's own interface.
+func TestOwnHostOutlivesClientsOverTheLimits(t *testing.T) {
+	d := ownTarget(t)
+	d.flood()
+	d.openIdle(t, intakeIdle)
+	d.check(t)
+}
+
+// TestMain raises the test's own limit on descriptors, which holds the clients' ends of all connections.
+func TestMain(m *testing.M) {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil {
+		limit.Cur = limit.Max
+		_ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
+	}
+	os.Exit(m.Run())
+}
