--- /dev/null
+++ b/chutebudget/limits.go
@@ -0,0 +1,49 @@
+package chutebudget
+
+const (
+	// SmallBody is the size in bytes up to which a body may use the whole budget. Bodies of ordinary jobs have some hundred
+	// bytes to some kilobytes, so that they are still admitted while large bodies exhaust their part.
+	SmallBody = 64 << 10
+	// bodyShare is the share of the memory limit for bodies and responses, as a divisor. A body is decoded and garbage is
+	// collected late, so that a byte of it can cost several.
+	bodyShare = 8
+	// largeShare is the share of the budget for bodies over SmallBody, in quarters.
+	largeShare = 3
+	// connectionBytes is the memory that must be available for one connection. The HTTP library holds up to 40 KiB for it:
+	// 16 KiB to read a header, 8 KiB of the body, 4 KiB to write and its stack. Connections get half of the memory.
+	connectionBytes = 80 << 10
+	// addressShare is the share of the connections that one address may have, in quarters. All clients of a zone may reach a
+	// host from few addresses; the remaining quarter keeps the others served.
+	addressShare = 3
+	// quarters is the denominator of largeShare and addressShare.
+	quarters = 4
+	// unlimitedMemory is the memory limit that is assumed if there is none, in bytes.
+	unlimitedMemory = 1 << 30
+)
+
+// Limits bound what clients may hold at the same time.
+type Limits struct {
+	Bytes              int64 // of bodies and responses of all clients
+	LargeBytes         int64 // the part of Bytes that bodies over SmallBody may use
+	AddressBytes       int64 // the part of Bytes that one address may use
+	Connections        int
+	AddressConnections int
+}
+
+// NewLimits derives the limits from the memory limit in bytes, the limit on descriptors and the largest number of
+// connections that the server is built for. A limit of 0 is unknown. Half of the descriptors are left for the host's own
+// connections.
+func NewLimits(memory int64, files, connections int) Limits {
+	if memory <= 0 {
+		memory = unlimitedMemory
+	}
+	connections = max(1, min(connections, int(memory/connectionBytes)))
+	if files > 0 {
+		connections = max(1, min(connections, files/2))
+	}
+	bytes := memory / bodyShare
+	return Limits{
+		Bytes: bytes, LargeBytes: bytes * largeShare / quarters, AddressBytes: bytes / 2,
+		Connections: connections, AddressConnections: max(1, connections*addressShare/quarters),
+	}
+}
--- /dev/null
+++ b/chutebudget/victim.go
@@ -0,0 +1,71 @@
+package chutebudget
+
+import "time"
+
+// Phase is what a connection is doing.
+type Phase int
+
+// The phases of a connection.
+const (
+	PhaseNew     Phase = iota // nothing has arrived on it
+	PhaseReading              // part of a header has arrived
+	PhaseServing              // a request is read or answered
+	PhaseIdle                 // its last request is answered
+	PhaseClosing              // it is refused, and what its client still sends is discarded
+)
+
+const (
+	// newAge is the age from which a connection without a request may be closed for another one. An ordinary client sends
+	// its request as soon as the connection is open.
+	newAge = 200 * time.Millisecond
+	// readingAge is the age from which a connection with part of a header, or a refused one, may be closed for another one.
+	// An ordinary client sends its header in one piece.
+	readingAge = time.Second
+)
+
+// Candidate is a connection that may be closed for another one.
+type Candidate struct {
+	From  Address
+	Phase Phase
+	Age   time.Duration // time in the phase
+}
+
+// closable reports whether the connection has no complete request, so that closing it loses none.
+func (c Candidate) closable() bool {
+	switch c.Phase {
+	case PhaseIdle:
+		return true
+	case PhaseNew:
+		return c.Age >= newAge
+	case PhaseReading, PhaseClosing:
+		return c.Age >= readingAge
+	case PhaseServing:
+	}
+	return false
+}
+
+// ChooseVictim returns the index of the connection that is closed for a new one that the verdict refuses, and false if
+// there is none. It is the oldest closable one of the address with the most connections, or of the new one's address if
+// that address is at its limit.
+func (a Account) ChooseVictim(candidates []Candidate, refused Connection, verdict Verdict) (int, bool) {
+	best, found := 0, false
+	for i, c := range candidates {
+		if !c.closable() || verdict == VerdictAddressConnections && c.From != refused.From {
+			continue
+		}
+		if !found || a.precedes(c, candidates[best]) {
+			best, found = i, true
+		}
+	}
+	return best, found
+}
+
+// precedes reports whether the first connection is closed before the second one.
+func (a Account) precedes(first, second Candidate) bool {
+	if first.From != second.From {
+		if m, n := a.Of(first.From).Connections, a.Of(second.From).Connections; m != n {
+			return m > n
+		}
+	}
+	return first.Age > second.Age
+}
