--- a/chutemetric/metric.go
+++ b/chutemetric/metric.go
@@ -79,6 +79,11 @@
 // durationBuckets are 18 bucket bounds from 100 µs, each twice the one before.
 var durationBuckets = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 18)
 
+// SetGauge sets the gauge of the name.
+func (m *Metrics) SetGauge(name string, value float64) {
+	m.scope.Gauge(metricName(name)).Update(value)
+}
+
 // SetRingStats sets the gauges for the depth, size and refused items of a ring.
 func (m *Metrics) SetRingStats(stats chutering.RingStats) {
 	scope := m.scope.Tagged(map[string]string{"ring": stats.Name})
