Serve clients and links under the limits of chuteconnection

Both fronts read bodies in their handlers under the budget instead of letting the HTTP library read them in full before: 413 at once for what is announced too large, 503 with Retry-After and 'overloaded' (not run) when the budget is exhausted, time limits for responses that are not read. Readiness fails while a host is short of memory or descriptors. The daemon sets the memory limit of the Go runtime on the own interface as on the platform.

Existing tests change only where constructors take a limiter.

--- a/chutefront/caller.go
+++ b/chutefront/caller.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v3"
 
+	"monsoonchute.example/monsoonchute/chuteconnection"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chuteexchange"
 	"monsoonchute.example/monsoonchute/chuteresult"
@@ -22,7 +23,7 @@
 )
 
 // forwardRequest passes a client's request to the core and returns the response of the backend server. It copies the
-// method, path, headers and body because fiber reuses its buffers after the handler has returned.
+// method, path and headers because fiber reuses its buffers after the handler has returned; readBody made the body.
 func (f *Front) forwardRequest(c fiber.Ctx) error {
 	request, err := parseRequest(c)
 	if err != nil {
@@ -31,7 +32,7 @@
 	}
 	message := chuteexchange.Message{
 		Method: strings.Clone(c.Method()), Path: backendPath(c), ContentType: strings.Clone(c.Get(fiber.HeaderContentType)),
-		Body: append([]byte(nil), c.Body()...),
+		Body: c.Body(),
 	}
 	request.Digest = contentDigest(message)
 	id, pending, removeExchange := f.exchanges.OpenExchange(message)
@@ -64,6 +65,7 @@
 	if answer.Answer.ContentType != "" {
 		c.Set(fiber.HeaderContentType, answer.Answer.ContentType)
 	}
+	chuteconnection.HoldResponse(c.RequestCtx(), len(answer.Answer.Body))
 	return c.Status(answer.Answer.Status).Send(answer.Answer.Body)
 }
 
--- a/chutefront/front.go
+++ b/chutefront/front.go
@@ -11,7 +11,9 @@
 	"github.com/gofiber/fiber/v3/middleware/adaptor"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
+	"monsoonchute.example/monsoonchute/chuteconnection"
 	"monsoonchute.example/monsoonchute/chuteduty"
 	"monsoonchute.example/monsoonchute/chuteexchange"
 	"monsoonchute.example/monsoonchute/chuteform"
@@ -26,6 +28,15 @@
 	MaxHeaderBytes = 16 << 10
 	// ReadTimeout is the longest time for receiving a complete request.
 	ReadTimeout = 30 * time.Second
+	// WriteTimeout is the longest time for a client to take a response.
+	WriteTimeout = 30 * time.Second
+	// MaxConnections is the largest number of clients' connections on a host with enough memory and descriptors.
+	MaxConnections = 8192
+	// connectionSlack is the number of goroutines for each connection of the limiter, which alone refuses connections. A
+	// connection that it closes for another one still has a goroutine until that notices.
+	connectionSlack = 2
+	// budgetRetry is the time after which a client should repeat a request that was refused for want of memory.
+	budgetRetry = time.Second
 	// IdleTimeout is the time after which an idle connection is closed.
 	IdleTimeout = 2 * time.Minute
 	// CallTimeout is the longest wait for the core's reply to an operator's call.
@@ -60,6 +71,7 @@
 // Front is the HTTP server for clients of services and for operators.
 type Front struct {
 	app       *fiber.App
+	limiter   *chuteconnection.Limiter
 	events    chutering.Events
 	exchanges *chuteexchange.Table
 	health    Health
@@ -67,21 +79,23 @@
 	log       *slog.Logger
 }
 
-// New starts an HTTP server on the listener. The returned clean-up function waits up to the timeout for requests in
+// New starts an HTTP server on the listener, under the limits of the limiter. The returned clean-up function waits up to the timeout for requests in
 // progress, then closes all connections.
 func New(
 	listener net.Listener, events chutering.Events, exchanges *chuteexchange.Table, health Health, recorder Recorder,
-	metrics http.Handler, log *slog.Logger,
+	metrics http.Handler, limiter *chuteconnection.Limiter, log *slog.Logger,
 ) (*Front, func(timeout time.Duration)) {
-	f := &Front{events: events, exchanges: exchanges, health: health, recorder: recorder, log: log}
+	f := &Front{events: events, exchanges: exchanges, health: health, limiter: limiter, recorder: recorder, log: log}
 	f.app = fiber.New(fiber.Config{
 		BodyLimit: MaxBodyBytes, ReadBufferSize: MaxHeaderBytes, ReadTimeout: ReadTimeout, IdleTimeout: IdleTimeout,
-		ErrorHandler: f.handleError, AppName: "monsoonchute",
+		WriteTimeout: WriteTimeout, Concurrency: connectionSlack * limiter.Limits().Connections, StreamRequestBody: true,
+		DisablePreParseMultipartForm: true, ErrorHandler: f.handleError, AppName: "monsoonchute",
 	})
+	f.limitServer(f.app.Server())
 	f.registerRoutes(metrics)
 	group, stopGroup := chuteduty.New(log)
 	group.Go("front-listener", func(context.Context) {
-		if err := f.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+		if err := f.app.Listener(limiter.Listen(listener), fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
 			log.Error("front: HTTP listener failed", "error", err)
 		}
 	})
@@ -93,7 +107,19 @@
 	}
 }
 
+// limitServer sets the hooks of the HTTP server that fiber has no settings for.
+func (f *Front) limitServer(server *fasthttp.Server) {
+	server.ConnState = f.limiter.SetState
+	server.HeaderReceived = chuteconnection.RefuseAnnounced(MaxBodyBytes)
+	respond := server.ErrorHandler
+	server.ErrorHandler = func(c *fasthttp.RequestCtx, err error) {
+		f.limiter.CountError(c, err)
+		respond(c, err)
+	}
+}
+
 func (f *Front) registerRoutes(metrics http.Handler) {
+	f.app.Use(f.readBody)
 	f.app.Get("/health", f.serveHealth)
 	f.app.Get("/metrics", adaptor.HTTPHandler(metrics))
 	f.app.Get("/v1/document", f.showDocument)
--- a/chutefront/operator.go
+++ b/chutefront/operator.go
@@ -7,6 +7,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"monsoonchute.example/monsoonchute/chutecall"
+	"monsoonchute.example/monsoonchute/chuteconnection"
 	"monsoonchute.example/monsoonchute/chutedocument"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chuteform"
@@ -61,7 +62,9 @@
 	code := chutecall.ResultOf(reply).Code
 	c.Set(HeaderRequestID, requestID)
 	c.Set(HeaderResult, code.String())
-	return c.Status(code.Status()).JSON(replyJSON)
+	err = c.Status(code.Status()).JSON(replyJSON)
+	chuteconnection.HoldResponse(c.RequestCtx(), len(c.Response().Body()))
+	return err
 }
 
 func (f *Front) showDocument(c fiber.Ctx) error {
--- a/chutenode/engine.go
+++ b/chutenode/engine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"monsoonchute.example/monsoonchute/chutebackend"
+	"monsoonchute.example/monsoonchute/chuteconnection"
 	"monsoonchute.example/monsoonchute/chutecore"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chuteexchange"
@@ -35,6 +36,7 @@
 	backends  *chutebackend.Links
 	exchanges *chuteexchange.Table
 	metrics   *chutemetric.Metrics
+	pressure  *chuteconnection.Pressure
 	log       *slog.Logger
 	serving   atomic.Bool
 	stopped   chan struct{}      // closed when a planned stop is complete
@@ -43,7 +45,7 @@
 
 // Serving reports whether the entry host accepts requests.
 func (e *engine) Serving() bool {
-	return e.serving.Load()
+	return e.serving.Load() && !e.pressure.Exhausted()
 }
 
 // runCore passes events to the core one by one until the context ends. It only ever waits for the ring of events: if
--- a/chutenode/node.go
+++ b/chutenode/node.go
@@ -10,6 +10,8 @@
 	"github.com/pkg/errors"
 
 	"monsoonchute.example/monsoonchute/chutebackend"
+	"monsoonchute.example/monsoonchute/chutebudget"
+	"monsoonchute.example/monsoonchute/chuteconnection"
 	"monsoonchute.example/monsoonchute/chutecore"
 	"monsoonchute.example/monsoonchute/chuteduty"
 	"monsoonchute.example/monsoonchute/chuteevent"
@@ -24,6 +26,9 @@
 	"monsoonchute.example/monsoonchute/chuteworker"
 )
 
+// linkShare is the share of the descriptors from which the limit on connections of other hosts is derived, as a divisor.
+const linkShare = 4
+
 // Node is a running entry host.
 type Node struct {
 	frontAddress string
@@ -70,14 +75,21 @@
 	addCleanUp(cleanUp)
 	eng.backends, cleanUp = chutebackend.New(eng.events, eng.exchanges, log)
 	addCleanUp(cleanUp)
-	eng.mesh, cleanUp = chutepeer.New(self.Host, peerListener, eng.events, log)
+	memory, files := int64(settings.MemoryMB)<<20, chuteconnection.FileLimit(settings.MaxFiles)
+	clients := chuteconnection.New("front", chutebudget.NewLimits(memory, files, chutefront.MaxConnections), metrics, log)
+	peers := chuteconnection.New("peer", chutebudget.NewLimits(memory, files/linkShare, chutepeer.MaxConnections), metrics, log)
+	eng.pressure = chuteconnection.NewPressure(memory, files, metrics, log)
+	eng.mesh, cleanUp = chutepeer.New(self.Host, peerListener, eng.events, peers, log)
 	addCleanUp(cleanUp)
 	group, cleanUp := chuteduty.New(log)
 	addCleanUp(cleanUp)
 	state := chutecore.New(self, seedFromBootID(bootID))
 	group.Go("core", func(ctx context.Context) { eng.runCore(ctx, state) })
 	group.Go("ticks", eng.runTicks)
-	_, stopFront := chutefront.New(frontListener, eng.events, eng.exchanges, eng, metrics, metrics.Handler(), log)
+	group.Go("front-report", clients.RunReports)
+	group.Go("peer-report", peers.RunReports)
+	group.Go("pressure", eng.pressure.Run)
+	_, stopFront := chutefront.New(frontListener, eng.events, eng.exchanges, eng, metrics, metrics.Handler(), clients, log)
 	log.Info("node: started", "host", self.Host, "front", self.FrontAddress, "peer", self.PeerAddress)
 	return Node{frontAddress: self.FrontAddress, peerAddress: self.PeerAddress, engine: eng}, func() {
 		eng.stop(time.Duration(settings.StopTimeout), time.Duration(settings.DrainDelay), stopFront)
--- a/chutepeer/mesh.go
+++ b/chutepeer/mesh.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"monsoonchute.example/monsoonchute/chuteconnection"
 	"monsoonchute.example/monsoonchute/chuteduty"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chutering"
@@ -31,6 +32,10 @@
 	dialTimeout = time.Second
 	// redialInterval is the time between a failed attempt to open a link and the next one.
 	redialInterval = 500 * time.Millisecond
+	// MaxConnections is the largest number of links that peers may open. Each of some tens of hosts opens one.
+	MaxConnections = 512
+	// maxHeaderBytes is the largest accepted header of the request that opens a link.
+	maxHeaderBytes = 4 << 10
 	// linkPath is the HTTP path at which a peer opens a link.
 	linkPath = "/v1/link"
 	// hostHeader is the HTTP header with the id of the entry host that opens the link.
@@ -48,6 +53,7 @@
 type Mesh struct {
 	self       chutetable.HostID
 	events     chutering.Events
+	limiter    *chuteconnection.Limiter
 	log        *slog.Logger
 	group      *chuteduty.Group
 	tls        *tls.Config // for outgoing links; nil means plain TCP
@@ -55,18 +61,19 @@
 	links      map[chutetable.HostID]*link
 }
 
-// New accepts links from peers on the listener. The returned clean-up function closes the listener and all links.
-func New(self chutetable.HostID, listener net.Listener, events chutering.Events, log *slog.Logger, options ...Option) (*Mesh, func()) {
+// New accepts links from peers on the listener, under the limits of the limiter. The returned clean-up function closes the listener and all links.
+func New(self chutetable.HostID, listener net.Listener, events chutering.Events, limiter *chuteconnection.Limiter, log *slog.Logger, options ...Option) (*Mesh, func()) {
 	group, stopGroup := chuteduty.New(log)
-	m := &Mesh{self: self, events: events, log: log, group: group, links: make(map[chutetable.HostID]*link)}
+	m := &Mesh{self: self, events: events, limiter: limiter, log: log, group: group, links: make(map[chutetable.HostID]*link)}
 	for _, option := range options {
 		option(m)
 	}
 	server := &fasthttp.Server{
-		Handler: m.serve, ReadTimeout: readTimeout, NoDefaultServerHeader: true, Logger: discardLogger{},
+		Handler: m.serve, ConnState: limiter.SetState, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, ReadBufferSize: maxHeaderBytes,
+		MaxRequestBodySize: 1, NoDefaultServerHeader: true, Logger: discardLogger{},
 	}
 	group.Go("peer-listener", func(context.Context) {
-		if err := server.Serve(listener); err != nil {
+		if err := server.Serve(limiter.Listen(listener)); err != nil {
 			log.Error("peer: listener for entry hosts failed", "error", err)
 		}
 	})
@@ -116,22 +123,37 @@
 		if err := connection.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
 			return
 		}
-		_, frame, err := connection.ReadMessage()
-		if err != nil {
-			break
-		}
-		message, err := chutewire.DecodeMessage(frame)
-		if err != nil {
-			m.log.Warn("peer: malformed frame received; closing the link", "peer", sender, "error", err)
+		if !m.receiveFrame(ctx, sender, connection) {
 			break
 		}
-		if !m.events.Put(ctx, chuteevent.PeerMessageArrived{From: sender, Message: message}) {
-			return
-		}
 	}
 	_ = connection.Close()
 }
 
+// receiveFrame passes the next message of the peer to the core, and reports whether the link may go on. Its frame is held
+// in the budget until the core's ring has taken the message.
+func (m *Mesh) receiveFrame(ctx context.Context, sender chutetable.HostID, connection *websocket.Conn) bool {
+	hold := m.limiter.NewHold(chuteconnection.AddressOf(connection.RemoteAddr()))
+	defer hold.Release()
+	_, reader, err := connection.NextReader()
+	if err != nil {
+		return false
+	}
+	frame, err := hold.ReadAll(reader, chutewire.MaxMessageBytes)
+	if errors.Is(err, chuteconnection.ErrNoBudget) {
+		m.log.Warn("peer: no memory for a frame; closing the link", "peer", sender)
+	}
+	if err != nil {
+		return false
+	}
+	message, err := chutewire.DecodeMessage(frame)
+	if err != nil {
+		m.log.Warn("peer: malformed frame received; closing the link", "peer", sender, "error", err)
+		return false
+	}
+	return m.events.Put(ctx, chuteevent.PeerMessageArrived{From: sender, Message: message})
+}
+
 // Send queues the message for the peer and reports whether it did. It fails if there is no link to the peer or the
 // link's ring is full.
 func (m *Mesh) Send(effect chuteevent.SendPeerMessage) bool {
--- a/chuterelay/relay.go
+++ b/chuterelay/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"monsoonchute.example/monsoonchute/chuteconnection"
 	"monsoonchute.example/monsoonchute/chuteduty"
 )
 
@@ -43,15 +44,15 @@
 	directDown    atomic.Bool  // the store cannot be reached directly
 	meanLatency   atomic.Int64 // moving average of the latency of direct requests, in nanoseconds
 	probeRequests chan struct{}
-	notices       chan []byte // received from peers
+	notices       chan heldNotice // received from peers
 }
 
 // New starts a relay that serves peers on the listener. It sends its own requests directly, and through a peer while the
 // store cannot be reached directly. The clean-up function stops it and closes its connections.
-func New(listener net.Listener, direct DirectTransport, log *slog.Logger) (*Relay, func()) {
+func New(listener net.Listener, direct DirectTransport, limiter *chuteconnection.Limiter, log *slog.Logger) (*Relay, func()) {
 	group, endGroup := chuteduty.New(log)
-	r := &Relay{direct: direct, peers: newPeers(group, log), group: group, log: log, probeRequests: make(chan struct{}, 1), notices: make(chan []byte, maxNotices)}
-	endServer := serve(group, listener, r, log)
+	r := &Relay{direct: direct, peers: newPeers(group, log), group: group, log: log, probeRequests: make(chan struct{}, 1), notices: make(chan heldNotice, maxNotices)}
+	endServer := serve(group, listener, r, limiter, log)
 	group.Go("probe", r.runProbes)
 	return r, func() {
 		endServer()
@@ -79,18 +80,26 @@
 func (r *Relay) NextNotice(ctx context.Context) ([]byte, bool) {
 	select {
 	case notice := <-r.notices:
-		return notice, true
+		notice.hold.Release()
+		return notice.body, true
 	case <-ctx.Done():
 		return nil, false
 	}
 }
 
+// heldNotice is a notice and the bytes of the budget that it holds while it is queued.
+type heldNotice struct {
+	body []byte
+	hold *chuteconnection.Hold
+}
+
 // enqueueNotice queues a peer's notice for NextNotice. It never blocks: it refuses the notice if the queue is full.
-func (r *Relay) enqueueNotice(notice []byte) verdict {
+func (r *Relay) enqueueNotice(notice []byte, hold *chuteconnection.Hold) verdict {
 	select {
-	case r.notices <- notice:
+	case r.notices <- heldNotice{notice, hold}:
 		return verdictAnswered
 	default:
+		hold.Release()
 		return verdictRefused
 	}
 }
--- a/chuterelay/relay_test.go
+++ b/chuterelay/relay_test.go
@@ -12,6 +12,8 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
+	"monsoonchute.example/monsoonchute/chutebudget"
+	"monsoonchute.example/monsoonchute/chuteconnection"
 	"monsoonchute.example/monsoonchute/chuterelay"
 )
 
@@ -22,6 +24,17 @@
 	calls   atomic.Int64
 }
 
+// discardRecorder records nothing.
+type discardRecorder struct{}
+
+func (discardRecorder) Count(string, string)     {}
+func (discardRecorder) SetGauge(string, float64) {}
+
+// newLimiter returns a limiter with the default limits.
+func newLimiter() *chuteconnection.Limiter {
+	return chuteconnection.New("relay", chutebudget.NewLimits(0, 0, chuterelay.MaxConnections), discardRecorder{}, slog.New(slog.DiscardHandler))
+}
+
 func (d *fakeTransport) Do(_ context.Context, r chuterelay.Request) (chuterelay.Answer, error) {
 	d.calls.Add(1)
 	switch {
@@ -46,7 +59,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	relay, cleanUp := chuterelay.New(listener, direct, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	relay, cleanUp := chuterelay.New(listener, direct, newLimiter(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	t.Cleanup(cleanUp)
 	return relay, listener.Addr().String()
 }
@@ -153,7 +166,7 @@
 	relay, _ := newRelay(t, own)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	_, cleanUp := chuterelay.New(listener, other, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	_, cleanUp := chuterelay.New(listener, other, newLimiter(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	relay.SetPeers([]string{listener.Addr().String()})
 	_, err = relay.Do(context.Background(), request)
 	is.NoErr(err)
@@ -253,14 +266,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		_, cleanUp := chuterelay.New(listener, &fakeTransport{}, log)
+		_, cleanUp := chuterelay.New(listener, &fakeTransport{}, newLimiter(), log)
 		var clients []func()
 		for range 4 {
 			own, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
 			}
-			relay, end := chuterelay.New(own, &fakeTransport{}, log)
+			relay, end := chuterelay.New(own, &fakeTransport{}, newLimiter(), log)
 			if err := relay.SendNotice(context.Background(), listener.Addr().String(), []byte("x")); err != nil {
 				t.Fatal(err)
 			}
--- a/chuterelay/server.go
+++ b/chuterelay/server.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"monsoonchute.example/monsoonchute/chuteconnection"
 	"monsoonchute.example/monsoonchute/chuteduty"
 )
 
@@ -23,6 +24,12 @@
 	idleTimeout = time.Minute
 	// maxConcurrentRelayed is the largest number of requests of peers in flight at once; further ones are refused.
 	maxConcurrentRelayed = 64
+	// MaxConnections is the largest number of connections of peers. Each of some tens of hosts opens a few.
+	MaxConnections = 512
+	// maxHeaderBytes is the largest accepted header of a peer's upgrade.
+	maxHeaderBytes = 4 << 10
+	// headerTimeout is the longest time to receive it.
+	headerTimeout = 5 * time.Second
 )
 
 // discardLogger discards the HTTP library's messages on broken connections.
@@ -33,17 +40,21 @@
 
 // server serves the requests and notices of peers.
 type server struct {
-	group *chuteduty.Group
-	relay *Relay
-	log   *slog.Logger
-	slots chan struct{} // holds one element for each request in flight
+	group   *chuteduty.Group
+	relay   *Relay
+	limiter *chuteconnection.Limiter
+	log     *slog.Logger
+	slots   chan struct{} // holds one element for each request in flight
 }
 
-func serve(group *chuteduty.Group, listener net.Listener, relay *Relay, log *slog.Logger) func() {
-	s := &server{group: group, relay: relay, log: log, slots: make(chan struct{}, maxConcurrentRelayed)}
-	httpServer := &fasthttp.Server{Handler: s.upgrade, NoDefaultServerHeader: true, Logger: discardLogger{}}
+func serve(group *chuteduty.Group, listener net.Listener, relay *Relay, limiter *chuteconnection.Limiter, log *slog.Logger) func() {
+	s := &server{group: group, relay: relay, limiter: limiter, log: log, slots: make(chan struct{}, maxConcurrentRelayed)}
+	httpServer := &fasthttp.Server{
+		Handler: s.upgrade, ConnState: limiter.SetState, ReadBufferSize: maxHeaderBytes, MaxRequestBodySize: 1, ReadTimeout: headerTimeout,
+		WriteTimeout: writeTimeout, NoDefaultServerHeader: true, Logger: discardLogger{},
+	}
 	group.Go("relay-listener", func(context.Context) {
-		if err := httpServer.Serve(listener); err != nil {
+		if err := httpServer.Serve(limiter.Listen(listener)); err != nil {
 			log.Error("relay: peer listener failed", "error", err.Error())
 		}
 	})
@@ -89,24 +100,36 @@
 		if ctx.Err() != nil {
 			break
 		}
-		_, body, err := connection.ReadMessage()
+		hold := s.limiter.NewHold(chuteconnection.AddressOf(connection.RemoteAddr()))
+		body, err := readFrame(connection, hold)
 		if err != nil {
+			hold.Release()
 			break
 		}
 		f, err := decode(body)
 		if err != nil || f.Request == nil && f.Notice == nil {
+			hold.Release()
 			s.log.Warn("relay: closing the connection of a peer that sent a malformed frame", "peer", connection.RemoteAddr().String())
 			break
 		}
 		if f.Notice != nil {
-			s.reply(writer, frame{ID: f.ID, Verdict: s.relay.enqueueNotice(f.Notice)})
+			s.reply(writer, frame{ID: f.ID, Verdict: s.relay.enqueueNotice(f.Notice, hold)})
 			continue
 		}
-		s.handleRequest(ctx, answers, writer, f)
+		s.handleRequest(ctx, answers, writer, f, hold)
 	}
 	_ = connection.Close()
 }
 
+// readFrame reads the next frame of a peer under the budget for frames.
+func readFrame(connection *websocket.Conn, hold *chuteconnection.Hold) ([]byte, error) {
+	_, reader, err := connection.NextReader()
+	if err != nil {
+		return nil, err
+	}
+	return hold.ReadAll(reader, maxFrameBytes)
+}
+
 // interrupt aborts the blocked read of a connection with a read deadline in the past: the HTTP library closes a connection
 // only after its handler has returned.
 func (s *server) interrupt(connection *websocket.Conn) {
@@ -116,15 +139,17 @@
 }
 
 // handleRequest serves one request on a goroutine of its own, or refuses it if maxConcurrentRelayed are in flight.
-func (s *server) handleRequest(ctx context.Context, answers *conc.WaitGroup, writer *frameWriter, f frame) {
+func (s *server) handleRequest(ctx context.Context, answers *conc.WaitGroup, writer *frameWriter, f frame, hold *chuteconnection.Hold) {
 	select {
 	case s.slots <- struct{}{}:
 	default:
+		hold.Release()
 		s.reply(writer, frame{ID: f.ID, Verdict: verdictRefused})
 		return
 	}
 	answers.Go(func() {
 		defer func() { <-s.slots }()
+		defer hold.Release()
 		answer, err := s.relay.serveRelayed(ctx, *f.Request)
 		s.reply(writer, frame{ID: f.ID, Answer: &answer, Verdict: verdictOf(err)})
 	})
--- a/cmd/monsoonchuted/main.go
+++ b/cmd/monsoonchuted/main.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -29,6 +30,10 @@
 	Check    bool   `help:"Check the settings and exit."`
 }
 
+// memoryShare is the share of the memory limit of the process that the Go runtime gets as its soft limit. Near the soft
+// limit, the runtime collects garbage more often.
+const memoryShare = 0.6
+
 // signalQueue is the number of signals that the process keeps until a command handles them.
 const signalQueue = 4
 
@@ -61,6 +66,7 @@
 		return err
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryShare))
 	_, cleanUp, err := monsoonchute.New(settings, monsoonchute.WithLog(log))
 	if err != nil {
 		return err
