--- a/chuteform/format_test.go
+++ b/chuteform/format_test.go
@@ -1,6 +1,8 @@
 package chuteform_test
 
 import (
+	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -77,8 +79,30 @@
 	is.Equal(next.Teams, document.Teams)
 }
 
+// TestManyUnknownFieldsAreRefusedAtOnce guards against a document whose unknown fields occupy a host for minutes.
+func TestManyUnknownFieldsAreRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	var text bytes.Buffer
+	for i := range 4_000 {
+		fmt.Fprintf(&text, "a%d = 1\n", i)
+	}
+	_, err := chuteform.ParseDocument(text.Bytes())
+	is.True(strings.Contains(fmt.Sprint(err), "4000 unknown fields"))
+	_, err = chuteform.ParseDocument(bytes.Repeat([]byte("[[workspaces]]\n"), 100_000))
+	is.True(strings.Contains(fmt.Sprint(err), "fields and tables"))
+	sample := append(chutedev.SampleDocument(), bytes.Repeat([]byte("# a comment\n"), 1000)...)
+	_, err = chuteform.ParseDocument(sample)
+	is.NoErr(err) // a long document without unknown fields
+}
+
 func FuzzParseDocument(f *testing.F) {
 	f.Add(chutedev.SampleDocument())
+	for _, text := range []string{
+		"[[workspaces]]\n[[workspaces.guarantees]]\n", "[policy]\nopen-from = 1", "a = [[[[", "a.b.c = {d = 1}", "\xff", "[base]\nx = 1\n[base]",
+		strings.Repeat("a = 1\n", 900), "[[zones]]\nname = ''\n", "[policy]\nshards = -9223372036854775808",
+	} {
+		f.Add([]byte(text))
+	}
 	topology := chutesimulation.Topology(1, 1, 2, 4)
 	f.Fuzz(func(t *testing.T, text []byte) {
 		change, err := chuteform.ParseDocument(text)
@@ -96,7 +120,13 @@
 }
 
 func FuzzParseJob(f *testing.F) {
-	f.Add([]byte(`{"name":"a","workspace":"w","parts":2,"accelerators":4,"within":"rack","declared":"2m"}`))
+	for _, text := range []string{
+		`{"name":"a","workspace":"w","parts":2,"accelerators":4,"within":"rack","declared":"2m"}`, `{}`, `null`, `[]`, `{"parts":1e400}`,
+		`{"parts":-9223372036854775808,"accelerators":9223372036854775807,"within":"zone"}`, `{"name":"\u0000"}`, `{} {}`, "\xff",
+		strings.Repeat(`{"a":`, 12_000), `{"name":1,"name":"a","within":"worker","expected-run-time":"-1ns"}`,
+	} {
+		f.Add([]byte(text))
+	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		spec, err := chuteform.ParseJob(text)
 		if err == nil && spec.Check() != nil {
--- a/chuteform/toml.go
+++ b/chuteform/toml.go
@@ -11,6 +11,9 @@
 // DecodeTOML reads TOML into the value. It rejects unknown fields with an error that names all of them; other errors
 // name the line, the column and the field.
 func DecodeTOML(text []byte, value any) error {
+	if err := checkFields(text, value); err != nil {
+		return err
+	}
 	decoder := toml.NewDecoder(bytes.NewReader(text))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(value)
