Test each kind of client over the request limits against both fronts

Processes with 256 MiB and 400 descriptors face, one kind after the other and then all at once: bodies announced far over the limit, chunks without end, one byte per second, headers without end, parts of headers, and responses that are not read.

--- a/cmd/monsoonchuted/intake_test.go
+++ b/cmd/monsoonchuted/intake_test.go
@@ -284,6 +284,130 @@
 	d.check(t)
 }
 
+// sendSlowly announces a body and sends a byte of it each second.
+func (d *target) sendSlowly() {
+	connection := d.dial()
+	if connection == nil {
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	send(connection, fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: 200000\r\n\r\n", d.path, d.header), 0)
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for range 8 {
+		<-ticker.C
+		if _, err := connection.Write([]byte("x")); err != nil {
+			return
+		}
+	}
+}
+
+// sendHeaders sends header lines without end.
+func (d *target) sendHeaders() {
+	connection := d.dial()
+	if connection == nil {
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	send(connection, fmt.Sprintf("POST %s HTTP/1.1\r\n%sX-Long: ", d.path, d.header), 1<<20)
+	awaitClose(connection)
+}
+
+// sendPartOfHeader sends part of a header and leaves the connection open.
+func (d *target) sendPartOfHeader() {
+	if connection := d.dial(); connection != nil {
+		defer func() { _ = connection.Close() }()
+		send(connection, "POST / HTTP/1.1\r\nHost: ", 0)
+		awaitClose(connection)
+	}
+}
+
+// sendUnread sends many requests on one connection and reads no response.
+func (d *target) sendUnread() {
+	connection := d.dial()
+	if connection == nil {
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	request := fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: 5000\r\n\r\n%s", d.path, d.header, strings.Repeat("x", 5000))
+	for range 400 {
+		_ = connection.SetWriteDeadline(time.Now().Add(time.Second))
+		if _, err := io.WriteString(connection, request); err != nil {
+			return
+		}
+	}
+}
+
+// sendEndless sends chunks until the process closes the connection.
+func (d *target) sendEndless() {
+	connection := d.dial()
+	if connection == nil {
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	send(connection, fmt.Sprintf("POST %s HTTP/1.1\r\n%sTransfer-Encoding: chunked\r\n\r\n", d.path, d.header), 0)
+	chunk := "4000\r\n" + strings.Repeat("x", 0x4000) + "\r\n"
+	for range 2000 {
+		_ = connection.SetWriteDeadline(time.Now().Add(senderTimeout))
+		if _, err := io.WriteString(connection, chunk); err != nil {
+			return
+		}
+	}
+}
+
+// sendOversized announces a body of 64 MiB and sends it, though it is refused.
+func (d *target) sendOversized() {
+	connection := d.dial()
+	if connection == nil {
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	send(connection, fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n", d.path, d.header, 64<<20), 64<<20)
+}
+
+// TestHostsOutliveEachKindOfClientOverTheLimits guards against a kind of client that a limit does not cover.
+func TestHostsOutliveEachKindOfClientOverTheLimits(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes and many clients")
+	}
+	kinds := []struct {
+		name  string
+		send  func(*target)
+		count int
+	}{
+		{"announced over the limit", (*target).sendOversized, 60},
+		{"chunked without end", (*target).sendEndless, 60},
+		{"one byte per second", (*target).sendSlowly, 300},
+		{"headers without end", (*target).sendHeaders, 300},
+		{"part of a header", (*target).sendPartOfHeader, 600},
+		{"responses not read", (*target).sendUnread, 100},
+	}
+	for _, front := range []struct {
+		name  string
+		start func(*testing.T) *target
+	}{{"platform", platformTarget}, {"own interface", ownTarget}} {
+		t.Run(front.name, func(t *testing.T) {
+			d := front.start(t)
+			for _, kind := range kinds {
+				var senders conc.WaitGroup
+				for range kind.count {
+					senders.Go(func() { kind.send(d) })
+				}
+				senders.Wait()
+				t.Run(kind.name, func(t *testing.T) { d.check(t) })
+			}
+			var senders conc.WaitGroup
+			for _, kind := range kinds {
+				for range kind.count / 6 {
+					senders.Go(func() { kind.send(d) })
+				}
+			}
+			senders.Wait()
+			d.check(t)
+		})
+	}
+}
+
 // TestMain raises the test's own limit on descriptors, which holds the clients' ends of all connections.
 func TestMain(m *testing.M) {
 	var limit syscall.Rlimit
