--- a/chutebudget/budget_test.go
+++ b/chutebudget/budget_test.go
@@ -21,6 +21,15 @@
 	is.Equal(chutebudget.NewLimits(184*mib, 400, 2048).Connections, 200)
 	is.Equal(chutebudget.NewLimits(16*mib, 0, 2048).Connections, 204)
 	is.Equal(chutebudget.NewLimits(0, 0, 8192).Bytes, int64(128*mib))
+	for _, c := range []struct{ total, address, wantTotal, wantAddress int }{
+		{0, 0, 2048, 1536},
+		{100, 0, 100, 75},
+		{100, 200, 100, 100},
+		{9000, 10, 2048, 10},
+	} {
+		set := small.WithConnections(c.total, c.address)
+		is.Equal([]int{set.Connections, set.AddressConnections}, []int{c.wantTotal, c.wantAddress})
+	}
 }
 
 // TestTheAccountHoldsWhatIsClaimed guards against an account that exceeds its limits, or that keeps what was given back.
--- a/chutebudget/limits.go
+++ b/chutebudget/limits.go
@@ -30,6 +30,19 @@
 	AddressConnections int
 }
 
+// WithConnections returns the limits with other numbers of connections in total and for one address. A number of 0 changes
+// nothing, and none is raised above what the memory and the descriptors allow.
+func (l Limits) WithConnections(total, address int) Limits {
+	if total > 0 {
+		l.Connections = min(total, l.Connections)
+		l.AddressConnections = max(1, l.Connections*addressShare/quarters)
+	}
+	if address > 0 {
+		l.AddressConnections = min(address, l.Connections)
+	}
+	return l
+}
+
 // NewLimits derives the limits from the memory limit in bytes, the limit on descriptors and the largest number of
 // connections that the server is built for. A limit of 0 is unknown. Half of the descriptors are left for the host's own
 // connections.
--- /dev/null
+++ b/chuteconnection/pressure_test.go
@@ -0,0 +1,41 @@
+package chuteconnection
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// gauges records the latest value of each gauge.
+type gauges map[string]float64
+
+func (gauges) Count(string, string)                  {}
+func (g gauges) SetGauge(name string, value float64) { g[name] = value }
+
+// TestAShortageIsReported guards against a host that is short of memory or descriptors and shows it nowhere, or that logs
+// it with each sample.
+func TestAShortageIsReported(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	recorded := gauges{}
+	p := NewPressure(1000, 100, recorded, slog.New(slog.NewTextHandler(&log, nil)))
+	p.step(500, 50)
+	is.Equal(log.Len(), 0)
+	for range 3 {
+		p.step(870, 50)
+	}
+	is.Equal(strings.Count(log.String(), "level=short"), 1)
+	is.True(!p.Exhausted())
+	p.step(500, 99)
+	is.True(p.Exhausted())
+	is.Equal(recorded["pressure"], 2.0)
+	is.Equal(recorded["open-files"], 99.0)
+	p.step(500, 50)
+	is.True(!p.Exhausted())
+	is.True(strings.Contains(log.String(), "level=none"))
+	is.True(residentBytes() > 0)
+	is.True(openFiles() > 0)
+}
--- a/chutefront/body.go
+++ b/chutefront/body.go
@@ -1,6 +1,7 @@
 package chutefront
 
 import (
+	"bytes"
 	"strconv"
 	"time"
 
@@ -38,7 +39,8 @@
 // advance: fiber itself would decode some kilobytes to any size.
 func (f *Front) decodeBody(c fiber.Ctx) error {
 	request := &c.RequestCtx().Request
-	if len(request.Header.ContentEncoding()) == 0 || len(request.Body()) == 0 {
+	encoding := request.Header.ContentEncoding()
+	if len(encoding) == 0 || bytes.EqualFold(encoding, []byte("identity")) || len(request.Body()) == 0 {
 		return nil
 	}
 	limit := min(MaxBodyBytes, int(f.limiter.Limits().AddressBytes/2))
--- a/chutesettings/settings.go
+++ b/chutesettings/settings.go
@@ -28,16 +28,18 @@
 // Settings are the settings of an entry host that serves the project's own HTTP API, that of package chutefront. Decoding
 // errors, which operators see, contain the names of this type and of its fields.
 type Settings struct {
-	HostID       string             `toml:"host-id"`           // id of the entry host, unique among the live ones
-	Zone         string             `toml:"availability-zone"` // availability zone of the entry host
-	FrontAddress string             `toml:"front-address"`     // listen address for clients and operators, host:port
-	PeerAddress  string             `toml:"peer-address"`      // listen address for other entry hosts, host:port
-	StoreAddress string             `toml:"store-address"`     // address of the platform's table service, host:port
-	StopTimeout  chuteform.Duration `toml:"stop-timeout"`      // longest duration of a planned stop
-	DrainDelay   chuteform.Duration `toml:"drain-delay"`       // time for which a stopping host still refuses requests
-	LogLevel     string             `toml:"log-level"`         // lowest level that is logged: debug, info, warn or error
-	MemoryMB     int                `toml:"memory-mb"`         // memory that the process may use, in MiB
-	MaxFiles     int                `toml:"max-files"`         // file descriptors that the process may have open; 0 means the limit of the system
+	HostID                   string             `toml:"host-id"`                     // id of the entry host, unique among the live ones
+	Zone                     string             `toml:"availability-zone"`           // availability zone of the entry host
+	FrontAddress             string             `toml:"front-address"`               // listen address for clients and operators, host:port
+	PeerAddress              string             `toml:"peer-address"`                // listen address for other entry hosts, host:port
+	StoreAddress             string             `toml:"store-address"`               // address of the platform's table service, host:port
+	StopTimeout              chuteform.Duration `toml:"stop-timeout"`                // longest duration of a planned stop
+	DrainDelay               chuteform.Duration `toml:"drain-delay"`                 // time for which a stopping host still refuses requests
+	LogLevel                 string             `toml:"log-level"`                   // lowest level that is logged: debug, info, warn or error
+	MemoryMB                 int                `toml:"memory-mb"`                   // memory that the process may use, in MiB
+	MaxFiles                 int                `toml:"max-files"`                   // file descriptors that the process may have open; 0 means the limit of the system
+	MaxConnections           int                `toml:"max-connections"`             // connections of clients; 0 means what memory and descriptors allow
+	MaxConnectionsPerAddress int                `toml:"max-connections-per-address"` // of them from one address; 0 means three quarters
 }
 
 // Default returns the default values of the optional settings.
@@ -110,6 +112,9 @@
 	if s.MaxFiles != 0 && s.MaxFiles < minFiles {
 		found = append(found, "max-files: must be 0 or at least "+strconv.Itoa(minFiles))
 	}
+	if s.MaxConnections < 0 || s.MaxConnectionsPerAddress < 0 {
+		found = append(found, "max-connections, max-connections-per-address: must not be negative")
+	}
 	return found
 }
 
--- a/chutesettings/settings_test.go
+++ b/chutesettings/settings_test.go
@@ -36,6 +36,7 @@
 		{"bad port", strings.Replace(valid, "7071", "99999", 1), []string{"peer-address"}},
 		{"slash in the id", strings.Replace(valid, "entry-1", "a/b", 1), []string{"host-id"}},
 		{"limits too low", valid + "memory-mb = 255\nmax-files = 10", []string{"memory-mb", "max-files"}},
+		{"negative limits", valid + "max-connections-per-address = -1", []string{"max-connections-per-address"}},
 		{"level and time", valid + "log-level = 'loud'\nstop-timeout = '1ms'", []string{"log-level", "stop-timeout"}},
 	}
 	for _, tc := range cases {
