platform/front: the limit on bodies of the configuration

The front had a limit of its own, 262,144 bytes, whatever limits.max_body_bytes of the configuration says.

--- a/chuteconnection/body.go
+++ b/chuteconnection/body.go
@@ -28,9 +28,9 @@
 // RefuseAnnounced returns the hook for received headers that lets requests with an announced body over the limit reach
 // the handler at once, without a body, and then closes their connections. The HTTP library would first wait for part of
 // the body.
-func RefuseAnnounced(limit int) func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+func RefuseAnnounced(limit func() int) func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
 	return func(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
-		if h.ContentLength() > limit {
+		if h.ContentLength() > limit() {
 			h.SetContentLength(0)
 			h.SetConnectionClose()
 			h.Del(fasthttp.HeaderExpect)
--- a/chuteconnection/connection_test.go
+++ b/chuteconnection/connection_test.go
@@ -51,7 +51,7 @@
 				c.SetStatusCode(http.StatusServiceUnavailable)
 			}
 		},
-		StreamRequestBody: true, MaxRequestBodySize: bodyLimit, HeaderReceived: chuteconnection.RefuseAnnounced(bodyLimit),
+		StreamRequestBody: true, MaxRequestBodySize: bodyLimit, HeaderReceived: chuteconnection.RefuseAnnounced(func() int { return bodyLimit }),
 		ConnState: limiter.SetState, ReadTimeout: 3 * time.Second, CloseOnShutdown: true,
 	}
 	group := conc.NewWaitGroup()
--- a/chutedaemon/daemon.go
+++ b/chutedaemon/daemon.go
@@ -63,6 +63,7 @@
 	failures     []chuteaction.Event // failure events of effects whose ring was full; the core handles them before the next event
 	leading      bool                // whether this host was the leader after the latest event
 	serving      atomic.Bool
+	bodyLimit    atomic.Int64 // bytes; 0 if unknown
 	stopped      chan struct{}
 }
 
@@ -120,6 +121,11 @@
 	return d.serving.Load()
 }
 
+// BodyLimit returns the largest body of a call in bytes by the configuration, or 0 if the host knows none.
+func (d *Daemon) BodyLimit() int {
+	return int(d.bodyLimit.Load())
+}
+
 // runTicks sends the core a tick event every tickInterval and updates the metrics of the rings.
 func (d *Daemon) runTicks(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
--- a/chutedaemon/dispatch.go
+++ b/chutedaemon/dispatch.go
@@ -34,6 +34,7 @@
 		d.dispatch(effect)
 	}
 	d.serving.Store(state.Serving(now))
+	d.bodyLimit.Store(int64(state.BodyLimit()))
 	d.setGCPercent(state.Leads())
 	return state
 }
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -99,6 +99,12 @@
 	return s.operators.Current(now) && !s.stopping && s.inContact(now)
 }
 
+// BodyLimit returns the largest body of a call in bytes by the configuration, or 0 if the configuration is not known or has
+// no limit.
+func (s State) BodyLimit() int {
+	return s.operators.Catalog().Limits.MaxBodyBytes
+}
+
 // Leads reports whether this host is the scheduler.
 func (s State) Leads() bool {
 	return s.scheduler != nil
--- a/chutefront/front.go
+++ b/chutefront/front.go
@@ -110,7 +110,7 @@
 // limitServer sets the hooks of the HTTP server that fiber has no settings for.
 func (f *Front) limitServer(server *fasthttp.Server) {
 	server.ConnState = f.limiter.SetState
-	server.HeaderReceived = chuteconnection.RefuseAnnounced(MaxBodyBytes)
+	server.HeaderReceived = chuteconnection.RefuseAnnounced(func() int { return MaxBodyBytes })
 	respond := server.ErrorHandler
 	server.ErrorHandler = func(c *fasthttp.RequestCtx, err error) {
 		f.limiter.CountError(c, err)
