chutebudget: an address may use free connections

The clients of one address had 3/4 of the connections even if all others were free, and idle connections of any age were closed for new ones of the same address: 1,537 to 2,048 keep-alive clients of one address closed each other's connections between two calls. The share now applies only once all but one in 64 connections are in use, and an idle connection is closed only after 1 s. A limit for one address that the settings state applies at any total, as before.

--- a/chutebudget/account.go
+++ b/chutebudget/account.go
@@ -166,7 +166,7 @@
 
 func (a Account) judgeConnection(c Connection) Verdict {
 	switch {
-	case a.Of(c.From).Connections >= a.limits.AddressConnections:
+	case a.total.Connections >= a.limits.SharedFrom && a.Of(c.From).Connections >= a.limits.AddressConnections:
 		return VerdictAddressConnections
 	case a.total.Connections >= a.limits.Connections:
 		return VerdictConnections
--- a/chutebudget/limits.go
+++ b/chutebudget/limits.go
@@ -15,6 +15,10 @@
 	// addressShare is the share of the connections that one address may have, in quarters. All clients of a zone may reach a
 	// host from few addresses; the remaining quarter keeps the others served.
 	addressShare = 3
+	// reserveShare is the share of the connections that is kept free for other addresses, as a divisor: the limit of an
+	// address applies only from there on, so that the clients of a single address are served as long as nobody needs the
+	// connections.
+	reserveShare = 64
 	// quarters is the denominator of largeShare and addressShare.
 	quarters = 4
 	// unlimitedMemory is the memory limit that is assumed if there is none, in bytes.
@@ -27,22 +31,29 @@
 	LargeBytes         int64 // the part of Bytes that bodies over SmallBody may use
 	AddressBytes       int64 // the part of Bytes that one address may use
 	Connections        int
-	AddressConnections int
+	AddressConnections int // of one address, while the total is at least SharedFrom
+	SharedFrom         int
 }
 
 // WithConnections returns the limits with other numbers of connections in total and for one address. A number of 0 changes
-// nothing, and none is raised above what the memory and the descriptors allow.
+// nothing, and none is raised above what the memory and the descriptors allow. A limit for one address that is set
+// applies at any total.
 func (l Limits) WithConnections(total, address int) Limits {
 	if total > 0 {
 		l.Connections = min(total, l.Connections)
-		l.AddressConnections = max(1, l.Connections*addressShare/quarters)
+		l.AddressConnections, l.SharedFrom = shareOf(l.Connections)
 	}
 	if address > 0 {
-		l.AddressConnections = min(address, l.Connections)
+		l.AddressConnections, l.SharedFrom = min(address, l.Connections), 0
 	}
 	return l
 }
 
+// shareOf returns how many of the connections one address may have, and the total from which this applies.
+func shareOf(connections int) (share, from int) {
+	return max(1, connections*addressShare/quarters), connections - max(1, connections/reserveShare)
+}
+
 // NewLimits derives the limits from the memory limit in bytes, the limit on descriptors and the largest number of
 // connections that the server is built for. A limit of 0 is unknown. Half of the descriptors are left for the host's own
 // connections.
@@ -55,8 +66,9 @@
 		connections = max(1, min(connections, files/2))
 	}
 	bytes := memory / bodyShare
+	share, from := shareOf(connections)
 	return Limits{
 		Bytes: bytes, LargeBytes: bytes * largeShare / quarters, AddressBytes: bytes / 2,
-		Connections: connections, AddressConnections: max(1, connections*addressShare/quarters),
+		Connections: connections, AddressConnections: share, SharedFrom: from,
 	}
 }
--- a/chutebudget/victim.go
+++ b/chutebudget/victim.go
@@ -18,6 +18,9 @@
 	// newAge is the age from which a connection without a request may be closed for another one. An ordinary client sends
 	// its request as soon as the connection is open.
 	newAge = 200 * time.Millisecond
+	// idleAge is the age from which an idle connection may be closed for another one. Clients that call in turn on more
+	// connections than there are would otherwise close each other's between two calls.
+	idleAge = time.Second
 	// readingAge is the age from which a connection with part of a header, or a refused one, may be closed for another one.
 	// An ordinary client sends its header in one piece.
 	readingAge = time.Second
@@ -34,7 +37,7 @@
 func (c Candidate) closable() bool {
 	switch c.Phase {
 	case PhaseIdle:
-		return true
+		return c.Age >= idleAge
 	case PhaseNew:
 		return c.Age >= newAge
 	case PhaseReading, PhaseClosing:
