chuteconnection: keep connections with unread bytes

The choice of a connection that is closed for another one saw only what the server had read: a client that had just sent its request on an idle connection could get a reset. The socket is now examined (MSG_PEEK, without waiting) before its connection is closed, and the next candidate is taken if bytes are there.

--- a/chuteconnection/limiter.go
+++ b/chuteconnection/limiter.go
@@ -21,6 +21,9 @@
 	reportInterval = 10 * time.Second
 	// maxReported is the largest number of addresses in one report.
 	maxReported = 3
+	// maxVictims is the largest number of connections that are examined for one to close. Unread bytes are rare, as the
+	// server reads as soon as they arrive.
+	maxVictims = 16
 	// maxRefusals is the largest number of addresses and reasons that are counted between two reports.
 	maxRefusals = 1024
 )
@@ -100,7 +103,8 @@
 	return c
 }
 
-// chooseVictim returns the connection that is closed for a new one, or nil if there is none. The mutex must be held.
+// chooseVictim returns the connection that is closed for a new one, or nil if there is none. It passes over connections
+// with unread bytes: their clients have sent a request that the server has not read yet. The mutex must be held.
 func (l *Limiter) chooseVictim(claim chutebudget.Connection, verdict chutebudget.Verdict) *Conn {
 	open := make([]*Conn, 0, len(l.connections))
 	candidates := make([]chutebudget.Candidate, 0, len(l.connections))
@@ -108,8 +112,15 @@
 	for c := range l.connections {
 		open, candidates = append(open, c), append(candidates, c.candidate(now))
 	}
-	if i, ok := l.account.ChooseVictim(candidates, claim, verdict); ok {
-		return open[i]
+	for range maxVictims {
+		i, ok := l.account.ChooseVictim(candidates, claim, verdict)
+		if !ok {
+			return nil
+		}
+		if !hasUnread(open[i].Conn) {
+			return open[i]
+		}
+		open, candidates = slices.Delete(open, i, i+1), slices.Delete(candidates, i, i+1)
 	}
 	return nil
 }
