chuteconnection: show a lack of descriptors

The samples opened files under /proc and took a failure for a use of 0, so that a host without descriptors reported no shortage. /proc/self/statm is now kept open, EMFILE and ENFILE count as all descriptors in use, and a value that cannot be read otherwise stays as it was.

Measured: go test ./chuteconnection passes, with TestALackOfDescriptorsIsSeen; that test uses a new function and was not run on the code before.

--- a/chuteconnection/pressure.go
+++ b/chuteconnection/pressure.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"log/slog"
 	"os"
 	"strconv"
@@ -10,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"monsoonchute.example/monsoonchute/chutebudget"
 )
 
@@ -23,6 +26,9 @@
 	recorder Recorder
 	log      *slog.Logger
 	level    atomic.Int32
+
+	statm              *os.File // kept open: without descriptors, it could not be opened
+	lastUsed, lastOpen int64    // of the latest sample that could be taken
 }
 
 // NewPressure returns a watch of the process under the limits in bytes and in descriptors.
@@ -51,16 +57,34 @@
 func (p *Pressure) Run(ctx context.Context) {
 	ticker := time.NewTicker(sampleInterval)
 	defer ticker.Stop()
+	defer func() { _ = p.statm.Close() }()
 	for {
 		select {
 		case <-ticker.C:
-			p.step(residentBytes(), openFiles())
+			memory, memoryErr := p.residentBytes()
+			files, filesErr := openFiles()
+			p.observe(memory, memoryErr, files, filesErr)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// observe takes a sample. A failure to count the descriptors for want of one means that all are in use; a value that could
+// not be read for another cause stays as it was.
+func (p *Pressure) observe(memory int64, memoryErr error, files int64, filesErr error) {
+	if memoryErr == nil {
+		p.lastUsed = memory
+	}
+	switch {
+	case filesErr == nil:
+		p.lastOpen = files
+	case errors.Is(filesErr, syscall.EMFILE), errors.Is(filesErr, syscall.ENFILE):
+		p.lastOpen = int64(p.files)
+	}
+	p.step(p.lastUsed, p.lastOpen)
+}
+
 func (p *Pressure) step(memory, files int64) {
 	level := chutebudget.Pressure(p.level.Load())
 	next := level.Next(chutebudget.Sample{Used: memory, Limit: p.memory}, chutebudget.Sample{Used: files, Limit: int64(p.files)})
@@ -74,28 +98,30 @@
 	}
 }
 
-// residentBytes returns the resident size of the process, or 0 if the system does not tell it.
-func residentBytes() int64 {
-	text, err := os.ReadFile("/proc/self/statm")
-	if err != nil {
-		return 0
+// residentBytes returns the resident size of the process.
+func (p *Pressure) residentBytes() (int64, error) {
+	if p.statm == nil {
+		file, err := os.Open("/proc/self/statm")
+		if err != nil {
+			return 0, err
+		}
+		p.statm = file
+	}
+	var text [128]byte
+	n, err := p.statm.ReadAt(text[:], 0)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return 0, err
 	}
-	fields := bytes.Fields(text)
+	fields := bytes.Fields(text[:n])
 	if len(fields) < 2 {
-		return 0
+		return 0, errors.New("the resident size is missing")
 	}
 	pages, err := strconv.ParseInt(string(fields[1]), 10, 64)
-	if err != nil {
-		return 0
-	}
-	return pages * int64(os.Getpagesize())
+	return pages * int64(os.Getpagesize()), err
 }
 
-// openFiles returns the number of open descriptors of the process, or 0 if the system does not tell it.
-func openFiles() int64 {
+// openFiles returns the number of open descriptors of the process.
+func openFiles() (int64, error) {
 	names, err := os.ReadDir("/proc/self/fd")
-	if err != nil {
-		return 0
-	}
-	return int64(len(names))
+	return int64(len(names)), err
 }
--- a/chuteconnection/pressure_test.go
+++ b/chuteconnection/pressure_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"log/slog"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -36,6 +38,24 @@
 	p.step(500, 50)
 	is.True(!p.Exhausted())
 	is.True(strings.Contains(log.String(), "level=none"))
-	is.True(residentBytes() > 0)
-	is.True(openFiles() > 0)
+	memory, err := p.residentBytes()
+	is.NoErr(err)
+	is.True(memory > 0)
+	is.NoErr(p.statm.Close())
+	files, err := openFiles()
+	is.NoErr(err)
+	is.True(files > 0)
+}
+
+// TestALackOfDescriptorsIsSeen guards against a host without descriptors that reports no shortage, as it cannot open what
+// tells it.
+func TestALackOfDescriptorsIsSeen(t *testing.T) {
+	is := is.New(t)
+	p := NewPressure(1000, 100, gauges{}, slog.New(slog.DiscardHandler))
+	p.observe(500, nil, 0, &os.PathError{Op: "open", Path: "/proc/self/fd", Err: syscall.EMFILE})
+	is.True(p.Exhausted())
+	p.observe(0, os.ErrPermission, 0, os.ErrPermission)
+	is.True(p.Exhausted()) // a sample that fails otherwise changes nothing
+	p.observe(500, nil, 50, nil)
+	is.True(!p.Exhausted())
 }
