chuterelay, chutepeer: wait for the budget of a frame

A frame without budget closed the link between hosts, which made the outcome of all requests on it unknown and cut a host that relays its store requests off. Reading it now waits up to 2 s until others give bytes back, without polling; a frame that the limits can never admit still fails at once. The budget of links holds two of the largest frames, whatever the memory limit. The relay logs a link that is closed for want of budget, as the mesh did.

--- a/chutebudget/limits.go
+++ b/chutebudget/limits.go
@@ -54,6 +54,19 @@
 	return max(1, connections*addressShare/quarters), connections - max(1, connections/reserveShare)
 }
 
+// WithLargest returns the limits with a budget that holds at least two bodies of the size, whatever the memory limit.
+func (l Limits) WithLargest(bytes int64) Limits {
+	if l.Bytes < 2*bytes {
+		l.Bytes, l.LargeBytes, l.AddressBytes = 2*bytes, 2*bytes*largeShare/quarters, bytes
+	}
+	return l
+}
+
+// Allow reports whether the claim could be admitted if nobody else held anything.
+func (l Limits) Allow(b Body) bool {
+	return b.Held+b.Bytes <= min(l.LargeBytes, l.AddressBytes)
+}
+
 // NewLimits derives the limits from the memory limit in bytes, the limit on descriptors and the largest number of
 // connections that the server is built for. A limit of 0 is unknown. Half of the descriptors are left for the host's own
 // connections.
--- a/chuteconnection/body.go
+++ b/chuteconnection/body.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -15,6 +17,8 @@
 	// freeBytes is the size up to which a body is part of what each connection may hold, and needs no claim. The HTTP
 	// library reads as much of a body before it calls the handler.
 	freeBytes = 8 << 10
+	// frameWait is the longest wait for the budget of a frame. The sender gives up a frame that is not taken for as long.
+	frameWait = 2 * time.Second
 	// refusedHeader marks a request whose announced body is over the limit.
 	refusedHeader = "Chute-Body-Refused"
 )
@@ -136,6 +140,16 @@
 	return body, err
 }
 
+// ReadFrame reads a frame of a link, up to the limit in bytes. It waits for budget up to frameWait, since closing the link
+// would make the outcome of all requests on it unknown.
+func (h *Hold) ReadFrame(ctx context.Context, reader io.Reader, limit int) ([]byte, error) {
+	wait, cancel := context.WithTimeout(ctx, frameWait)
+	defer cancel()
+	h.wait = wait
+	defer func() { h.wait = nil }()
+	return h.ReadAll(reader, limit)
+}
+
 // ReadAll reads a body of unknown size, up to the limit in bytes. It claims the bytes as the body grows; the smaller buffer
 // that is copied and dropped at each step is part of what a byte of the budget may cost.
 func (h *Hold) ReadAll(reader io.Reader, limit int) ([]byte, error) {
--- a/chuteconnection/connection.go
+++ b/chuteconnection/connection.go
@@ -1,6 +1,7 @@
 package chuteconnection
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync/atomic"
@@ -91,6 +92,7 @@
 	limiter *Limiter
 	from    chutebudget.Address
 	bytes   atomic.Int64
+	wait    context.Context // until when a claim waits for budget; nil means that it does not wait
 }
 
 // NewHold returns an empty hold for a client of the address.
@@ -100,7 +102,13 @@
 
 // grow claims further bytes of a body.
 func (h *Hold) grow(bytes int64) chutebudget.Verdict {
-	verdict := h.limiter.claim(chutebudget.Body{From: h.from, Held: h.bytes.Load(), Bytes: bytes})
+	claim := chutebudget.Body{From: h.from, Held: h.bytes.Load(), Bytes: bytes}
+	var verdict chutebudget.Verdict
+	if h.wait != nil {
+		verdict = h.limiter.claimWithin(h.wait, claim)
+	} else {
+		verdict = h.limiter.claim(claim)
+	}
 	if verdict == chutebudget.VerdictAdmitted {
 		h.bytes.Add(bytes)
 	}
--- a/chuteconnection/limiter.go
+++ b/chuteconnection/limiter.go
@@ -50,6 +50,7 @@
 	account     chutebudget.Account
 	connections map[*Conn]struct{}
 	refusals    map[refusal]int // since the latest report
+	released    chan struct{}   // closed when bytes are given back; nil if nobody waits
 }
 
 // New returns a limiter for the server of the name.
@@ -163,11 +164,38 @@
 	return verdict
 }
 
+// claimWithin decides on a claim for bytes, and waits for others to give bytes back until the context ends.
+func (l *Limiter) claimWithin(ctx context.Context, claim chutebudget.Body) chutebudget.Verdict {
+	for {
+		l.mutex.Lock()
+		account, verdict := l.account.Admit(claim)
+		l.account = account
+		if verdict == chutebudget.VerdictAdmitted || !account.Limits().Allow(claim) {
+			l.mutex.Unlock()
+			return verdict
+		}
+		if l.released == nil {
+			l.released = make(chan struct{})
+		}
+		released := l.released
+		l.mutex.Unlock()
+		select {
+		case <-released:
+		case <-ctx.Done():
+			return verdict
+		}
+	}
+}
+
 // release gives bytes of the address back.
 func (l *Limiter) release(from chutebudget.Address, bytes int64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.account = l.account.WithUse(from, chutebudget.Use{Bytes: -bytes})
+	if l.released != nil {
+		close(l.released)
+		l.released = nil
+	}
 }
 
 // Refuse counts a client of the address that was refused for the reason.
--- a/chutenode/node.go
+++ b/chutenode/node.go
@@ -23,6 +23,7 @@
 	"monsoonchute.example/monsoonchute/chutesettings"
 	"monsoonchute.example/monsoonchute/chutestore"
 	"monsoonchute.example/monsoonchute/chutetable"
+	"monsoonchute.example/monsoonchute/chutewire"
 	"monsoonchute.example/monsoonchute/chuteworker"
 )
 
@@ -78,7 +79,7 @@
 	memory, files := int64(settings.MemoryMB)<<20, chuteconnection.FileLimit(settings.MaxFiles)
 	clientLimits := chutebudget.NewLimits(memory, files, chutefront.MaxConnections).WithConnections(settings.MaxConnections, settings.MaxConnectionsPerAddress)
 	clients := chuteconnection.New("front", clientLimits, metrics, log)
-	peers := chuteconnection.New("peer", chutebudget.NewLimits(memory, files/linkShare, chutepeer.MaxConnections), metrics, log)
+	peers := chuteconnection.New("peer", chutebudget.NewLimits(memory, files/linkShare, chutepeer.MaxConnections).WithLargest(chutewire.MaxMessageBytes), metrics, log)
 	eng.pressure = chuteconnection.NewPressure(memory, files, metrics, log)
 	eng.mesh, cleanUp = chutepeer.New(self.Host, peerListener, eng.events, peers, log)
 	addCleanUp(cleanUp)
--- a/chutepeer/mesh.go
+++ b/chutepeer/mesh.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return false
 	}
-	frame, err := hold.ReadAll(reader, chutewire.MaxMessageBytes)
+	frame, err := hold.ReadFrame(ctx, reader, chutewire.MaxMessageBytes)
 	if errors.Is(err, chuteconnection.ErrNoBudget) {
 		m.log.Warn("peer: no memory for a frame; closing the link", "peer", sender)
 	}
--- a/chuterelay/frame.go
+++ b/chuterelay/frame.go
@@ -48,8 +48,8 @@
 	Verdict verdict
 }
 
-// maxFrameBytes is the largest accepted size of an encoded frame.
-const maxFrameBytes = 8 << 20
+// MaxFrameBytes is the largest accepted size of an encoded frame.
+const MaxFrameBytes = 8 << 20
 
 func encode(f frame) ([]byte, error) {
 	body, err := cbor.Marshal(f)
--- a/chuterelay/peer.go
+++ b/chuterelay/peer.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	connection.SetReadLimit(maxFrameBytes)
+	connection.SetReadLimit(MaxFrameBytes)
 	l = &link{writer: &frameWriter{connection: connection}, waiting: make(map[uint64]chan frame)}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/chuterelay/server.go
+++ b/chuterelay/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fasthttp/websocket"
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
@@ -78,7 +79,7 @@
 
 // serveConnection serves the requests of a peer concurrently until its connection ends.
 func (s *server) serveConnection(connection *websocket.Conn) {
-	connection.SetReadLimit(maxFrameBytes)
+	connection.SetReadLimit(MaxFrameBytes)
 	ctx := s.group.Context()
 	interrupted := make(chan struct{})
 	stopWatching := context.AfterFunc(ctx, func() {
@@ -101,9 +102,12 @@
 			break
 		}
 		hold := s.limiter.NewHold(chuteconnection.AddressOf(connection.RemoteAddr()))
-		body, err := readFrame(connection, hold)
+		body, err := readFrame(ctx, connection, hold)
 		if err != nil {
 			hold.Release()
+			if errors.Is(err, chuteconnection.ErrNoBudget) {
+				s.log.Warn("relay: closing the connection of a peer whose frame finds no memory", "peer", connection.RemoteAddr().String())
+			}
 			break
 		}
 		f, err := decode(body)
@@ -122,12 +126,12 @@
 }
 
 // readFrame reads the next frame of a peer under the budget for frames.
-func readFrame(connection *websocket.Conn, hold *chuteconnection.Hold) ([]byte, error) {
+func readFrame(ctx context.Context, connection *websocket.Conn, hold *chuteconnection.Hold) ([]byte, error) {
 	_, reader, err := connection.NextReader()
 	if err != nil {
 		return nil, err
 	}
-	return hold.ReadAll(reader, maxFrameBytes)
+	return hold.ReadFrame(ctx, reader, MaxFrameBytes)
 }
 
 // interrupt aborts the blocked read of a connection with a read deadline in the past: the HTTP library closes a connection
