chuteform: accept large documents

A document with over 20,000 fields and tables was refused, such as 330 workspaces with 10 guarantees each or 2,500 with 3. The cost is that of different names known at a time, and the TOML library forgets those of an element of an array of tables at the next one. The comparisons of names are now bounded, at 50 million (about 10,000 names in one table), and the fields at 200,000.

The time of a document at the new limits was not measured.

--- a/chuteform/fields.go
+++ b/chuteform/fields.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
 	"github.com/pkg/errors"
 )
 
@@ -15,9 +16,12 @@
 	// maxUnknownFields is the number of unknown fields from which a text is refused without naming them. The TOML library
 	// scans the text from its start for each of them: 18,000 in 128 KiB took 25 s.
 	maxUnknownFields = 100
-	// maxFields is the largest number of fields and tables of a text. The TOML library compares each name with those before
-	// it in the same table: 20,000 take 1.1 s, and ten times as many over a minute.
-	maxFields = 20_000
+	// maxFields is the largest number of fields and tables of a text. It bounds what the checks hold.
+	maxFields = 200_000
+	// maxComparisons is the largest number of comparisons of names. The TOML library compares each name with those that it
+	// knows, and forgets those of an element of an array of tables at the next one. 20,000 names in one table are 200
+	// million comparisons and took 1.1 s.
+	maxComparisons = 50_000_000
 )
 
 // checkFields returns an error if the text has so many fields, or so many that the type of the value does not have, that
@@ -29,6 +33,9 @@
 	if bytes.Count(text, []byte("="))+bytes.Count(text, []byte("[")) > maxFields {
 		return errors.Errorf("over %d fields and tables", maxFields)
 	}
+	if countComparisons(text) > maxComparisons {
+		return errors.Errorf("too many different fields and tables in a text of %d bytes", len(text))
+	}
 	var tree map[string]any
 	if toml.Unmarshal(text, &tree) != nil {
 		return nil // the strict decoder names the fault
@@ -39,6 +46,70 @@
 	return nil
 }
 
+// countComparisons returns an upper bound for how many names the TOML library compares to decode the text. The names that
+// it knows at a time are at most those of the longest section of each different header.
+func countComparisons(text []byte) int {
+	var parser unstable.Parser
+	parser.Reset(text)
+	longest := make(map[string]int) // by the header
+	header, size, known, comparisons := "", 0, 0, 0
+	for parser.NextExpression() && comparisons <= maxComparisons {
+		node := parser.Expression()
+		parts := countParts(node)
+		switch node.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			header, size = joinKey(node), parts
+		case unstable.KeyValue:
+			names, inline := countInline(node.Value())
+			size, comparisons = size+parts+names, comparisons+inline
+		default:
+			continue
+		}
+		if size > longest[header] {
+			known += size - longest[header]
+			longest[header] = size
+		}
+		comparisons += parts * known
+	}
+	return comparisons
+}
+
+// countParts returns the number of names in the key of the node.
+func countParts(node *unstable.Node) int {
+	count := 0
+	for key := node.Key(); key.Next(); {
+		count++
+	}
+	return count
+}
+
+// joinKey returns the key of a header.
+func joinKey(node *unstable.Node) string {
+	var names []string
+	for key := node.Key(); key.Next(); {
+		names = append(names, string(key.Node().Data))
+	}
+	return strings.Join(names, "\x00")
+}
+
+// countInline returns the number of names in the inline tables of a value, and an upper bound for their comparisons.
+func countInline(value *unstable.Node) (names, comparisons int) {
+	for children := value.Children(); children.Next(); {
+		child := children.Node()
+		if child.Kind == unstable.KeyValue {
+			inner, compared := countInline(child.Value())
+			names, comparisons = names+countParts(child)+inner, comparisons+compared
+		} else {
+			inner, compared := countInline(child)
+			names, comparisons = names+1+inner, comparisons+compared
+		}
+	}
+	if value.Kind == unstable.InlineTable {
+		comparisons += names * names
+	}
+	return names, comparisons
+}
+
 // countUnknown returns the number of fields of the decoded TOML value that the type does not have.
 func countUnknown(value any, t reflect.Type) int {
 	for t.Kind() == reflect.Pointer {
