chuteconnection: an aborted connection is no shortage

ECONNABORTED means that a client gave up before its connection was accepted; it counted as a lack of descriptors and closed another connection. Go's runtime accepts again by itself after it.

Measured: go test ./chuteconnection passes; there is no test of its own.

--- a/chuteconnection/listener.go
+++ b/chuteconnection/listener.go
@@ -55,7 +55,7 @@
 
 // isShortage reports whether a connection could not be accepted for a cause that passes.
 func isShortage(err error) bool {
-	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
 		if errors.Is(err, cause) {
 			return true
 		}
