--- a/chutebudget/victim.go
+++ b/chutebudget/victim.go
@@ -8,7 +8,7 @@
 // The phases of a connection.
 const (
 	PhaseNew     Phase = iota // nothing has arrived on it
-	PhaseReading              // part of a header has arrived
+	PhaseReading              // the header and up to 8 KiB of the body are read
 	PhaseServing              // a request is read or answered
 	PhaseIdle                 // its last request is answered
 	PhaseClosing              // it is refused, and what its client still sends is discarded
@@ -21,9 +21,9 @@
 	// idleAge is the age from which an idle connection may be closed for another one. Clients that call in turn on more
 	// connections than there are would otherwise close each other's between two calls.
 	idleAge = time.Second
-	// readingAge is the age from which a connection with part of a header, or a refused one, may be closed for another one.
-	// An ordinary client sends its header in one piece.
-	readingAge = time.Second
+	// readingAge is the age from which a connection whose request is being read, or a refused one, may be closed for another
+	// one. An ordinary client sends its header and the first 8 KiB of its body in one piece.
+	readingAge = 5 * time.Second
 )
 
 // Candidate is a connection that may be closed for another one.
--- a/chutepeer/mesh.go
+++ b/chutepeer/mesh.go
@@ -61,7 +61,8 @@
 	links      map[chutetable.HostID]*link
 }
 
-// New accepts links from peers on the listener, under the limits of the limiter. The returned clean-up function closes the listener and all links.
+// New accepts links from peers on the listener, under the limits of the limiter. The returned clean-up function
+// closes the listener and all links.
 func New(self chutetable.HostID, listener net.Listener, events chutering.Events, limiter *chuteconnection.Limiter, log *slog.Logger, options ...Option) (*Mesh, func()) {
 	group, stopGroup := chuteduty.New(log)
 	m := &Mesh{self: self, events: events, limiter: limiter, log: log, group: group, links: make(map[chutetable.HostID]*link)}
