--- a/chuteform/fields.go
+++ b/chuteform/fields.go
@@ -56,14 +56,11 @@
 	for parser.NextExpression() && comparisons <= maxComparisons {
 		node := parser.Expression()
 		parts := countParts(node)
-		switch node.Kind {
-		case unstable.Table, unstable.ArrayTable:
-			header, size = joinKey(node), parts
-		case unstable.KeyValue:
+		if node.Kind == unstable.KeyValue {
 			names, inline := countInline(node.Value())
 			size, comparisons = size+parts+names, comparisons+inline
-		default:
-			continue
+		} else { // a header of a table or of an element of an array of tables
+			header, size = joinKey(node), parts
 		}
 		if size > longest[header] {
 			known += size - longest[header]
