--- a/chutedaemon/dispatch.go
+++ b/chutedaemon/dispatch.go
@@ -34,6 +34,7 @@
 		d.dispatch(effect)
 	}
 	d.serving.Store(state.Serving(now))
+	d.bodyLimit.Store(int64(state.BodyLimit()))
 	d.setGCPercent(state.Leads())
 	return state
 }
@@ -84,7 +85,7 @@
 	case chuteaction.Observe:
 		d.metrics.ObserveKind(f.Histogram, f.Kind, f.Duration)
 	case chuteaction.SetGauge:
-		d.metrics.SetGauge(f.Gauge, labelsOf(f.Labels), f.Value)
+		d.metrics.SetLabeledGauge(f.Gauge, labelsOf(f.Labels), f.Value)
 	case chuteaction.LogLine:
 		d.logs.Offer(f)
 	case chuteaction.Stopped:
--- a/chutemetric/metric.go
+++ b/chutemetric/metric.go
@@ -84,8 +84,8 @@
 // maxGaugeSeries is the largest number of series of one gauge, since a series is never deleted.
 const maxGaugeSeries = 200
 
-// SetGauge sets the gauge of the name with the labels. One gauge has at most maxGaugeSeries sets of labels; further ones are left out.
-func (m *Metrics) SetGauge(name string, labels map[string]string, value float64) {
+// SetLabeledGauge sets the gauge of the name with the labels. One gauge has at most maxGaugeSeries sets of labels; further ones are left out.
+func (m *Metrics) SetLabeledGauge(name string, labels map[string]string, value float64) {
 	if !m.admitSeries(name, labels) {
 		m.Count("gauge-series-dropped", name)
 		return
@@ -93,6 +93,11 @@
 	m.scope.Tagged(labels).Gauge(metricName(name)).Update(value)
 }
 
+// SetGauge sets the gauge of the name.
+func (m *Metrics) SetGauge(name string, value float64) {
+	m.scope.Gauge(metricName(name)).Update(value)
+}
+
 // admitSeries reports whether the gauge may have the series, and keeps it then.
 func (m *Metrics) admitSeries(name string, labels map[string]string) bool {
 	m.mutex.Lock()
