Explain where a job would go now from a planning pass without effects

Operators could only read why a job waits from log lines after a second of waiting, and not at all for a job that is not submitted. The core answers the event ExplainRequested: chuteexplain runs a planning pass on a working copy of the state, with the job put in if it is not submitted, and reads the starts, kept capacity, evictions, wait reason and jobs ahead; the copy and its effects are discarded. Tests in virtual time: the same effects follow with and without a request; the answer is what the next pass decides.

--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -7,6 +7,7 @@
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chuteclock"
+	"monsoonchute.example/monsoonchute/chuteexplain"
 	"monsoonchute.example/monsoonchute/chutefreshness"
 	"monsoonchute.example/monsoonchute/chuteintake"
 	"monsoonchute.example/monsoonchute/chuteleader"
@@ -79,6 +80,7 @@
 	hostRows       *immutable.SortedMap[string, chuteaction.Row] // rows of all entry hosts by host name
 	peerAddresses  *immutable.SortedMap[string, string]          // relay addresses of the other hosts by host name
 	stopped        bool
+	explainRate    chuteexplain.Rate
 }
 
 // New returns the state of a host that has not read anything from the store.
--- a/chuteentry/step.go
+++ b/chuteentry/step.go
@@ -12,6 +12,11 @@
 func Step(s State, timed chuteaction.TimedEvent) (State, []chuteaction.Effect) {
 	t := &transition{Transition: chuteaction.NewTransition(timed.At, s.token), state: s}
 	t.start()
+	if e, ok := timed.Event.(chuteaction.ExplainRequested); ok {
+		t.explain(e) // has no effect but its answer, so that nothing is due after it
+		t.state.token = t.LastToken()
+		return t.state, t.Effects
+	}
 	switch e := timed.Event.(type) {
 	case chuteaction.Tick:
 		t.tick()
@@ -31,6 +36,7 @@
 		t.Count("feed-silent", e.Table.String())
 	case chuteaction.OrderResult:
 		t.handleOrderResult(e)
+	case chuteaction.ExplainRequested: // handled above
 	case chuteaction.StopRequested:
 		t.beginStop(e.Timeout)
 	}
--- a/chuteintake/arrive.go
+++ b/chuteintake/arrive.go
@@ -42,7 +42,7 @@
 	}
 	switch request := e.Call.(type) {
 	case chuteaction.SubmitJob:
-		return s.submit(t, c, owner, submission(c.job, queue, owner, request.Spec), request.ParseError)
+		return s.submit(t, c, owner, NewSubmission(c.job, queue, owner, request.Spec), request.ParseError)
 	case chuteaction.ShowJob:
 		return s.readProgress(t, c)
 	case chuteaction.CancelJob:
@@ -57,7 +57,8 @@
 	return s.answer(t, c, result, 0, nil)
 }
 
-func submission(id chutegraph.JobID, q chutecatalog.Queue, owner chutecatalog.Workspace, spec chutegraph.Spec) chutetask.Submission {
+// NewSubmission returns the submission of a job to the queue by the workspace.
+func NewSubmission(id chutegraph.JobID, q chutecatalog.Queue, owner chutecatalog.Workspace, spec chutegraph.Spec) chutetask.Submission {
 	return chutetask.Submission{
 		ID: id, Queue: q.Name, Workspace: owner.Name, Service: q.Service, Priority: q.Priority, Attempts: q.Attempts,
 		Stretch: q.Stretch, Target: q.Target, Spec: spec,
@@ -71,8 +72,8 @@
 	if err := sub.Spec.Check(); err != nil {
 		return s.answer(t, c, chuteresult.FromError(err), 0, nil)
 	}
-	if step, beyond := chutequota.StepBeyond(sub.Spec, owner); beyond {
-		return s.refuse(t, c, beyondQuota(sub.Spec.Steps[step], step, owner))
+	if refusal, beyond := BeyondQuota(sub.Spec, owner); beyond {
+		return s.refuse(t, c, refusal)
 	}
 	return s.send(t, c.withStage(stageRecordJob).withWrite(record(sub)))
 }
@@ -84,6 +85,15 @@
 	return s.send(t, c.withStage(stageRefuseJob).withWrite(rejection(c.job)))
 }
 
+// BeyondQuota returns the result for a job that can never run within the quota of its workspace, and false for any other job.
+func BeyondQuota(spec chutegraph.Spec, owner chutecatalog.Workspace) (chuteresult.Result, bool) {
+	step, beyond := chutequota.StepBeyond(spec, owner)
+	if !beyond {
+		return chuteresult.Result{}, false
+	}
+	return beyondQuota(spec.Steps[step], step, owner), true
+}
+
 // beyondQuota returns the result for a job of which the step can never start within its workspace's quota.
 func beyondQuota(step chutegraph.Step, index int, owner chutecatalog.Workspace) chuteresult.Result {
 	need, what := step.Request, "a task"
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -21,18 +21,24 @@
 	if since < minPlanInterval || !t.PlanDue && since < maxPlanInterval || !p.workersContacted(t) {
 		return p
 	}
-	current := &pass{Transition: t, Planner: p, rowRoom: make(map[chutegraph.JobID]int), quarantineWaits: New().quarantineDueSince}
+	current := newPass(p, t)
 	current.PlanDue = false
 	current.plannedAt = current.Now
 	current.plan()
 	return current.Planner
 }
 
+// newPass returns a pass on the transition that begins with the planner.
+func newPass(p Planner, t *chuterunner.Transition) *pass {
+	return &pass{Transition: t, Planner: p, rowRoom: make(map[chutegraph.JobID]int), quarantineWaits: New().quarantineDueSince}
+}
+
 // plan decides on all waiting tasks and carries out the decisions.
 func (p *pass) plan() {
 	p.guaranteed = p.GuaranteedJobs()
 	p.countUse()
 	demands, quarantined := p.demands()
+	p.trial.Quarantined = quarantined
 	p.nominated = make(map[chutegraph.StepID]map[int]chutetask.WorkerID)
 	p.updateWaiting(demands)
 	p.reserveQuotas(quarantined, demands)
@@ -67,7 +73,8 @@
 		}
 	}
 	started := make(map[chutegraph.StepID][]chutetask.WorkerID)
-	for _, decision := range chuteplacement.Plan(view) {
+	p.trial.Demands, p.trial.Decisions = view.Demands, chuteplacement.Plan(view)
+	for _, decision := range p.trial.Decisions {
 		switch d := decision.(type) {
 		case chuteplacement.Start:
 			started[d.Task.StepID] = append(started[d.Task.StepID], d.Worker)
--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -69,4 +69,5 @@
 	rowRoom    map[chutegraph.JobID]int  // bytes left in the rows of the scheduled jobs that have been looked at
 	// quarantineWaits becomes quarantineDueSince after the pass.
 	quarantineWaits *immutable.SortedMap[chutegraph.StepID, time.Time]
+	trial           Trial // what Try returns of the decisions
 }
--- a/chutewait/view.go
+++ b/chutewait/view.go
@@ -72,6 +72,11 @@
 	return "no-room"
 }
 
+// Reason returns why the demand waits after a planning pass that has left the quotas, in kebab case.
+func Reason(t *chuteledger.Transition, d chuteplacement.Demand, quotas chutequota.Quotas) string {
+	return newView(t, quotas).reason(d)
+}
+
 // log logs why the demand waits.
 func (v *view) log(t *chuteledger.Transition, d chuteplacement.Demand, waited time.Duration) {
 	reason := v.reason(d)
