--- a/chutedaemon/calls.go
+++ b/chutedaemon/calls.go
@@ -50,14 +50,35 @@
 	id, answers := d.calls.register()
 	defer d.calls.unregister(id)
 	call.ID = id
-	if !d.events.Offer(call) {
-		return chuteaction.AnswerCall{ID: id, Result: chuteresult.New(chuteresult.Overloaded, "the core's ring is full")}
+	answer, answered := d.await(ctx, call, answers)
+	if !answered {
+		d.events.Offer(chuteaction.CallAbandoned{ID: id})
+		return chuteaction.AnswerCall{ID: id, Result: chuteresult.New(chuteresult.StoreAnswerLost, "no answer in time")}
+	}
+	return answer
+}
+
+// Explain asks the core where a job would go now, and waits for its answer until the context ends. It sets the id of the request.
+func (d *Daemon) Explain(ctx context.Context, request chuteaction.ExplainRequested) chuteaction.AnswerCall {
+	id, answers := d.calls.register()
+	defer d.calls.unregister(id)
+	request.ID = id
+	answer, answered := d.await(ctx, request, answers)
+	if !answered {
+		return chuteaction.AnswerCall{ID: id, Result: chuteresult.New(chuteresult.AnswerLost, "no answer in time")}
+	}
+	return answer
+}
+
+// await passes an event to the core and waits for the answer. It returns false if the context ends before.
+func (d *Daemon) await(ctx context.Context, event chuteaction.Event, answers <-chan chuteaction.AnswerCall) (chuteaction.AnswerCall, bool) {
+	if !d.events.Offer(event) {
+		return chuteaction.AnswerCall{Result: chuteresult.New(chuteresult.Overloaded, "the core's ring is full")}, true
 	}
 	select {
 	case a := <-answers:
-		return a
+		return a, true
 	case <-ctx.Done():
-		d.events.Offer(chuteaction.CallAbandoned{ID: id})
-		return chuteaction.AnswerCall{ID: id, Result: chuteresult.New(chuteresult.StoreAnswerLost, "no answer in time")}
+		return chuteaction.AnswerCall{}, false
 	}
 }
--- a/cmd/monsoonchute/main.go
+++ b/cmd/monsoonchute/main.go
@@ -17,13 +17,14 @@
 	Output    string   `help:"Format of the output." enum:"text,json" default:"text"`
 	RequestID string   `help:"Request id of the call; entry hosts recognise a repeated call by its id."`
 
-	Dev       devCommand       `cmd:"" help:"Run entry hosts with stand-ins for the platform, the workers and the backend servers."`
-	Document  documentCommand  `cmd:"" help:"Change or show the operators' document."`
-	Zone      zoneCommand      `cmd:"" help:"Take availability zones out of service and back."`
-	Job       jobCommand       `cmd:"" help:"Submit, show and cancel jobs."`
-	Workspace workspaceCommand `cmd:"" help:"List workspaces."`
-	Trace     traceCommand     `cmd:"" help:"Show what happened to a job, from the logs of entry hosts."`
-	Status    statusCommand    `cmd:"" help:"Show what an entry host knows of hosts, shards and backend servers."`
+	Dev       devCommand        `cmd:"" help:"Run entry hosts with stand-ins for the platform, the workers and the backend servers."`
+	Document  documentCommand   `cmd:"" help:"Change or show the operators' document."`
+	Zone      zoneCommand       `cmd:"" help:"Take availability zones out of service and back."`
+	Job       jobCommand        `cmd:"" help:"Submit, show and cancel jobs."`
+	Workspace workspaceCommand  `cmd:"" help:"List workspaces."`
+	Explain   explainJobCommand `cmd:"" help:"Show where a job of the platform would go now and why, as the leading host decides."`
+	Trace     traceCommand      `cmd:"" help:"Show what happened to a job, from the logs of entry hosts."`
+	Status    statusCommand     `cmd:"" help:"Show what an entry host knows of hosts, shards and backend servers."`
 }
 
 // environment holds what all commands use: the client, the output and its format.
