--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -72,4 +72,5 @@
 	awaitingApproval []chutegraph.StepID
 	// quarantineWaits becomes quarantineDueSince after the pass.
 	quarantineWaits *immutable.SortedMap[chutegraph.StepID, time.Time]
+	trial           Trial // what Try returns of the decisions
 }
