chuteapproval: requests take the service's turn and times into account

Cause: the policy service handles a host's requests one after the other. The leader kept four in flight, each with a time limit of 3 s whatever the configuration states of the service. The fourth waited 4.4 s, was given up and sent again, behind the one that the service still handled, so that no answer came in time any more. Beside it: a full queue (429) counted as no answer, requests went out in the order of job ids, also for steps without room, each named 30 workers, and tickets valid for less than 0.5 s were never used.

Change: what is known of the service is kept apart from the steps. Two requests are in flight at most; the time limit follows from decision_ms, per_item_ms and what waits before the request; without an answer, or with a full queue, one request at a time is sent with growing time limits and waits. Steps that could start at once ask first, by priority. While several ask, a request names few workers. A histogram has the times of requests by outcome.

Why it works: a request's time limit covers all that the service does before it, and what was given up no longer piles up.

--- a/chuteaction/effect.go
+++ b/chuteaction/effect.go
@@ -146,6 +146,7 @@
 type RequestApproval struct {
 	Step    chutegraph.StepID
 	Workers []chutetask.WorkerID
+	Timeout time.Duration // time after which the request counts as unanswered
 }
 
 // ListMachines requests the platform's list of machines.
--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -192,11 +192,32 @@
 type StepApproved struct {
 	Step     chutegraph.StepID
 	Workers  []chutetask.WorkerID
-	Answered bool
-	Tickets  map[chutetask.WorkerID]string
+	Outcome  ApprovalOutcome
+	Tickets  map[chutetask.WorkerID]string // of the approved workers, if the request was answered
 	Validity time.Duration
 }
 
+// ApprovalOutcome tells what became of a RequestApproval effect.
+type ApprovalOutcome int
+
+// The outcomes of a request to the approval service.
+const (
+	ApprovalNotSent  ApprovalOutcome = iota // the service does not know of the request
+	ApprovalAnswered                        // the service has decided
+	ApprovalRefused                         // too many requests wait at the service, which has dropped this one
+	ApprovalNoAnswer                        // the request may still wait at the service
+)
+
+var approvalOutcomeNames = []string{"not-sent", "answered", "refused", "no-answer"}
+
+// String returns the kebab-case name of the outcome.
+func (o ApprovalOutcome) String() string {
+	if o < ApprovalNotSent || o > ApprovalNoAnswer {
+		return "invalid"
+	}
+	return approvalOutcomeNames[o]
+}
+
 // MachinesListed is the result of a ListMachines effect.
 type MachinesListed struct {
 	SentAt   time.Time // when the list was requested
--- a/chutecatalog/catalog.go
+++ b/chutecatalog/catalog.go
@@ -29,6 +29,11 @@
 	Validity      time.Duration // how long a ticket is valid
 }
 
+// RequestTime returns how long the service takes for a request that names so many workers.
+func (a Approval) RequestTime(workers int) time.Duration {
+	return max(0, a.DecisionTime) + time.Duration(workers)*max(0, a.TimePerWorker)
+}
+
 // Service is a pool of workers.
 type Service struct {
 	Name           string
--- a/chutedaemon/orders.go
+++ b/chutedaemon/orders.go
@@ -88,7 +88,10 @@
 	case chuteaction.MaintainMachine:
 		d.events.Put(ctx, d.machines.Maintain(ctx, f))
 	case chuteaction.RequestApproval:
-		d.events.Put(ctx, d.workers.Approve(ctx, f))
+		start := time.Now()
+		approved := d.workers.Approve(ctx, f)
+		d.metrics.ObserveKind("approval", approved.Outcome.String(), time.Since(start))
+		d.events.Put(ctx, approved)
 	}
 }
 
--- a/chuteentry/longrunning_test.go
+++ b/chuteentry/longrunning_test.go
@@ -29,7 +29,7 @@
 
 // approve is the fake approval service: it approves workers of rack-1 only.
 func (sm *simulation) approve(f chuteaction.RequestApproval) chuteaction.StepApproved {
-	approved := chuteaction.StepApproved{Step: f.Step, Workers: f.Workers, Answered: true, Validity: 3 * time.Second, Tickets: make(map[chutetask.WorkerID]string)}
+	approved := chuteaction.StepApproved{Step: f.Step, Workers: f.Workers, Outcome: chuteaction.ApprovalAnswered, Validity: 3 * time.Second, Tickets: make(map[chutetask.WorkerID]string)}
 	for _, id := range f.Workers {
 		if sm.workers[string(id)].listing.Rack == "rack-1" {
 			approved.Tickets[id] = "ticket-" + string(id)
--- a/chuteplanner/approval_test.go
+++ b/chuteplanner/approval_test.go
@@ -71,7 +71,7 @@
 }
 
 func (s *scheduler) approve(request chuteaction.RequestApproval) chuteaction.StepApproved {
-	approved := chuteaction.StepApproved{Step: request.Step, Answered: true, Validity: ticketValidity, Tickets: make(map[chutetask.WorkerID]string)}
+	approved := chuteaction.StepApproved{Step: request.Step, Outcome: chuteaction.ApprovalAnswered, Validity: ticketValidity, Tickets: make(map[chutetask.WorkerID]string)}
 	for _, id := range request.Workers {
 		if last := id[len(id)-1]; !s.refused[request.Step.Job] && (last == '1' || last == '5') {
 			approved.Tickets[id] = "ticket"
--- a/chuteplanner/demand.go
+++ b/chuteplanner/demand.go
@@ -42,6 +42,7 @@
 			}
 		}
 	}
+	p.approvals = p.approvals.Request(p.Transition.Transition, sortedDemands(p.needApproval))
 	return sortedDemands(list), sortedDemands(alone)
 }
 
@@ -86,11 +87,12 @@
 			d.TasksByWorker[task.Worker]++
 		}
 	}
-	if q, ok := p.Environment.Catalog.Queue(j.Queue); ok && q.Approval != nil && !p.approve(&d, j) {
+	ranked := rankedDemand{demand: d, rank: rank}
+	if q, ok := p.Environment.Catalog.Queue(j.Queue); ok && q.Approval != nil && !p.approve(&ranked) {
 		p.awaitingApproval = append(p.awaitingApproval, id)
 		return list
 	}
-	return append(list, rankedDemand{demand: d, rank: rank})
+	return append(list, ranked)
 }
 
 // mayPreempt reports whether runs may be stopped for an urgent step: a guarantee covers its job, its job still gains, or runs were
@@ -99,20 +101,21 @@
 	return p.guaranteed[j.ID] || u.Class != chuteurgency.Lapsed || len(p.nominated[id]) > 0
 }
 
-// approve gives the demand its approval tickets and requests those that it lacks. It reports whether the demand counts in this pass:
+// approve gives the demand its approval tickets, and notes that it needs some. It reports whether the demand counts in this pass:
 // without a ticket, it does while its quota holds it back. Approvals are then only requested for a demand for which quota is freed or
 // reserved, since others of its workspace would retake that quota while the approval is outstanding.
-func (p *pass) approve(d *chutedemand.Demand, j chutetask.Job) bool {
+func (p *pass) approve(r *rankedDemand) bool {
+	d := &r.demand
 	d.Tickets = make(map[chutetask.WorkerID]string)
 	held := p.heldByQuota(*d)
 	if held && !d.Guaranteed && p.reservedFor[d.Workspace] != d.ID {
 		return true
 	}
-	var tickets map[chutetask.WorkerID]string
-	if tickets, p.approvals = p.approvals.Tickets(p.Transition.Transition, j, d.ID); len(tickets) > 0 {
+	if tickets := p.approvals.Tickets(d.ID, p.Now); len(tickets) > 0 {
 		d.Tickets = tickets
 	}
-	return held || len(tickets) > 0
+	p.needApproval = append(p.needApproval, *r)
+	return held || len(d.Tickets) > 0
 }
 
 // startsWithinRow returns how many of so many tasks of the step may start so that the job's progress still fits in a row of the
--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -72,6 +72,8 @@
 	rowRoom    map[chutegraph.JobID]int  // bytes left in the rows of the scheduled jobs that have been looked at
 	// awaitingApproval are the steps that no quota holds back but that lack an approval.
 	awaitingApproval []chutegraph.StepID
+	// needApproval are the demands that need approval and that no quota holds back, with and without tickets.
+	needApproval []rankedDemand
 	// quarantineWaits becomes quarantineDueSince after the pass.
 	quarantineWaits *immutable.SortedMap[chutegraph.StepID, time.Time]
 	trial           Trial // what Try returns of the decisions
