chuteprogress: the progress of a job takes as many rows as it needs

Cause, first of three: the bound on a job's progress does not hold. Jobs are accepted by a reckoning with worker ids of 20 bytes, while keys may have 200, and records of crashes could fill the row to its edge and leave no room for the tasks that had not run. startsWithinRow skipped all jobs with one occurrence. The store then refused the row (72,090 bytes) each time.

Change: progress that does not fit in one row is divided into a first row with the phase and rows with ranges of tasks, which one transaction writes. Room is kept for what must be recorded of each task that is not done; checkpoints and crashes are recorded as far as they fit beside it. Rows of today's form are read and written as before while they suffice; a leader of the version before does not take a divided progress for a whole one (it does not fit the specification) and leaves the job alone.

Why it works: the size of a row no longer depends on the number of tasks, nor on the length of ids.

The fake store of the simulations refuses any row that is too large, not only those of 500 tasks and more.

--- a/chuteaction/row.go
+++ b/chuteaction/row.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"monsoonchute.example/monsoonchute/chutebacklog"
@@ -80,10 +81,18 @@
 // CancelRow records the cancellation of a job.
 type CancelRow struct{ Job chutegraph.JobID }
 
-// ProgressRow records the progress of a job.
+// ProgressRow records the progress of a job, but for the tasks if these are in rows of their own.
 type ProgressRow struct {
 	Job chutegraph.JobID
 	chutetask.Progress
+	Parts int // number of rows with the tasks, which the same transaction wrote; 0 if this row holds them
+}
+
+// ProgressPartRow records some tasks of a job whose progress does not fit in one row. One without tasks is not used any more.
+type ProgressPartRow struct {
+	Job    chutegraph.JobID
+	Number int // from 1 on
+	Ranges []chutetask.Range
 }
 
 // LeaderRow identifies the scheduler of a shard. Every write of the scheduler updates it, conditional on its version.
@@ -181,16 +190,17 @@
 func (EvacuationRow) sealedOperatorRow() {}
 func (WaveRow) sealedOperatorRow()       {}
 
-func (SubmissionRow) sealedRowValue() {}
-func (CancelRow) sealedRowValue()     {}
-func (ProgressRow) sealedRowValue()   {}
-func (LeaderRow) sealedRowValue()     {}
-func (HostRow) sealedRowValue()       {}
-func (CatalogRow) sealedRowValue()    {}
-func (EvacuationRow) sealedRowValue() {}
-func (WaveRow) sealedRowValue()       {}
-func (WaveStateRow) sealedRowValue()  {}
-func (WorkerRow) sealedRowValue()     {}
+func (SubmissionRow) sealedRowValue()   {}
+func (CancelRow) sealedRowValue()       {}
+func (ProgressRow) sealedRowValue()     {}
+func (ProgressPartRow) sealedRowValue() {}
+func (LeaderRow) sealedRowValue()       {}
+func (HostRow) sealedRowValue()         {}
+func (CatalogRow) sealedRowValue()      {}
+func (EvacuationRow) sealedRowValue()   {}
+func (WaveRow) sealedRowValue()         {}
+func (WaveStateRow) sealedRowValue()    {}
+func (WorkerRow) sealedRowValue()       {}
 
 // ShardPartition is the partition of the scheduler's rows.
 const ShardPartition = "shard-0"
@@ -216,6 +226,22 @@
 	return RowKey{Table: TableProgress, Partition: ShardPartition, Key: string(id)}
 }
 
+// ProgressPartKey returns the key of a row with some of the tasks of a job. It comes after that of the job's progress row.
+func ProgressPartKey(id chutegraph.JobID, number int) RowKey {
+	key := ProgressKey(id)
+	key.Key += partSeparator + strconv.Itoa(number)
+	return key
+}
+
+// partSeparator is between the job's id and the number of a part. No id contains it.
+const partSeparator = "."
+
+// JobOfProgressKey returns the job to which a row of progress with the key belongs.
+func JobOfProgressKey(key string) chutegraph.JobID {
+	id, _, _ := strings.Cut(key, partSeparator)
+	return chutegraph.JobID(id)
+}
+
 // HostKey returns the key of an entry host's row.
 func HostKey(host string) RowKey {
 	return RowKey{Table: TableHosts, Partition: HostsPartition, Key: host}
--- a/chutecrash/crash.go
+++ b/chutecrash/crash.go
@@ -38,7 +38,7 @@
 	if !ok || task.Run != run.Number || task.Begun || j.Crashes(run.Task).Empty() {
 		return
 	}
-	if j = j.WithTask(run.Task, task.WithBegun()); j.FitsInRow() {
+	if j = j.WithTask(run.Task, task.WithBegun()); j.FitsInStore() {
 		t.PutJob(j)
 	}
 }
@@ -149,10 +149,10 @@
 	t.Log(component, "worker crashed, or is silent, under a run", j.ID, "run", run, "worker", crash.Worker, "confirmed", crash.Confirmed,
 		"quarantined", crash.Quarantined, "runs-with-crash", crashes.Runs(), "began", crash.Began, "unknown", crash.Unknown,
 		"other-workers", t.Outages.Around(w.Service, t.Now, j.ID))
-	if !j.WithCrashes(run.Task, crashes).FitsInRow() {
+	if !j.WithCrashes(run.Task, crashes).FitsInStore() {
 		j = j.WithoutExplainedCrashes()
 	}
-	if !j.WithCrashes(run.Task, crashes).FitsInRow() {
+	if !j.WithCrashes(run.Task, crashes).FitsInStore() {
 		t.Count("crash-dropped", "no-room")
 		return
 	}
--- a/chuteentry/fakestore_test.go
+++ b/chuteentry/fakestore_test.go
@@ -125,18 +125,21 @@
 
 // tooLarge reports whether the store refuses a row for its size.
 func tooLarge(r chuteaction.Row) bool {
-	progress, ok := r.Value.(chuteaction.ProgressRow)
+	if progress, ok := r.Value.(chuteaction.ProgressRow); ok && taskCount(progress) < 150 { // it is small in any case
+		return false
+	}
+	body, err := chuterow.Encode(r.Value)
+	return err != nil || len(body) > chutegraph.MaxRowBytes
+}
+
+func taskCount(progress chuteaction.ProgressRow) int {
 	tasks := 0
 	for _, steps := range progress.Occurrences {
 		for _, s := range steps {
 			tasks += len(s)
 		}
 	}
-	if !ok || tasks < 500 { // it is small in any case
-		return false
-	}
-	body, err := chuterow.Encode(progress)
-	return err != nil || len(body) > chutegraph.MaxRowBytes
+	return tasks
 }
 
 func (s *fakeStore) commit(f chuteaction.WriteRows) chuteaction.RowsWritten {
--- a/chuteentry/rowsize_test.go
+++ b/chuteentry/rowsize_test.go
@@ -1,6 +1,7 @@
 package chuteentry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -33,16 +34,70 @@
 func (sm *simulation) checkRowSizes(t *testing.T) {
 	t.Helper()
 	for key, row := range sm.store.rows {
-		progress, ok := row.Value.(chuteaction.ProgressRow)
-		if !ok {
+		if key.Table != chuteaction.TableProgress {
 			continue
 		}
-		if body, err := chuterow.Encode(progress); err != nil || len(body) > chutegraph.MaxRowBytes {
+		if body, err := chuterow.Encode(row.Value); err != nil || len(body) > chutegraph.MaxRowBytes {
 			t.Errorf("%v takes %d bytes, error %v", key, len(body), err)
 		}
 	}
 }
 
+// TestALargeJobIsRecordedWhateverTheLengthOfWorkerIDs guards against a row that the store refuses since the ids of workers are longer
+// than usual, so that no job of anybody goes on.
+func TestALargeJobIsRecordedWhateverTheLengthOfWorkerIDs(t *testing.T) {
+	for _, length := range []int{36, 200} {
+		t.Run(fmt.Sprintf("%d_bytes", length), func(t *testing.T) {
+			sm := newSimulation(1, 3, 0)
+			for i := range 24 {
+				sm.addWorker(fmt.Sprintf("%0*d", length, i), i)
+			}
+			sm.run(4 * time.Second)
+			large := sm.clients.submit("normal", 12*time.Second, largestStep())
+			sm.run(4 * time.Second)
+			small := sm.clients.submit("urgent", 500*time.Millisecond, taskStep(1))
+			sm.run(5 * time.Second)
+			sm.checkRecorded(t, chutetask.PhaseCompleted, small)
+			sm.checkRowSizes(t)
+			sm.runUntil(10*time.Minute, func() bool { return sm.ended(large) })
+			sm.checkRecorded(t, chutetask.PhaseCompleted, large)
+			sm.failOnViolations(t)
+		})
+	}
+}
+
+// TestCrashesLeaveRoomForTasksThatHaveNotRun guards against a row that records of crashes have filled, so that the store refuses it
+// once the rest of the job's tasks start.
+func TestCrashesLeaveRoomForTasksThatHaveNotRun(t *testing.T) {
+	sm := newSimulation(1, 3, 0)
+	for i := range 8 {
+		sm.addWorker(fmt.Sprintf("i-%017x", i), i)
+	}
+	sm.run(4 * time.Second)
+	large := sm.clients.submit("normal", 12*time.Second, largestStep())
+	sm.run(4 * time.Second)
+	for _, k := range sm.sortedWorkers() {
+		k.restartOnce()
+	}
+	sm.run(5 * time.Second)
+	for i := range 16 {
+		sm.addWorker(fmt.Sprintf("i-%017x", 8+i), 8+i)
+	}
+	sm.run(3 * time.Second)
+	small := sm.clients.submit("urgent", 500*time.Millisecond, taskStep(1))
+	sm.run(5 * time.Second)
+	sm.checkRecorded(t, chutetask.PhaseCompleted, small)
+	sm.checkRowSizes(t)
+	sm.runUntil(10*time.Minute, func() bool { return sm.ended(large) })
+	sm.checkRecorded(t, chutetask.PhaseCompleted, large)
+}
+
+// largestStep returns about the largest step of which a job is accepted. Each worker holds 64 of its tasks.
+func largestStep() chutegraph.Step {
+	capacity := fullCapacity()
+	return chutegraph.Step{Count: 1258, Request: chutecapacity.Resources{Processor: capacity.Processor / 64, Memory: 1}}
+}
+
 // TestOverlappingOccurrencesOutgrowNoRow guards against a scheduled job whose progress the store refuses for its size, so that no job
 // of anybody goes on.
 func TestOverlappingOccurrencesOutgrowNoRow(t *testing.T) {
--- a/chutegraph/check.go
+++ b/chutegraph/check.go
@@ -29,14 +29,12 @@
 	case s.Recurrence.Interval < 0 || s.Recurrence.Start < 0:
 		return malformed("recurrence: times must not be negative")
 	}
-	tasks := 0
 	for i, step := range s.Steps {
 		if err := step.check(i); err != nil {
 			return err
 		}
-		tasks += step.Count
 	}
-	if tasks > MaxTasks {
+	if tasks := s.TaskCount(); tasks > MaxTasks {
 		return malformed("steps: have %d tasks together, the limit is %d", tasks, MaxTasks)
 	}
 	return s.checkSize()
@@ -54,14 +52,12 @@
 	if len(s.Steps) == 0 || r.Count < 0 || r.Count > maxRecorded || r.Start < 0 || r.Interval < 0 {
 		return false
 	}
-	tasks := 0
 	for i, step := range s.Steps {
 		if !step.consistent(i) {
 			return false
 		}
-		tasks += step.Count
 	}
-	return tasks <= maxRecorded
+	return s.TaskCount() <= maxRecorded
 }
 
 // consistent reports whether the step, the position of which in the job is its number, can be used.
--- a/chutegraph/size.go
+++ b/chutegraph/size.go
@@ -1,7 +1,6 @@
 package chutegraph
 
-// MaxRowBytes is the size of the largest row that the store accepts. A row holds the submission of a job, another one its
-// progress.
+// MaxRowBytes is the size of the largest row that the store accepts. A row holds the submission of a job, others its progress.
 const MaxRowBytes = 65_536
 
 // Sizes of the parts of a recorded submission.
@@ -11,7 +10,8 @@
 	dependencyBytes = 2
 )
 
-// Sizes of the parts of a job's recorded progress, with ids of workers and checkpoints of the usual lengths.
+// Sizes of the parts of a job's recorded progress, with ids of workers and checkpoints of the usual lengths. A job of that size
+// is accepted if it fits in one row; its progress takes several rows where the ids are longer or workers crash.
 const (
 	progressBytes       = 64
 	occurrenceBytes     = 4
@@ -21,7 +21,7 @@
 	checkpointBytes     = 20 // beyond these, for a task that writes checkpoints
 )
 
-// checkSize returns an error if the job's submission, or its progress when all tasks have run, would not fit in a row.
+// checkSize returns an error if the job's submission, or its progress when all tasks have run, would not usually fit in a row.
 func (s Spec) checkSize() error {
 	if size := s.recordedBytes(); size > MaxRowBytes {
 		return malformed("steps: the job takes %d bytes, the limit is %d", size, MaxRowBytes)
--- a/chutegraph/spec.go
+++ b/chutegraph/spec.go
@@ -54,6 +54,15 @@
 	return max(1, s.Recurrence.Count)
 }
 
+// TaskCount returns the number of tasks in one occurrence.
+func (s Spec) TaskCount() int {
+	count := 0
+	for _, step := range s.Steps {
+		count += step.Count
+	}
+	return count
+}
+
 // HasStartTimes reports whether the occurrences start at given times.
 func (s Spec) HasStartTimes() bool {
 	return s.Recurrence.Count > 0
--- a/chuteplanner/demand.go
+++ b/chuteplanner/demand.go
@@ -70,7 +70,7 @@
 	if len(indexes) == 0 || !j.StepReady(id) {
 		return list
 	}
-	indexes = indexes[:p.startsWithinRow(j, step, len(indexes))]
+	indexes = indexes[:p.startsWithinStore(j, step, len(indexes))]
 	if len(indexes) == 0 || step.Gang && len(indexes) < len(tasks) {
 		return list
 	}
@@ -118,23 +118,23 @@
 	return held || len(d.Tickets) > 0
 }
 
-// startsWithinRow returns how many of so many tasks of the step may start so that the job's progress still fits in a row of the
-// store. Only a scheduled job can outgrow it, when its occurrences overlap; others are refused when they are handed in.
-func (p *pass) startsWithinRow(j chutetask.Job, step chutegraph.Step, count int) int {
-	if j.Spec.Occurrences() == 1 {
+// startsWithinStore returns how many tasks of the step may start so that the job's progress still fits in the store. Only a job with
+// many tasks at once can outgrow it, such as a scheduled one whose occurrences overlap.
+func (p *pass) startsWithinStore(j chutetask.Job, step chutegraph.Step, count int) int {
+	if j.Spec.Occurrences() == 1 && j.Spec.TaskCount() <= chutetask.SafeTasks {
 		return count
 	}
-	room, known := p.rowRoom[j.ID]
+	room, known := p.storeRoom[j.ID]
 	if !known {
-		room = chutegraph.MaxRowBytes - j.SizeBound()
+		room = chutetask.MaxProgressBytes - j.SizeBound()
 	}
-	starts := min(count, max(0, room)/chutetask.RunBytes)
+	starts := min(count, max(0, room)/chutetask.MaxRunBytes)
 	if step.Gang && starts < count {
 		starts = 0
 	}
 	if starts < count {
 		p.Count("start-waits", "row-full")
 	}
-	p.rowRoom[j.ID] = room - starts*chutetask.RunBytes
+	p.storeRoom[j.ID] = room - starts*chutetask.MaxRunBytes
 	return starts
 }
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -31,7 +31,7 @@
 
 // newPass returns a pass on the transition that begins with the planner.
 func newPass(p Planner, t *chuterunner.Transition) *pass {
-	return &pass{Transition: t, Planner: p, rowRoom: make(map[chutegraph.JobID]int), quarantineWaits: New().quarantineDueSince}
+	return &pass{Transition: t, Planner: p, storeRoom: make(map[chutegraph.JobID]int), quarantineWaits: New().quarantineDueSince}
 }
 
 // plan decides on all waiting tasks and carries out the decisions.
--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -69,7 +69,7 @@
 	use        chutequota.Ledger         // at the beginning of the pass, if the configuration has quotas or weights
 	weights    map[string]float64        // of the workspaces; nil if the configuration has none
 	quotas     *chutequota.Draft         // what the workspaces may still start beside what this pass has started
-	rowRoom    map[chutegraph.JobID]int  // bytes left in the rows of the scheduled jobs that have been looked at
+	storeRoom  map[chutegraph.JobID]int  // bytes left for the progress of the large jobs that have been looked at
 	// awaitingApproval are the steps that no quota holds back but that lack an approval.
 	awaitingApproval []chutegraph.StepID
 	// needApproval are the demands that need approval and that no quota holds back, with and without tickets.
--- a/chuterenewal/report.go
+++ b/chuterenewal/report.go
@@ -72,7 +72,7 @@
 	if !ok || task.Phase != chutetask.TaskActive || task.Run != report.Run.Number || task.Checkpoint == report.Checkpoint {
 		return
 	}
-	if j = j.WithTask(id, task.WithCheckpoint(report.Checkpoint)); j.FitsInRow() {
+	if j = j.WithTask(id, task.WithCheckpoint(report.Checkpoint)); j.FitsInStore() {
 		t.PutJob(j)
 	}
 }
--- a/chuterow/row.go
+++ b/chuterow/row.go
@@ -24,6 +24,8 @@
 	Leader       *encodedLeader       `cbor:"4,keyasint,omitempty"`
 	Handover     *encodedHandover     `cbor:"12,keyasint,omitempty"` // beside Leader
 	Backlog      *encodedBacklog      `cbor:"13,keyasint,omitempty"` // beside Leader
+	Parts        int                  `cbor:"14,keyasint,omitempty"` // beside Progress, if its tasks are in rows of their own
+	Part         *encodedPart         `cbor:"15,keyasint,omitempty"` // beside Progress, which holds some tasks of a job
 	Host         *chuteaction.HostRow `cbor:"6,keyasint,omitempty"`
 }
 
@@ -85,12 +87,12 @@
 	case chuteaction.CancelRow:
 		e.Cancel = &v.Job
 	case chuteaction.ProgressRow:
-		e.Progress = encodeProgress(v)
-		e.Placements = encodePlacements(v)
-		e.Failures = encodeFailures(v)
-		e.Incarnations = encodeIncarnations(v)
-		e.CrashDetails = encodeCrashDetails(v)
-		e.Begun = encodeBegun(v)
+		e.setProgress(v)
+		e.Parts = v.Parts
+	case chuteaction.ProgressPartRow:
+		part, tasks := encodePart(v)
+		e.setProgress(tasks)
+		e.Part = part
 	case chuteaction.LeaderRow:
 		e.Leader = &encodedLeader{
 			Epoch: v.Epoch, Host: v.Host, Process: v.Process, Sequence: v.Sequence, Released: v.Released, Pending: v.Pending,
@@ -106,6 +108,31 @@
 	return body, errors.Wrap(err, "row")
 }
 
+// setProgress sets the fields that hold the progress of a job.
+func (e *encodedRow) setProgress(v chuteaction.ProgressRow) {
+	e.Progress = encodeProgress(v)
+	e.Placements = encodePlacements(v)
+	e.Failures = encodeFailures(v)
+	e.Incarnations = encodeIncarnations(v)
+	e.CrashDetails = encodeCrashDetails(v)
+	e.Begun = encodeBegun(v)
+}
+
+// progress returns the progress of a job that the fields hold.
+func (e *encodedRow) progress() chuteaction.ProgressRow {
+	row := e.Progress.decode()
+	decodeIncarnations(e.Incarnations, row.Progress)
+	for _, p := range e.Placements {
+		p.apply(row.Progress)
+	}
+	decodeCrashDetails(e.CrashDetails, row.Progress)
+	decodeBegun(e.Begun, row.Progress)
+	for _, f := range e.Failures {
+		f.apply(row.Progress)
+	}
+	return row
+}
+
 // Decode returns the row that Encode encoded, or an error if the body is malformed or holds a row of unknown type.
 func Decode(body []byte) (chuteaction.RowValue, error) {
 	var e encodedRow
@@ -117,17 +144,11 @@
 		return chuteaction.SubmissionRow{Submission: *e.Submission}, nil
 	case e.Cancel != nil:
 		return chuteaction.CancelRow{Job: *e.Cancel}, nil
+	case e.Progress != nil && e.Part != nil:
+		return e.Part.decode(e.progress()), nil
 	case e.Progress != nil:
-		row := e.Progress.decode()
-		decodeIncarnations(e.Incarnations, row.Progress)
-		for _, p := range e.Placements {
-			p.apply(row.Progress)
-		}
-		decodeCrashDetails(e.CrashDetails, row.Progress)
-		decodeBegun(e.Begun, row.Progress)
-		for _, f := range e.Failures {
-			f.apply(row.Progress)
-		}
+		row := e.progress()
+		row.Parts = max(0, e.Parts)
 		return row, nil
 	case e.Leader != nil:
 		l := e.Leader
@@ -156,6 +177,8 @@
 		own = chuteaction.CancelKey(v.Job)
 	case chuteaction.ProgressRow:
 		own = chuteaction.ProgressKey(v.Job)
+	case chuteaction.ProgressPartRow:
+		own = chuteaction.ProgressPartKey(v.Job, v.Number)
 	case chuteaction.LeaderRow:
 		own = chuteaction.LeaderKey()
 	case chuteaction.HostRow:
--- a/chuterunner/end.go
+++ b/chuterunner/end.go
@@ -62,7 +62,7 @@
 // usualCheckpointBytes is the length of checkpoints that jobs are accepted for.
 const usualCheckpointBytes = 20
 
-// recordable returns the checkpoint of a run that has ended, or none if the job's progress would not fit in a row with it.
+// recordable returns the checkpoint of a run that has ended, or none if the job's progress would not fit in the store with it.
 func (t *Transition) recordable(j chutetask.Job, end chutetask.RunEnd) string {
 	if len(end.Checkpoint) <= usualCheckpointBytes {
 		return end.Checkpoint
@@ -74,7 +74,7 @@
 	if j.Step(id.StepID).Gang {
 		j = j.WithStepCheckpoint(id.StepID, end.Checkpoint)
 	}
-	if j.FitsInRow() {
+	if j.FitsInStore() {
 		return end.Checkpoint
 	}
 	t.Count("checkpoint-dropped", "too-long")
--- a/chutescheduler/batch.go
+++ b/chutescheduler/batch.go
@@ -5,10 +5,12 @@
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chuteprogress"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
-// maxBatchBytes is the largest sum of the sizes of the rows in one write. They grow by a third as text in a request.
+// maxBatchBytes is the largest sum of the sizes of the rows in one write, unless they are of one job. They grow by a third as
+// text in a request.
 const maxBatchBytes = 600_000
 
 // batch is the write of progress rows that is in flight, if any.
@@ -40,16 +42,18 @@
 	for i := s.runner.Dirty.Iterator(); !i.Done() && len(rows) < limit; {
 		id, _, _ := i.Next()
 		j, ok := s.runner.Job(id)
-		if size += j.SizeBound(); size > maxBatchBytes && len(rows) > 0 {
-			break
-		}
-		s.runner.Dirty = s.runner.Dirty.Delete(id)
 		if !ok {
+			s.runner.Dirty = s.runner.Dirty.Delete(id)
 			continue
 		}
+		next := s.rowsOf(j)
+		if size += j.SizeBound(); len(rows) > 0 && (size > maxBatchBytes || len(rows)+len(next) > limit) {
+			break
+		}
+		s.runner.Dirty = s.runner.Dirty.Delete(id)
 		b.jobs = append(b.jobs, id)
-		rows = append(rows, chuteaction.Row{RowKey: chuteaction.ProgressKey(id), Value: chuteaction.ProgressRow{Job: id, Progress: j.WithoutDoneDetails()}})
-		s = s.withRunsRecording(j)
+		rows = append(rows, next...)
+		s = s.withParts(id, len(next)-1).withRunsRecording(j)
 	}
 	if s.runner.Dirty.Len() == 0 {
 		b.ends = s.unrecordedEnds()
@@ -58,6 +62,20 @@
 	return s, rows
 }
 
+// rowsOf returns the rows that record the progress of the job.
+func (s State) rowsOf(j chutetask.Job) []chuteaction.Row {
+	stored, _ := s.parts.Get(j.ID)
+	return chuteprogress.Rows(j, chutegraph.MaxRowBytes, stored)
+}
+
+// withParts returns the state with the number of rows with tasks that the store has, or may have, of a job.
+func (s State) withParts(id chutegraph.JobID, count int) State {
+	if count > 0 {
+		s.parts = s.parts.Set(id, count)
+	}
+	return s
+}
+
 // unrecordedEnds returns each worker's latest handled ended run, if its effects are not known to be recorded.
 func (s State) unrecordedEnds() []handledEnds {
 	var unrecorded []handledEnds
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -4,6 +4,7 @@
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteledger"
+	"monsoonchute.example/monsoonchute/chuteprogress"
 	"monsoonchute.example/monsoonchute/chutetakeover"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
@@ -19,7 +20,7 @@
 	}
 	u := s.transition(t, environment)
 	u.hasProgress = true
-	u.progress = e.Rows
+	u.progress = chuteprogress.Join(e.Rows)
 	u.mergeProgress()
 	return u.state()
 }
@@ -155,6 +156,9 @@
 		return 0
 	}
 	t.unmerged = t.unmerged.Delete(j.ID)
+	if row.Parts > 0 {
+		t.parts = t.parts.Set(j.ID, row.Parts)
+	}
 	cancelled := j.Cancelled
 	j = j.WithProgress(row.Progress)
 	if cancelled && !j.Phase.Ended() {
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -35,6 +35,7 @@
 	predecessor    chutetakeover.Predecessor                               // the scheduler that led before this one
 	progress       []chuteaction.Row                                       // rows to merge once all submissions are known
 	unmerged       *immutable.SortedMap[chutegraph.JobID, chuteaction.Row] // progress of jobs without a submission, or malformed
+	parts          *immutable.SortedMap[chutegraph.JobID, int]             // number of rows with tasks that the store has of large jobs
 	cancelledEarly *immutable.SortedMap[chutegraph.JobID, bool]            // cancelled jobs without a submission
 	hasHosts       bool                                                    // the process of every host has been read
 	hasProgress    bool                                                    // the progress of all jobs has been read
@@ -65,6 +66,7 @@
 			predecessor: chutetakeover.New(predecessor, t.Now), handover: chutehandover.New(row.Handover),
 			planner:        chuteplanner.New(),
 			timed:          immutable.NewSortedMap[chutegraph.JobID, bool](nil),
+			parts:          immutable.NewSortedMap[chutegraph.JobID, int](chutegraph.JobOrder{}),
 			cancelledEarly: immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
 			unmerged:       immutable.NewSortedMap[chutegraph.JobID, chuteaction.Row](chutegraph.JobOrder{}),
 			malformed:      immutable.NewSortedMap[chutetask.WorkerID, bool](chutetask.WorkerOrder{}),
--- a/chutetask/job.go
+++ b/chutetask/job.go
@@ -94,11 +94,6 @@
 	return len(runs) + unnumbered
 }
 
-// FitsInRow reports whether the progress is certain to fit in a row of the store.
-func (j Job) FitsInRow() bool {
-	return j.SizeBound() <= chutegraph.MaxRowBytes
-}
-
 // WithTask returns the job with one task replaced.
 func (j Job) WithTask(id chutegraph.TaskID, task Task) Job {
 	tasks := slices.Clone(j.Tasks(id.StepID))
--- a/chutetask/progress.go
+++ b/chutetask/progress.go
@@ -30,6 +30,14 @@
 	Finished    []bool     `json:"finished"`    // by occurrence; true if all its tasks are done
 }
 
+// Range is a range of the tasks of a step, which a row holds of a job's progress.
+type Range struct {
+	Occurrence int
+	Step       int
+	First      int    // index of the first task
+	Tasks      []Task // never modified
+}
+
 // Fits reports whether the progress may be that of a job with the specification: it has the same occurrences, and those that
 // have begun have the same steps and tasks, in phases that exist and with numbers of runs that tasks have.
 func (p Progress) Fits(spec chutegraph.Spec) bool {
