A row that the store never takes holds up its job alone

Cause, second and third of three: a definite refusal (400, 413) and one that passes (429) were the same outcome. The leader sent the same rows again until it had led 8 s without a write; the next leader planned the same rows. Nothing made the row smaller.

Change: 400, 403, 413 and 422 are the outcome StoreRejected. The leader does not send such a write again; the next ones have half as many jobs until the rejected one stands alone, which is set aside: a log line, counters, a gauge and `explain` say so. Nothing of it starts, its planned runs are released, what it runs goes on, and workers whose ends may be of it keep them. It is written alone after 0.25 s to 16 s with rows half as large each time, later without crashes and without checkpoints of waiting tasks, until it is recorded. A write after a rejected one has a higher sequence, so that the two are never mistaken.

Why it works: the rows of the other jobs no longer share a write with those that are rejected, and no end is acknowledged that is not recorded.

--- a/chuteaction/event.go
+++ b/chuteaction/event.go
@@ -80,6 +80,7 @@
 	StoreConflict              // a condition did not hold; the store wrote nothing
 	StoreRefused               // the store did not execute the request
 	StoreUnknown               // no answer: the store may have executed the request, or may still execute it
+	StoreRejected              // the store does not take the rows, and never will; it wrote nothing
 )
 
 // RowsWritten is the result of a WriteRows effect.
--- a/chutedaemon/orders.go
+++ b/chutedaemon/orders.go
@@ -37,7 +37,7 @@
 
 var outcomeNames = map[chuteaction.StoreOutcome]string{
 	chuteaction.StoreDone: "done", chuteaction.StoreConflict: "conflict",
-	chuteaction.StoreRefused: "refused", chuteaction.StoreUnknown: "no-answer",
+	chuteaction.StoreRefused: "refused", chuteaction.StoreUnknown: "no-answer", chuteaction.StoreRejected: "rejected",
 }
 
 // startOrderDuties starts the duties that send orders.
--- a/chuteentry/fakestore_test.go
+++ b/chuteentry/fakestore_test.go
@@ -22,6 +22,7 @@
 	delayedRate    float64                                // fraction of those that are committed late
 	oldestVersion  chuteaction.RowVersion                 // a poll for changes after an earlier version gets all rows of its table instead
 	chooseFault    func(chuteaction.WriteRows) writeFault // called for each write; may be nil
+	rejects        func(chuteaction.Row) bool             // rows that are never written; may be nil
 }
 
 // writeFault is what becomes of a write.
@@ -144,8 +145,8 @@
 
 func (s *fakeStore) commit(f chuteaction.WriteRows) chuteaction.RowsWritten {
 	written := chuteaction.RowsWritten{Token: f.Token, Outcome: chuteaction.StoreDone}
-	if slices.ContainsFunc(f.Put, tooLarge) {
-		written.Outcome = chuteaction.StoreRefused
+	if slices.ContainsFunc(f.Put, tooLarge) || s.rejects != nil && slices.ContainsFunc(f.Put, s.rejects) {
+		written.Outcome = chuteaction.StoreRejected
 		return written
 	}
 	for _, c := range f.Conditions {
--- a/chuteentry/hosts.go
+++ b/chuteentry/hosts.go
@@ -35,7 +35,7 @@
 		return
 	case chuteaction.StoreConflict:
 		t.replaceHostRow(e.Current)
-	case chuteaction.StoreRefused, chuteaction.StoreUnknown:
+	case chuteaction.StoreRefused, chuteaction.StoreUnknown, chuteaction.StoreRejected:
 		t.state.hostRowRetryAt = t.Now.Add(hostRowRetryDelay)
 	}
 }
--- a/chuteentry/leading.go
+++ b/chuteentry/leading.go
@@ -75,6 +75,10 @@
 		if t.state.scheduler != nil {
 			t.setScheduler(t.state.scheduler.HandleCommit(t.Transition, t.state.environment(t.Now)))
 		}
+	case chuteleader.OutcomeRejected:
+		if t.state.scheduler != nil {
+			t.setScheduler(t.state.scheduler.HandleRejection(t.Transition, t.state.environment(t.Now)))
+		}
 	case chuteleader.OutcomeDeposed:
 		t.stopScheduler()
 	}
@@ -99,7 +103,7 @@
 
 // writeRows writes the pending rows of the scheduler, the release of the leadership, or a heartbeat if one is due.
 func (t *transition) writeRows() {
-	if t.state.leader.WriteInFlight() {
+	if !t.state.leader.MayWrite(t.Now) {
 		return
 	}
 	scheduler, rows := t.state.scheduler.Flush(maxBatchRows)
--- a/chuteexplain/explain.go
+++ b/chuteexplain/explain.go
@@ -214,6 +214,8 @@
 	i := slices.IndexFunc(x.trial.Demands, isStep)
 	queue, _ := x.after.Environment.Catalog.Queue(x.before.Queue)
 	switch {
+	case x.after.SetAside[x.before.ID]:
+		e.Reason = "not-recorded"
 	case !x.before.StepReady(e.Step):
 		e.Reason = "earlier-steps"
 	case i >= 0:
--- a/chuteintake/answer.go
+++ b/chuteintake/answer.go
@@ -22,7 +22,7 @@
 		return s.handleCommit(t, c), committedRows(c.write, e.Version)
 	case chuteaction.StoreConflict: // an earlier attempt or another call has written a row that the conditions name
 		return s.handleConflict(t, c, e.Current), e.Current
-	case chuteaction.StoreRefused:
+	case chuteaction.StoreRefused, chuteaction.StoreRejected:
 		t.Count("store-retry", "refused")
 		return s.withCall(c.withResendAt(t.Now.Add(retryDelay))), nil
 	case chuteaction.StoreUnknown:
--- a/chuteleader/leader.go
+++ b/chuteleader/leader.go
@@ -35,6 +35,7 @@
 	OutcomeNone      Outcome = iota // no write of the leader was confirmed, and the leadership is unchanged
 	OutcomeElected                  // this host has become the leader
 	OutcomeCommitted                // a write of this leader was confirmed
+	OutcomeRejected                 // the store will never take the latest write of this leader, which has written nothing
 	OutcomeDeposed                  // this host has lost or given up the leadership
 )
 
--- a/chuteleader/leader_test.go
+++ b/chuteleader/leader_test.go
@@ -245,3 +245,24 @@
 	e.advance(1500 * time.Millisecond)
 	is.New(t).Equal(e.state.Role(), chuteleader.RoleFollower)
 }
+
+// TestAWriteAfterARejectedOneIsTakenForNoOther guards against rows that count as recorded since a write that was taken as rejected was
+// carried out late under the same sequence.
+func TestAWriteAfterARejectedOneIsTakenForNoOther(t *testing.T) {
+	is := is.New(t)
+	e := electedLeader(t)
+	write := func() {
+		e.handle(func(t *chuteaction.Transition) { e.state = e.state.Write(t, nil, chuteleader.Report{}) })
+	}
+	write()
+	rejected, ok := e.writes[len(e.writes)-1].Put[0].Value.(chuteaction.LeaderRow)
+	is.True(ok)
+	e.finishWrite(chuteaction.StoreRejected, 0)
+	is.Equal(e.outcome, chuteleader.OutcomeRejected)
+	is.True(!e.state.MayWrite(e.now))
+	e.now = e.now.Add(time.Second)
+	is.True(e.state.MayWrite(e.now))
+	write()
+	e.finishWrite(chuteaction.StoreConflict, 0, leaderRow(99, rejected))
+	is.Equal(e.outcome, chuteleader.OutcomeDeposed)
+}
--- a/chuteleader/state.go
+++ b/chuteleader/state.go
@@ -39,6 +39,7 @@
 	writtenRow      chuteaction.LeaderRow // the leader's row in the latest write
 	sentAt          time.Time             // when the latest write was first sent
 	resendAt        time.Time             // when to send the write again; zero while it waits for an answer
+	quietUntil      time.Time             // no write is sent before this time, after one that was rejected
 	confirmedAt     time.Time             // when the latest successful write was first sent
 	fencedAt        time.Time             // when a worker said it has seen a higher epoch; zero after a later successful write
 	fenceLogged     bool                  // such an answer was logged since this host leads
@@ -106,7 +107,7 @@
 	return s.confirmedAt
 }
 
-// WriteInFlight reports whether a write of this host waits for an answer or a resend.
-func (s State) WriteInFlight() bool {
-	return s.inFlight
+// MayWrite reports whether a write may be sent now: none waits for an answer or a resend, and none was rejected just before.
+func (s State) MayWrite(now time.Time) bool {
+	return !s.inFlight && !now.Before(s.quietUntil)
 }
--- a/chuteleader/write.go
+++ b/chuteleader/write.go
@@ -73,10 +73,26 @@
 	case chuteaction.StoreRefused, chuteaction.StoreUnknown:
 		t.Count("leader-write-repeated", outcomeName(e.Outcome))
 		s.resendAt = t.Now.Add(resendDelay)
+	case chuteaction.StoreRejected:
+		return s.handleRejection(t)
 	}
 	return s, OutcomeNone
 }
 
+// handleRejection handles that the store will never take the write in flight. The next one has a higher sequence, so that the two
+// cannot be mistaken for each other.
+func (s State) handleRejection(t *chuteaction.Transition) (State, Outcome) {
+	t.Count("leader-write-rejected", "")
+	if s.role != RoleLeader {
+		t.Warn(component, "the store rejects the row of a takeover", "", "epoch", s.writtenRow.Epoch)
+		return s.StepDown(t.Now), OutcomeNone
+	}
+	s.inFlight = false
+	s.row.Sequence = s.writtenRow.Sequence
+	s.quietUntil = t.Now.Add(resendDelay)
+	return s, OutcomeRejected
+}
+
 func outcomeName(o chuteaction.StoreOutcome) string {
 	if o == chuteaction.StoreRefused {
 		return "refused"
--- a/chuteledger/state.go
+++ b/chuteledger/state.go
@@ -33,6 +33,8 @@
 	Runtimes    chuteruntime.Runtimes
 	Cordoned    map[chutetask.WorkerID]bool // workers whose machines go down soon, which get no new runs; never modified
 	FinalLeases map[chutetask.WorkerID]bool // workers whose leases are not extended, and which get no new runs; never modified
+	SetAside    map[chutegraph.JobID]bool   // jobs whose progress the store rejects, of which nothing starts; never modified
+	Withheld    map[chutetask.WorkerID]bool // workers with ended runs that are not acknowledged while jobs are set aside; never modified
 	PlanDue     bool                        // something has changed since the latest planning pass
 	List        chutefreshness.Freshness    // of the list of workers
 }
--- a/chuteplanner/demand.go
+++ b/chuteplanner/demand.go
@@ -67,7 +67,7 @@
 func (p *pass) appendDemand(list []rankedDemand, j chutetask.Job, id chutegraph.StepID, indexes []int) []rankedDemand {
 	step := j.Step(id)
 	tasks := j.Tasks(id)
-	if len(indexes) == 0 || !j.StepReady(id) {
+	if len(indexes) == 0 || !j.StepReady(id) || p.SetAside[j.ID] {
 		return list
 	}
 	indexes = indexes[:p.startsWithinStore(j, step, len(indexes))]
--- a/chuterenewal/report.go
+++ b/chuterenewal/report.go
@@ -22,6 +22,7 @@
 		t.Unrecorded = t.Unrecorded.Set(id, true)
 		t.PutWorker(w)
 		t.ApplyListedEnd(w, end)
+		t.WithholdEndsOf(id, end.Run.Task.Job)
 	}
 }
 
--- a/chutescheduler/batch.go
+++ b/chutescheduler/batch.go
@@ -33,39 +33,54 @@
 	if s.batch.inFlight || !s.progressMerged() {
 		return s, nil
 	}
-	if s.runner.Dirty.Len() == 0 {
+	limit = s.rejections.MaxJobs(limit)
+	jobs := s.jobsToWrite(limit + 1)
+	if len(jobs) == 0 {
 		return s.withEndsRecorded(), nil
 	}
-	b := batch{inFlight: true}
+	s.batch = batch{inFlight: true}
 	var rows []chuteaction.Row
 	size := 0
-	for i := s.runner.Dirty.Iterator(); !i.Done() && len(rows) < limit; {
-		id, _, _ := i.Next()
-		j, ok := s.runner.Job(id)
-		if !ok {
-			s.runner.Dirty = s.runner.Dirty.Delete(id)
-			continue
-		}
+	for _, j := range jobs[:min(len(jobs), limit)] {
 		next := s.rowsOf(j)
 		if size += j.SizeBound(); len(rows) > 0 && (size > maxBatchBytes || len(rows)+len(next) > limit) {
 			break
 		}
-		s.runner.Dirty = s.runner.Dirty.Delete(id)
-		b.jobs = append(b.jobs, id)
+		s.runner.Dirty = s.runner.Dirty.Delete(j.ID)
+		s.batch.jobs = append(s.batch.jobs, j.ID)
 		rows = append(rows, next...)
-		s = s.withParts(id, len(next)-1).withRunsRecording(j)
+		s = s.withParts(j.ID, len(next)-1).withRunsRecording(j)
 	}
-	if s.runner.Dirty.Len() == 0 {
-		b.ends = s.unrecordedEnds()
+	if len(s.batch.jobs) == len(jobs) && !s.writesAlone() {
+		s.batch.ends = s.unrecordedEnds()
 	}
-	s.batch = b
 	return s, rows
 }
 
+// jobsToWrite returns jobs whose progress is to be recorded: one that was set aside if it is due, or else others up to the limit.
+func (s State) jobsToWrite(limit int) []chutetask.Job {
+	if j, ok := s.runner.Job(s.retried); ok {
+		return []chutetask.Job{j}
+	}
+	var jobs []chutetask.Job
+	for i := s.runner.Dirty.Iterator(); !i.Done() && len(jobs) < limit; {
+		id, _, _ := i.Next()
+		if j, ok := s.runner.Job(id); ok && !s.runner.SetAside[id] {
+			jobs = append(jobs, j)
+		}
+	}
+	return jobs
+}
+
+// writesAlone reports whether a job that was set aside is written alone.
+func (s State) writesAlone() bool {
+	return s.retried != ""
+}
+
 // rowsOf returns the rows that record the progress of the job.
-func (s State) rowsOf(j chutetask.Job) []chuteaction.Row {
+func (s schedulerState) rowsOf(j chutetask.Job) []chuteaction.Row {
 	stored, _ := s.parts.Get(j.ID)
-	return chuteprogress.Rows(j, chutegraph.MaxRowBytes, stored)
+	return chuteprogress.Rows(j, s.rejections.MaxRowBytes(j.ID), stored)
 }
 
 // withParts returns the state with the number of rows with tasks that the store has, or may have, of a job.
@@ -76,12 +91,13 @@
 	return s
 }
 
-// unrecordedEnds returns each worker's latest handled ended run, if its effects are not known to be recorded.
+// unrecordedEnds returns each worker's latest handled ended run, if its effects are not known to be recorded, but for the workers
+// whose ends are withheld.
 func (s State) unrecordedEnds() []handledEnds {
 	var unrecorded []handledEnds
 	for i := s.runner.Unrecorded.Iterator(); !i.Done(); {
 		id, _, _ := i.Next()
-		if w, ok := s.runner.Pool.Get(id); ok && w.HandledEnd > w.RecordedEnd {
+		if w, ok := s.runner.Pool.Get(id); ok && w.HandledEnd > w.RecordedEnd && !s.runner.Withheld[id] {
 			unrecorded = append(unrecorded, handledEnds{worker: id, incarnation: w.Incarnation, number: w.HandledEnd})
 		}
 	}
@@ -121,6 +137,8 @@
 	u.FinalLeases = u.handover.NotExtended()
 	b := u.batch
 	u.batch = batch{}
+	u.retried = ""
+	u.resumeRecorded(b.jobs)
 	for _, e := range b.ends {
 		if w, ok := u.Pool.Get(e.worker); ok && w.Incarnation == e.incarnation && w.HandledEnd >= e.number {
 			w.RecordedEnd = max(w.RecordedEnd, e.number)
--- a/chutetask/crash.go
+++ b/chutetask/crash.go
@@ -25,13 +25,33 @@
 
 // WithoutExplainedCrashes returns the job without the crashes under its tasks that may have come by chance.
 func (j Job) WithoutExplainedCrashes() Job {
+	return j.withEachTask(func(task Task) Task { return task.WithCrashes(task.Crashes.WithoutExplained()) })
+}
+
+// WithoutCrashes returns the job without the records of crashes under its tasks.
+func (j Job) WithoutCrashes() Job {
+	return j.withEachTask(func(task Task) Task { return task.WithCrashes(chutequarantine.Record{}) })
+}
+
+// WithoutCheckpoints returns the job without the checkpoints of its waiting tasks, which then start from the beginning.
+func (j Job) WithoutCheckpoints() Job {
+	return j.withEachTask(func(task Task) Task {
+		if task.Phase == TaskWaiting {
+			task.Checkpoint = ""
+		}
+		return task
+	})
+}
+
+// withEachTask returns the job with each of its tasks changed.
+func (j Job) withEachTask(change func(Task) Task) Job {
 	j.Occurrences = slices.Clone(j.Occurrences)
 	for k, steps := range j.Occurrences {
 		j.Occurrences[k] = slices.Clone(steps)
 		for s, tasks := range steps {
 			j.Occurrences[k][s] = slices.Clone(tasks)
 			for i, task := range tasks {
-				j.Occurrences[k][s][i] = task.WithCrashes(task.Crashes.WithoutExplained())
+				j.Occurrences[k][s][i] = change(task)
 			}
 		}
 	}
