The leader's row has a bound, whatever it names

What callers would see: nothing is recorded any more, and the leadership changes every 8 s, while hundreds of workers with long ids are silent at once, or jobs of hundreds of queues with long names wait.

FinalLeases, Unlisted and Pending have entries with texts of up to 200 bytes and no bound together. Each write of the leader has this row, so that the store refuses all of them.

Change: final leases and addresses take 36 kB at most; FormerLeaseEnd covers the leases that are not named, so that a successor waits for these no shorter. Numbers of pending jobs take 20 kB, the largest first, with a mark that some are left out; a host that finds none for a queue there answers 503 in place of 0.

--- a/chuteaction/row.go
+++ b/chuteaction/row.go
@@ -103,14 +103,15 @@
 	Sequence int64          // increases with each write
 	Released bool           // the scheduler has stopped; any host may take over at once
 	Pending  map[string]int // number of accepted jobs of which no task has started, by queue
+	Partial  bool           // Pending leaves out queues with pending jobs, since the row has no room for all
 	Backlog  chutebacklog.Report
 	Handover Handover
 }
 
 // Handover is what a scheduler tells its successor of the workers. Its times are those of the store's clock.
 type Handover struct {
-	// FormerLeaseEnd is when all leases have expired that earlier schedulers granted; 0 if FinalLeases names all workers with
-	// runs that this one has not reached.
+	// FormerLeaseEnd is when all leases have expired that earlier schedulers granted, and those that FinalLeases has no room
+	// for; 0 if FinalLeases names all workers with runs that this one has not reached.
 	FormerLeaseEnd time.Duration
 	FinalLeases    []FinalLease     // never modified
 	Unlisted       []UnlistedWorker // never modified
--- a/chuteentry/fakestore_test.go
+++ b/chuteentry/fakestore_test.go
@@ -126,6 +126,9 @@
 
 // tooLarge reports whether the store refuses a row for its size.
 func tooLarge(r chuteaction.Row) bool {
+	if r.Table != chuteaction.TableProgress && r.Table != chuteaction.TableLeaders {
+		return false
+	}
 	if progress, ok := r.Value.(chuteaction.ProgressRow); ok && taskCount(progress) < 150 { // it is small in any case
 		return false
 	}
--- a/chuteentry/rowsize_test.go
+++ b/chuteentry/rowsize_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutegraph"
@@ -34,7 +36,7 @@
 func (sm *simulation) checkRowSizes(t *testing.T) {
 	t.Helper()
 	for key, row := range sm.store.rows {
-		if key.Table != chuteaction.TableProgress {
+		if key.Table != chuteaction.TableProgress && key.Table != chuteaction.TableLeaders {
 			continue
 		}
 		if body, err := chuterow.Encode(row.Value); err != nil || len(body) > chutegraph.MaxRowBytes {
@@ -136,3 +138,39 @@
 		})
 	}
 }
+
+// TestTheLeadersRowHasRoomForAnyNumberOfSilentWorkers guards against a leader that records nothing any more since its own row names so
+// many workers that the store refuses it.
+func TestTheLeadersRowHasRoomForAnyNumberOfSilentWorkers(t *testing.T) {
+	sm := newSimulation(1, 3, 4)
+	var silent []*fakeWorker
+	for i := range 340 {
+		name := fmt.Sprintf("%0200d", i)
+		sm.addWorker(name, i)
+		silent = append(silent, sm.workers[name])
+	}
+	sm.run(4 * time.Second)
+	whole := chutegraph.Step{Count: 344, Request: chutecapacity.Resources{Processor: 40_000, Memory: 1}}
+	large := sm.clients.submit("normal", 30*time.Second, whole)
+	sm.run(4 * time.Second)
+	epoch := sm.recordedEpoch()
+	for _, k := range silent {
+		k.cutOff(7 * time.Second)
+	}
+	sm.run(3 * time.Second)
+	small := sm.clients.submit("urgent", 500*time.Millisecond, chutegraph.Step{Count: 1, Request: chutecapacity.Resources{Processor: 1}})
+	sm.run(3 * time.Second)
+	sm.checkRecorded(t, chutetask.PhaseCompleted, small)
+	sm.checkRowSizes(t)
+	is.New(t).Equal(sm.recordedEpoch(), epoch)
+	sm.crashLeader()
+	sm.runUntil(10*time.Minute, func() bool { return sm.ended(large) })
+	sm.checkRecorded(t, chutetask.PhaseCompleted, large)
+	sm.failOnViolations(t)
+}
+
+// recordedEpoch returns the epoch of the leader's row in the store.
+func (sm *simulation) recordedEpoch() int64 {
+	row, _ := sm.store.rows[chuteaction.LeaderKey()].Value.(chuteaction.LeaderRow)
+	return row.Epoch
+}
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -127,13 +127,14 @@
 }
 
 func (s State) intakeView(now time.Time) chuteintake.View {
-	pending, current := s.leader.Row().Pending, s.leaders.Age(now) <= maxPendingAge
+	row := s.leader.Row()
+	pending, partial, current := row.Pending, row.Partial, s.leaders.Age(now) <= maxPendingAge
 	if s.scheduler != nil && s.scheduler.Pending() != nil {
-		pending, current = s.scheduler.Pending(), true
+		pending, partial, current = s.scheduler.Pending(), false, true
 	}
 	return chuteintake.View{
 		Catalog: s.operators.Catalog(), CatalogAge: s.operators.Age(now), CatalogCurrent: s.operators.Current(now),
-		Pending: pending, PendingCurrent: current, StoreReachable: s.inContact(now),
+		Pending: pending, PendingPartial: partial, PendingCurrent: current, StoreReachable: s.inContact(now),
 		StoreClock: s.storeClock.Reading(now), Backlog: s.backlog(),
 	}
 }
--- a/chutehandover/state.go
+++ b/chutehandover/state.go
@@ -65,7 +65,7 @@
 	if !s.complete {
 		return s.takeover
 	}
-	return chuteaction.Handover{FinalLeases: s.finalLeases.due, Unlisted: s.unlisted}
+	return bounded(chuteaction.Handover{FinalLeases: s.finalLeases.due, Unlisted: s.unlisted})
 }
 
 // WithWritten returns the state after the start of a write of the leader's row that tells the handover.
--- a/chuteintake/arrive.go
+++ b/chuteintake/arrive.go
@@ -29,10 +29,11 @@
 		return s.refuseByCatalog(t, c, view, chuteresult.New(chuteresult.UnknownKey, "version %d has no such key", view.Catalog.Version))
 	}
 	if _, show := e.Call.(chuteaction.ShowJob); show && jobID == "" {
-		if !view.PendingCurrent {
+		pending, told := view.Pending[queue.Name]
+		if !view.PendingCurrent || view.PendingPartial && !told {
 			return s.answer(t, c, chuteresult.New(chuteresult.NotReady, "the number of pending jobs is not known"), clientRetryDelay, nil)
 		}
-		return s.answer(t, c, chuteresult.Result{Code: chuteresult.Done}, 0, chuteaction.QueueDepth{Pending: view.Pending[queue.Name]})
+		return s.answer(t, c, chuteresult.Result{Code: chuteresult.Done}, 0, chuteaction.QueueDepth{Pending: pending})
 	}
 	c.job = chutegraph.JobID(jobID)
 	if !c.job.Valid() {
--- a/chuteintake/state.go
+++ b/chuteintake/state.go
@@ -33,6 +33,7 @@
 	CatalogAge     time.Duration  // for how long there may have been a newer one that this host does not know
 	CatalogCurrent bool           // no newer one must be in force
 	Pending        map[string]int // number of accepted jobs of which no task has started, by queue
+	PendingPartial bool           // queues that they leave out may have pending jobs
 	PendingCurrent bool           // these numbers are recent enough to be shown
 	StoreReachable bool           // the store has answered this host recently
 	StoreClock     time.Duration  // what the store's clock shows; 0 if it has not been read
--- a/chuteleader/write.go
+++ b/chuteleader/write.go
@@ -21,7 +21,7 @@
 	row.Handover = report.Handover
 	row.Backlog = report.Backlog
 	if report.Pending != nil {
-		row.Pending = report.Pending
+		row.Pending, row.Partial = boundedPending(report.Pending)
 	}
 	return s.send(t, row, put)
 }
--- a/chuterow/row.go
+++ b/chuterow/row.go
@@ -26,6 +26,7 @@
 	Backlog      *encodedBacklog      `cbor:"13,keyasint,omitempty"` // beside Leader
 	Parts        int                  `cbor:"14,keyasint,omitempty"` // beside Progress, if its tasks are in rows of their own
 	Part         *encodedPart         `cbor:"15,keyasint,omitempty"` // beside Progress, which holds some tasks of a job
+	Partial      bool                 `cbor:"16,keyasint,omitempty"` // beside Leader: it leaves out pending jobs
 	Host         *chuteaction.HostRow `cbor:"6,keyasint,omitempty"`
 }
 
@@ -99,6 +100,7 @@
 		}
 		e.Handover = encodeHandover(v.Handover)
 		e.Backlog = encodeBacklog(v.Backlog)
+		e.Partial = v.Partial
 	case chuteaction.HostRow:
 		e.Host = &v
 	case chuteaction.CatalogRow, chuteaction.EvacuationRow, chuteaction.WaveRow, chuteaction.WaveStateRow, chuteaction.WorkerRow:
@@ -154,7 +156,7 @@
 		l := e.Leader
 		return chuteaction.LeaderRow{
 			Epoch: l.Epoch, Host: l.Host, Process: l.Process, Sequence: l.Sequence, Released: l.Released, Pending: l.Pending,
-			Handover: e.Handover.decode(), Backlog: e.Backlog.decode(),
+			Partial: e.Partial, Handover: e.Handover.decode(), Backlog: e.Backlog.decode(),
 		}, nil
 	case e.Host != nil:
 		return *e.Host, nil
