chuteintake: a job whose row the store rejects is refused at once

What callers saw: a call that hands a job in is held until its deadline while the host sends the same row again and again.

Change: a submission that the store will never take is answered with "malformed" (400, not run). Cancellations, which are small and alike, are tried again as before.

Evidence: TestAJobThatTheStoreRejectsIsRefusedAtOnce had no answer before, and passes.

--- a/chuteintake/answer.go
+++ b/chuteintake/answer.go
@@ -22,9 +22,11 @@
 		return s.handleCommit(t, c), committedRows(c.write, e.Version)
 	case chuteaction.StoreConflict: // an earlier attempt or another call has written a row that the conditions name
 		return s.handleConflict(t, c, e.Current), e.Current
-	case chuteaction.StoreRefused, chuteaction.StoreRejected:
+	case chuteaction.StoreRefused:
 		t.Count("store-retry", "refused")
 		return s.withCall(c.withResendAt(t.Now.Add(retryDelay))), nil
+	case chuteaction.StoreRejected:
+		return s.handleRejection(t, c), nil
 	case chuteaction.StoreUnknown:
 		t.Count("store-retry", "no-answer")
 		return s.withCall(c.withUncertain().withResendAt(t.Now)), nil
@@ -32,6 +34,17 @@
 	return s, nil
 }
 
+// handleRejection handles that the store will never take the call's row. A job whose submission it rejects is refused at once. The
+// other rows are small and alike for all jobs, so that they are tried again.
+func (s State) handleRejection(t *chuteaction.Transition, c call) State {
+	t.Count("store-retry", "rejected")
+	if c.stage != stageRecordJob {
+		return s.withCall(c.withResendAt(t.Now.Add(retryDelay)))
+	}
+	t.Warn(component, "the store rejects the submission of a job", c.job, "queue", c.queue)
+	return s.answer(t, c, chuteresult.New(chuteresult.Malformed, "the store does not take the job"), 0, nil)
+}
+
 // committedRows returns the rows of a write with the version of its transaction.
 func committedRows(write chuteaction.WriteRows, version chuteaction.RowVersion) []chuteaction.Row {
 	rows := slices.Clone(write.Put)
--- a/chuteintake/rejected_test.go
+++ b/chuteintake/rejected_test.go
@@ -7,7 +7,9 @@
 	"github.com/matryer/is"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
+	"monsoonchute.example/monsoonchute/chutecapacity"
 	"monsoonchute.example/monsoonchute/chutecatalog"
+	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chuteintake"
 	"monsoonchute.example/monsoonchute/chuteresult"
 )
@@ -55,3 +57,20 @@
 		})
 	}
 }
+
+// TestAJobThatTheStoreRejectsIsRefusedAtOnce guards against a call that is held until its deadline while the store refuses the same row
+// again and again.
+func TestAJobThatTheStoreRejectsIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	step := chutegraph.Step{Count: 1, Request: chutecapacity.Resources{Processor: 1000}}
+	submit := chuteaction.SubmitJob{Spec: chutegraph.Spec{Steps: []chutegraph.Step{step}}}
+	transition, s := arrival("/normal/"+string(jobID), submit, nil, false)
+	write, ok := transition.Effects[len(transition.Effects)-1].(chuteaction.WriteRows)
+	is.True(ok)
+	s, _ = s.HandleRowsWritten(transition, chuteaction.RowsWritten{Token: write.Token, Outcome: chuteaction.StoreRejected})
+	answer, ok := answered(transition)
+	is.True(ok)
+	is.Equal(answer.Result.Code, chuteresult.Malformed)
+	is.Equal(answer.Result.Code.Class(), chuteresult.ClassNotRun)
+	is.Equal(s.Len(), 0)
+}
