Jobs whose starts get no answer stay pending

Cause: a run counted as begun when it was released, unless its start had certainly been refused. A start that got no answer (300 ms, which a busy worker or host can miss), its stop, or the loss of its worker, made its job count as begun, although nobody had confirmed a run of it.

Change: a run has begun if its worker has confirmed it, lists it or has listed its end; nothing else counts. Runs that are listed while their stop is under way count as begun as well.

Why it works: the count follows what workers have said, and no longer how the start of a run ended.

--- a/chuteentry/fakeorders_test.go
+++ b/chuteentry/fakeorders_test.go
@@ -40,6 +40,8 @@
 	}
 	accepted := chuteaction.RunStarted{Epoch: o.Epoch, Worker: o.Worker, Run: o.Run, Outcome: chuteaction.OrderAccepted, Clock: k.clock()}
 	switch {
+	case k.losesStarts:
+		return chuteaction.RunStarted{Epoch: o.Epoch, Worker: o.Worker, Run: o.Run, Outcome: chuteaction.OrderUnknown}
 	case k.unhealthy:
 		return chuteaction.RunStarted{Epoch: o.Epoch, Worker: o.Worker, Run: o.Run, Outcome: chuteaction.OrderUnhealthy}
 	case k.rejectsEpoch(o.Epoch):
--- a/chuteentry/fakeworker_test.go
+++ b/chuteentry/fakeworker_test.go
@@ -35,6 +35,7 @@
 	failsRuns       bool    // every run fails
 	slowness        float64 // factor by which its tasks take longer, where the simulation follows their work; 0 for 1
 	unhealthy       bool    // it refuses each start, and serves all else
+	losesStarts     bool    // start orders do not reach it and get no answer; it serves all else
 	formerCapacity  []capacityPeriod
 	clockBehind     time.Duration // by which its time of day is behind the true one
 	leavesAt        time.Time     // when it leaves at short notice; zero if it doesn't
--- a/chutepool/run.go
+++ b/chutepool/run.go
@@ -31,7 +31,6 @@
 	AnswerPending   bool      // an order has no answer yet
 	StartUnanswered bool      // a start order got no answer and may still be carried out
 	StartNotSent    bool      // the host did not send the latest start order, and it is due again
-	Refused         bool      // a worker refused its only start order, after its stop had begun
 	StopAnsweredAt  time.Time // when the worker answered a stop order; zero before
 	StartedAt       time.Time // when the worker first confirmed it; zero before
 	CheckpointedAt  time.Time // when its checkpoint last changed; StartedAt before the first change
@@ -89,12 +88,6 @@
 	return r
 }
 
-// WithRefused returns the run with its start refused.
-func (r Run) WithRefused() Run {
-	r.Refused = true
-	return r
-}
-
 // WithStopAnswered returns the run with its stop order answered now.
 func (r Run) WithStopAnswered(now time.Time) Run {
 	r.StopAnsweredAt = now
@@ -116,10 +109,11 @@
 // FullPace is the pace of a run that is not slowed down, in percent.
 const FullPace = 100
 
-// Unbegun reports whether the run has certainly never begun, if it is released by such an end.
-func (r Run) Unbegun(kind chutetask.EndKind) bool {
-	unstarted := r.Refused || r.Phase <= RunOrdered && !r.AnswerPending
-	return unstarted && !r.StartUnanswered && !r.Inherited && (kind == chutetask.EndStopped || kind == chutetask.EndLost)
+// Begun reports whether the run has begun, as far as is known when it is released with the end: its worker has confirmed it, or has
+// listed its end.
+func (r Run) Begun(end chutetask.RunEnd) bool {
+	listed := end.Number > 0 || end.Kind != chutetask.EndStopped && end.Kind != chutetask.EndLost
+	return listed || !r.StartedAt.IsZero()
 }
 
 // Serves reports whether the run of a long-running task is at work, as far as its worker has reported.
--- a/chuterenewal/report.go
+++ b/chuterenewal/report.go
@@ -38,6 +38,9 @@
 			r = r.WithPhase(chutepool.RunStarted, t.Now)
 			chutecrash.NoteBegun(t.Transition, r.ID)
 		}
+		if r.StartedAt.IsZero() { // its stop has begun before its start was confirmed
+			t.NoteRunBegun(r.ID.Task.Job)
+		}
 		updateSpeed(t, id, r, report.Percent)
 		r = withWorkspace(t, r)
 		t.PutWorker(w.WithRun(r.WithReport(w.Incarnation, report, t.Now)))
--- a/chuterunner/end.go
+++ b/chuterunner/end.go
@@ -28,7 +28,7 @@
 	t.PutWorker(w.WithoutRun(id))
 	t.PlanDue = true
 	t.RecordRunTime(r, end.Kind)
-	if !r.Unbegun(end.Kind) {
+	if r.Begun(end) {
 		t.NoteRunBegun(id.Task.Job)
 	}
 	t.applyEnd(worker, end)
--- a/chuterunner/start.go
+++ b/chuterunner/start.go
@@ -51,9 +51,6 @@
 	if e.Epoch != t.Epoch || !ok {
 		return
 	}
-	if r.Phase == chutepool.RunStopping && (e.Outcome == chuteaction.OrderUnhealthy || e.Outcome == chuteaction.OrderUnreachable) {
-		t.PutWorker(w.WithRun(r.WithRefused()))
-	}
 	if r.Phase != chutepool.RunOrdered {
 		return
 	}
@@ -176,6 +173,7 @@
 		w.ReportDue = true
 		w.RenewAfter = t.Now
 		t.PutWorker(w.WithRun(r.WithPhase(chutepool.RunStarted, t.Now)))
+		t.NoteRunBegun(r.ID.Task.Job)
 		return
 	}
 	if concernsRunAlone(e.Reason) {
