Whether a job has begun is recorded, and known after a takeover

What callers saw: after a change of the leader amid refused or unanswered starts, too few jobs are given as pending.

Cause: that no run of a job has begun was known to the leader alone. The record says "running" from when a run is planned, so that a successor counted such jobs as begun. It also counted before the workers had told which runs have begun.

Change: the mark is part of the recorded progress (rows without it mean what they meant; hosts of the version before skip it). A new leader counts once the workers have told what they run, or after 0.4 s; until then its row gives its predecessor's number.

Why it works: the number follows from what is recorded and what workers say, both of which a successor has.

--- a/chuteentry/pending_test.go
+++ b/chuteentry/pending_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // waitingJobs hands in jobs that each take half of a worker, and returns them some seconds later.
@@ -68,3 +70,65 @@
 		})
 	}
 }
+
+// TestJobsWhoseStartsAreRefusedStayPendingThroughATakeover guards against a leader that takes jobs as running since its predecessor
+// had recorded runs of them, although the workers have refused to start these.
+func TestJobsWhoseStartsAreRefusedStayPendingThroughATakeover(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			is := is.New(t)
+			sm := newSimulation(seed, 3, 2)
+			sm.run(3 * time.Second)
+			for _, k := range sm.sortedWorkers() {
+				k.unhealthy = true
+			}
+			jobs := sm.waitingJobs(8)
+			for range 3 {
+				sm.crashLeader()
+				sm.checkPending(t, 4*time.Second, jobs)
+			}
+			for _, k := range sm.sortedWorkers() {
+				k.unhealthy = false
+			}
+			sm.run(5 * time.Second)
+			pending, _ := sm.pendingAt(sm.leader(), "normal")
+			is.True(pending < len(jobs)) // those that run
+			sm.failOnViolations(t)
+		})
+	}
+}
+
+// TestJobsWhoseStartsGetNoAnswerStayPendingThroughATakeover guards against a leader that takes jobs as running since its predecessor had
+// recorded runs of them, although no worker knows of these.
+func TestJobsWhoseStartsGetNoAnswerStayPendingThroughATakeover(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			sm := newSimulation(seed, 3, 2)
+			sm.run(3 * time.Second)
+			for _, k := range sm.sortedWorkers() {
+				k.losesStarts = true
+			}
+			jobs := sm.waitingJobs(8)
+			sm.crashLeader()
+			sm.checkPending(t, 6*time.Second, jobs)
+			sm.failOnViolations(t)
+		})
+	}
+}
+
+// TestJobsThatRunAreNotPendingAfterATakeover guards against a leader that counts jobs as pending before the workers have told it which
+// runs have begun.
+func TestJobsThatRunAreNotPendingAfterATakeover(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			sm := newSimulation(seed, 3, 4)
+			sm.run(3 * time.Second)
+			for range 8 {
+				sm.clients.submit("normal", time.Hour, gangStep(1, 4))
+			}
+			sm.run(5 * time.Second)
+			sm.crashLeader()
+			sm.checkPending(t, 4*time.Second, nil)
+		})
+	}
+}
--- a/chuteledger/state.go
+++ b/chuteledger/state.go
@@ -25,7 +25,6 @@
 	Pool        chutepool.Pool
 	Dirty       *immutable.SortedMap[chutegraph.JobID, bool]                  // jobs whose progress is to be recorded
 	Unrecorded  *immutable.SortedMap[chutetask.WorkerID, bool]                // workers with ended runs that are not known to be recorded
-	Unbegun     *immutable.SortedMap[chutegraph.JobID, bool]                  // jobs of which runs are planned or ordered, and none is known to have begun
 	Suspects    *immutable.SortedMap[chutetask.WorkerID, []chutegraph.TaskID] // tasks under which a silent worker may have crashed
 	Accused     []chutegraph.TaskID                                           // tasks on hold that may have to be given up; never modified
 	Outages     chuteoutage.History
@@ -46,7 +45,6 @@
 		Live:       immutable.NewSortedMap[chutegraph.JobID, chutetask.Job](chutegraph.JobOrder{}),
 		Ended:      immutable.NewSortedMap[chutegraph.JobID, chutetask.Job](chutegraph.JobOrder{}),
 		Dirty:      immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
-		Unbegun:    immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
 		Suspects:   immutable.NewSortedMap[chutetask.WorkerID, []chutegraph.TaskID](chutetask.WorkerOrder{}),
 		Unrecorded: immutable.NewSortedMap[chutetask.WorkerID, bool](chutetask.WorkerOrder{}),
 	}
@@ -121,7 +119,6 @@
 			}
 		}
 		t.Live = t.Live.Delete(j.ID)
-		t.Unbegun = t.Unbegun.Delete(j.ID)
 		t.Ended = t.Ended.Set(j.ID, j)
 		return
 	}
--- a/chuteledger/unbegun.go
+++ b/chuteledger/unbegun.go
@@ -12,21 +12,23 @@
 // begun.
 func (t *Transition) PlanRun(j chutetask.Job) chutetask.Job {
 	if j.Phase == chutetask.PhaseQueued {
-		t.Unbegun = t.Unbegun.Set(j.ID, true)
+		j.Unbegun = true
 	}
 	return j.WithPhase(chutetask.PhaseRunning)
 }
 
-// NoteRunBegun takes note that a run of the job has begun, or may have.
+// NoteRunBegun takes note that a run of the job has begun. That is recorded with the job's next change.
 func (t *Transition) NoteRunBegun(id chutegraph.JobID) {
-	t.Unbegun = t.Unbegun.Delete(id)
+	if j, ok := t.Live.Get(id); ok && j.Unbegun {
+		j.Unbegun = false
+		t.PutRecordedJob(j)
+	}
 }
 
 // RequeueUnbegun queues the job again if none of its runs is left and none has begun.
 func (t *Transition) RequeueUnbegun(id chutegraph.JobID) {
-	j, ok := t.Live.Get(id)
-	if _, unbegun := t.Unbegun.Get(id); ok && unbegun && !j.AnyActive() {
-		t.Unbegun = t.Unbegun.Delete(id)
+	if j, ok := t.Live.Get(id); ok && j.Unbegun && !j.AnyActive() {
+		j.Unbegun = false
 		t.PutJob(j.WithPhase(chutetask.PhaseQueued))
 	}
 }
@@ -44,8 +46,7 @@
 
 // NothingBegun reports whether no task of the job has started, as far as is known.
 func (t *Transition) NothingBegun(j chutetask.Job) bool {
-	_, unbegun := t.Unbegun.Get(j.ID)
-	return unbegun || j.Phase == chutetask.PhaseQueued
+	return j.Unbegun || j.Phase == chutetask.PhaseQueued
 }
 
 // CountJobs returns, by queue, how many live jobs have begun nothing, without those with set times, and by workspace, roughly how
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -19,7 +19,7 @@
 // tasks where they fit and evicts runs for urgent ones.
 func (p Planner) Plan(t *chuterunner.Transition) Planner {
 	since := t.Now.Sub(p.plannedAt)
-	if since < minPlanInterval || !t.PlanDue && since < maxPlanInterval || !p.workersContacted(t) {
+	if since < minPlanInterval || !t.PlanDue && since < maxPlanInterval || !p.WorkersContacted(t) {
 		return p
 	}
 	current := newPass(p, t)
@@ -126,9 +126,9 @@
 // contactTimeout is the time that a new scheduler waits for the workers' answers before it plans without them.
 const contactTimeout = 400 * time.Millisecond
 
-// workersContacted reports whether all listed workers have reported what they run, or contactTimeout has passed
+// WorkersContacted reports whether all listed workers have reported what they run, or contactTimeout has passed
 // since all workers were read from the list.
-func (p Planner) workersContacted(t *chuterunner.Transition) bool {
+func (p Planner) WorkersContacted(t *chuterunner.Transition) bool {
 	if t.Now.Sub(p.workersListedAt) >= contactTimeout {
 		return true
 	}
--- a/chuteplanner/trial.go
+++ b/chuteplanner/trial.go
@@ -21,7 +21,7 @@
 // Try runs a planning pass on the transition, which the caller must discard with its effects. It returns false if no pass may
 // run yet, since not all workers have reported what they run.
 func (p Planner) Try(t *chuterunner.Transition) (Trial, bool) {
-	if !p.workersContacted(t) {
+	if !p.WorkersContacted(t) {
 		return Trial{}, false
 	}
 	current := newPass(p, t)
--- a/chuterow/row.go
+++ b/chuterow/row.go
@@ -27,6 +27,7 @@
 	Parts        int                  `cbor:"14,keyasint,omitempty"` // beside Progress, if its tasks are in rows of their own
 	Part         *encodedPart         `cbor:"15,keyasint,omitempty"` // beside Progress, which holds some tasks of a job
 	Partial      bool                 `cbor:"16,keyasint,omitempty"` // beside Leader: it leaves out pending jobs
+	Unbegun      bool                 `cbor:"17,keyasint,omitempty"` // beside Progress; rows of older hosts lack it
 	Host         *chuteaction.HostRow `cbor:"6,keyasint,omitempty"`
 }
 
@@ -113,6 +114,7 @@
 // setProgress sets the fields that hold the progress of a job.
 func (e *encodedRow) setProgress(v chuteaction.ProgressRow) {
 	e.Progress = encodeProgress(v)
+	e.Unbegun = v.Unbegun
 	e.Placements = encodePlacements(v)
 	e.Failures = encodeFailures(v)
 	e.Incarnations = encodeIncarnations(v)
@@ -123,6 +125,7 @@
 // progress returns the progress of a job that the fields hold.
 func (e *encodedRow) progress() chuteaction.ProgressRow {
 	row := e.Progress.decode()
+	row.Unbegun = e.Unbegun
 	decodeIncarnations(e.Incarnations, row.Progress)
 	for _, p := range e.Placements {
 		p.apply(row.Progress)
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -163,9 +163,10 @@
 // countInterval is the shortest time between two counts of the jobs.
 const countInterval = 200 * time.Millisecond
 
-// countJobs counts the pending jobs by queue, and the memory that the unfinished ones take by workspace.
+// countJobs counts the pending jobs by queue, and the memory that the unfinished ones take by workspace. The first count waits until
+// the workers have told which runs have begun.
 func (t *transition) countJobs() {
-	if t.Now.Sub(t.countedAt) < countInterval {
+	if t.Now.Sub(t.countedAt) < countInterval || !t.planner.WorkersContacted(t.Transition) {
 		return
 	}
 	t.countedAt = t.Now
--- a/chutetask/progress.go
+++ b/chutetask/progress.go
@@ -28,6 +28,7 @@
 	Phase       Phase      `json:"phase"`
 	Occurrences [][][]Task `json:"occurrences"` // by occurrence, step and index; nil for an occurrence that has not begun
 	Finished    []bool     `json:"finished"`    // by occurrence; true if all its tasks are done
+	Unbegun     bool       `json:"unbegun"`     // runs have been planned, and no worker is known to have begun one
 }
 
 // Range is a range of the tasks of a step, which a row holds of a job's progress.
