The number of pending jobs has the age of its count

What callers saw: after a takeover, hosts go on giving the number that an earlier leader counted, of any age, while the new leader has read the jobs and not yet the workers.

Cause: the age that is checked is that of the leader's row, which a leader that has not counted writes with its predecessor's number.

Change: the row has the time of the count by the store's clock; a number that is older than 3 s is not shown (503, not-ready, to be tried elsewhere). Rows of the version before have no time and are judged as before.

Evidence: TestANumberOfPendingJobsFromBeforeATakeoverIsNotShownForLong had 0 given for 8 that waited, and passes.

--- a/chuteaction/row.go
+++ b/chuteaction/row.go
@@ -103,9 +103,11 @@
 	Sequence int64          // increases with each write
 	Released bool           // the scheduler has stopped; any host may take over at once
 	Pending  map[string]int // number of accepted jobs of which no task has started, by queue
-	Partial  bool           // Pending leaves out queues with pending jobs, since the row has no room for all
-	Backlog  chutebacklog.Report
-	Handover Handover
+	// CountedAt is when the pending jobs were counted, by the store's clock; 0 if that is not known, and in rows of older hosts.
+	CountedAt time.Duration
+	Partial   bool // Pending leaves out queues with pending jobs, since the row has no room for all
+	Backlog   chutebacklog.Report
+	Handover  Handover
 }
 
 // Handover is what a scheduler tells its successor of the workers. Its times are those of the store's clock.
--- a/chuteentry/leading.go
+++ b/chuteentry/leading.go
@@ -121,7 +121,10 @@
 
 // write writes the rows with the leader's row.
 func (t *transition) write(rows []chuteaction.Row) {
-	report := chuteleader.Report{Pending: t.state.scheduler.Pending(), Backlog: t.state.scheduler.Backlog(), Handover: t.state.scheduler.Handover()}
+	report := chuteleader.Report{
+		Pending: t.state.scheduler.Pending(), CountedAt: t.state.storeClock.Reading(t.state.scheduler.CountedAt()),
+		Backlog: t.state.scheduler.Backlog(), Handover: t.state.scheduler.Handover(),
+	}
 	t.state.leader = t.state.leader.Write(t.Transition, rows, report)
 	t.setScheduler(t.state.scheduler.WithHandoverWritten(report.Handover))
 }
--- a/chuteentry/pending_test.go
+++ b/chuteentry/pending_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"monsoonchute.example/monsoonchute/chuteaction"
 )
 
 // waitingJobs hands in jobs that each take half of a worker, and returns them some seconds later.
@@ -132,3 +134,29 @@
 		})
 	}
 }
+
+// TestANumberOfPendingJobsFromBeforeATakeoverIsNotShownForLong guards against a leader that has read jobs and not yet workers, whose row
+// goes on giving the number that its predecessor counted.
+func TestANumberOfPendingJobsFromBeforeATakeoverIsNotShownForLong(t *testing.T) {
+	is := is.New(t)
+	sm := newSimulation(1, 3, 2)
+	sm.run(5 * time.Second)
+	for _, name := range sm.hostNames() {
+		sm.hosts[name].silentTable = chuteaction.TableWorkers
+	}
+	sm.crashLeader()
+	jobs := sm.waitingJobs(8)
+	for range 100 {
+		for _, name := range sm.hostNames() {
+			if pending, ok := sm.pendingAt(sm.hosts[name], "normal"); ok {
+				t.Fatalf("%s: %s gives %d jobs as pending, of %d no task has started", sm.elapsed(), name, pending, len(jobs))
+			}
+		}
+	}
+	for _, name := range sm.hostNames() {
+		sm.hosts[name].silentTable = 0
+	}
+	sm.run(5 * time.Second)
+	_, ok := sm.pendingAt(sm.leader(), "normal")
+	is.True(ok)
+}
--- a/chuteentry/state.go
+++ b/chuteentry/state.go
@@ -28,7 +28,7 @@
 	leaderPollTimeout = 600 * time.Millisecond
 	// listAfter is the time without an answer after which a table whose rows are often overwritten is listed again.
 	listAfter = 2 * time.Second
-	// maxPendingAge is the age of the leaders' table beyond which the number of pending jobs in it is not shown.
+	// maxPendingAge is the age beyond which the number of pending jobs in the leader's row is not shown.
 	maxPendingAge = 3 * time.Second
 	// maxBatchRows is the maximum number of rows in one write of the scheduler, not counting the leader's own row.
 	maxBatchRows = 95
@@ -128,7 +128,7 @@
 
 func (s State) intakeView(now time.Time) chuteintake.View {
 	row := s.leader.Row()
-	pending, partial, current := row.Pending, row.Partial, s.leaders.Age(now) <= maxPendingAge
+	pending, partial, current := row.Pending, row.Partial, s.pendingAge(now) <= maxPendingAge
 	if s.scheduler != nil && s.scheduler.Pending() != nil {
 		pending, partial, current = s.scheduler.Pending(), false, true
 	}
@@ -139,6 +139,16 @@
 	}
 }
 
+// pendingAge returns the age of the number of pending jobs in the leader's row: since when the leader may have changed it, or since
+// it was counted if that is longer ago.
+func (s State) pendingAge(now time.Time) time.Duration {
+	age := s.leaders.Age(now)
+	if counted := s.leader.Row().CountedAt; counted > 0 && s.storeClock.Known() {
+		age = max(age, s.storeClock.Reading(now)-counted)
+	}
+	return age
+}
+
 // backlog returns the latest report on the unfinished jobs in the leader's row, or that no jobs are known yet.
 func (s State) backlog() chuteintake.Backlog {
 	row := s.leader.Row()
--- a/chuteleader/leader.go
+++ b/chuteleader/leader.go
@@ -69,7 +69,9 @@
 func (s State) adoptUnreadable(t *chuteaction.Transition, r chuteaction.Row) State {
 	t.Count("leader-malformed", "row")
 	t.Warn(component, "the leader's row cannot be read; a host takes over", "", "version", r.Version, "deleted", r.Deleted)
-	s.row = chuteaction.LeaderRow{Epoch: max(s.row.Epoch, int64(r.Version)), Pending: s.row.Pending, Partial: s.row.Partial}
+	s.row = chuteaction.LeaderRow{
+		Epoch: max(s.row.Epoch, int64(r.Version)), Pending: s.row.Pending, CountedAt: s.row.CountedAt, Partial: s.row.Partial,
+	}
 	s.version = r.Version
 	if r.Deleted {
 		s.version = 0
@@ -150,7 +152,7 @@
 	s.role = RoleCandidate
 	s.predecessor = Predecessor{Row: s.row, Version: s.version, ObservedAt: s.changedAt}
 	row := chuteaction.LeaderRow{
-		Epoch: s.row.Epoch + 1, Host: s.host, Process: s.process, Pending: s.row.Pending, Partial: s.row.Partial,
+		Epoch: s.row.Epoch + 1, Host: s.host, Process: s.process, Pending: s.row.Pending, CountedAt: s.row.CountedAt, Partial: s.row.Partial,
 		Handover: s.handover(t.Now),
 	}
 	return s.send(t, row, nil)
--- a/chuteleader/write.go
+++ b/chuteleader/write.go
@@ -9,9 +9,10 @@
 
 // Report is what the leader's row tells others.
 type Report struct {
-	Pending  map[string]int // number of accepted jobs of which no task has started, by queue; nil if they have not been counted
-	Backlog  chutebacklog.Report
-	Handover chuteaction.Handover
+	Pending   map[string]int // number of accepted jobs of which no task has started, by queue; nil if they have not been counted
+	CountedAt time.Duration  // by the store's clock; 0 if that is not known
+	Backlog   chutebacklog.Report
+	Handover  chuteaction.Handover
 }
 
 // Write sends the rows together with the leader's own row. The caller must lead and have no write in flight.
@@ -22,6 +23,7 @@
 	row.Backlog = report.Backlog
 	if report.Pending != nil {
 		row.Pending, row.Partial = boundedPending(report.Pending)
+		row.CountedAt = report.CountedAt
 	}
 	return s.send(t, row, put)
 }
--- a/chuterow/row.go
+++ b/chuterow/row.go
@@ -1,6 +1,8 @@
 package chuterow
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -28,6 +30,7 @@
 	Part         *encodedPart         `cbor:"15,keyasint,omitempty"` // beside Progress, which holds some tasks of a job
 	Partial      bool                 `cbor:"16,keyasint,omitempty"` // beside Leader: it leaves out pending jobs
 	Unbegun      bool                 `cbor:"17,keyasint,omitempty"` // beside Progress; rows of older hosts lack it
+	CountedAtMS  int64                `cbor:"18,keyasint,omitempty"` // beside Leader
 	Host         *chuteaction.HostRow `cbor:"6,keyasint,omitempty"`
 }
 
@@ -101,7 +104,7 @@
 		}
 		e.Handover = encodeHandover(v.Handover)
 		e.Backlog = encodeBacklog(v.Backlog)
-		e.Partial = v.Partial
+		e.Partial, e.CountedAtMS = v.Partial, v.CountedAt.Milliseconds()
 	case chuteaction.HostRow:
 		e.Host = &v
 	case chuteaction.CatalogRow, chuteaction.EvacuationRow, chuteaction.WaveRow, chuteaction.WaveStateRow, chuteaction.WorkerRow:
@@ -159,7 +162,8 @@
 		l := e.Leader
 		return chuteaction.LeaderRow{
 			Epoch: l.Epoch, Host: l.Host, Process: l.Process, Sequence: l.Sequence, Released: l.Released, Pending: l.Pending,
-			Partial: e.Partial, Handover: e.Handover.decode(), Backlog: e.Backlog.decode(),
+			Partial: e.Partial, CountedAt: time.Duration(e.CountedAtMS) * time.Millisecond,
+			Handover: e.Handover.decode(), Backlog: e.Backlog.decode(),
 		}, nil
 	case e.Host != nil:
 		return *e.Host, nil
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -155,6 +155,11 @@
 	return s.pending
 }
 
+// CountedAt returns the time of that count.
+func (s State) CountedAt() time.Time {
+	return s.countedAt
+}
+
 // Backlog returns the report on the unfinished jobs at the latest count.
 func (s State) Backlog() chutebacklog.Report {
 	return s.backlog
