Split chuteshard: ledgers of limits, recovery and inquiries

Change: chuteallowance keeps the ledgers of limits for a shard's owner, chuterecovery restores the jobs after a takeover and chuteinquiry answers the calls that only read. Each works on the transition of chutegang. Their code is moved, with other names for receivers; nothing is decided otherwise.

The tests of chuteshard, chutecore, chutesimulation, chuteallotment, chutelimit, chutemeasure and chutegang pass.

--- /dev/null
+++ b/chuterecovery/doc.go
@@ -0,0 +1,2 @@
+// Package chuterecovery restores the jobs of a shard from the rows that earlier owners wrote.
+package chuterecovery
--- a/chuteshard/recover.go
+++ b/chuterecovery/recover.go
@@ -1,18 +1,18 @@
-package chuteshard
+package chuterecovery
 
 import (
 	"cmp"
 	"slices"
 
+	"monsoonchute.example/monsoonchute/chutegang"
 	"monsoonchute.example/monsoonchute/chutejob"
 	"monsoonchute.example/monsoonchute/chutetable"
 	"monsoonchute.example/monsoonchute/chutetopology"
 )
 
-// recover restores the jobs from the rows that earlier owners wrote. The rows don't tell whether an attempt still runs:
+// Recover restores the jobs from the rows that earlier owners wrote. The rows don't tell whether an attempt still runs:
 // it counts as ordered until a worker's report under this epoch lists its task or omits it.
-func (t *transition) recover(rows []chutetable.StoredRow) {
-	t.state.recovered = true
+func Recover(t *chutegang.Transition, rows []chutetable.StoredRow) {
 	t.State.PlanDue = true
 	// Of two attempts on the same accelerators, the one that was written earlier has released them.
 	slices.SortFunc(rows, func(a, b chutetable.StoredRow) int { return cmp.Compare(b.Version, a.Version) })
@@ -21,23 +21,23 @@
 		if !ok {
 			continue
 		}
-		t.recoverJob(row.Job)
+		recoverJob(t, row.Job)
 	}
 }
 
-func (t *transition) recoverJob(j chutejob.Job) {
+func recoverJob(t *chutegang.Transition, j chutejob.Job) {
 	switch j.Phase {
 	case chutejob.PhaseEnded:
 		t.PutJob(j)
 	case chutejob.PhaseWaiting, chutejob.PhaseClaiming:
-		t.recoverWaiting(j)
+		recoverWaiting(t, j)
 	case chutejob.PhaseReserved, chutejob.PhaseReady, chutejob.PhaseStarting, chutejob.PhaseRunning,
 		chutejob.PhaseCheckpointing, chutejob.PhaseStopping:
-		t.adoptAttempt(j)
+		adoptAttempt(t, j)
 	}
 }
 
-func (t *transition) recoverWaiting(j chutejob.Job) {
+func recoverWaiting(t *chutegang.Transition, j chutejob.Job) {
 	j = j.WithWaiting(t.Now())
 	t.PutJob(j)
 	if j.CancelRequested {
@@ -46,7 +46,7 @@
 }
 
 // adoptAttempt restores an attempt that may still run, with the accelerators that no newer attempt holds.
-func (t *transition) adoptAttempt(j chutejob.Job) {
+func adoptAttempt(t *chutegang.Transition, j chutejob.Job) {
 	for i, p := range j.Parts {
 		if t.State.Inventory.Held([]chutetopology.Block{p.Block}) {
 			j = j.WithPartReleased(i)
--- a/chuteshard/call.go
+++ b/chuteshard/call.go
@@ -1,20 +1,16 @@
 package chuteshard
 
 import (
-	"slices"
-
 	"monsoonchute.example/monsoonchute/chuteadmission"
 	"monsoonchute.example/monsoonchute/chutebacklog"
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chutegang"
+	"monsoonchute.example/monsoonchute/chuteinquiry"
 	"monsoonchute.example/monsoonchute/chutejob"
 	"monsoonchute.example/monsoonchute/chuteresult"
 )
 
-// maxListed is the maximum number of jobs in one reply to ListJobs.
-const maxListed = 1000
-
 // handleCall handles a call to the shard; it refuses the call until recovery has read the shard's jobs.
 func (t *transition) handleCall(from chuteevent.Origin, call chutecall.ShardCall) {
 	if !t.state.recovered {
@@ -27,13 +23,13 @@
 	case chutecall.CancelJob:
 		t.cancel(from, c.Job)
 	case chutecall.ShowJob:
-		t.show(from, c.Job)
+		chuteinquiry.Show(t.Transition, from, c.Job)
 	case chutecall.ExplainJob:
 		t.explain(from, c.Job)
 	case chutecall.ListJobs:
-		t.list(from)
+		chuteinquiry.List(t.Transition, from)
 	case chutecall.ShowUse:
-		t.showUse(from)
+		chuteinquiry.ShowUse(t.Transition, from)
 	}
 }
 
@@ -75,65 +71,15 @@
 	t.Answer(from, chutecall.JobReply{Result: chuteresult.New(chuteresult.Accepted, "job %s was accepted before", j.ID), Job: j})
 }
 
-// answerUnknown answers a call about a job that this owner does not know. Without a valid lease another owner may have
-// accepted it.
-func (t *transition) answerUnknown(from chuteevent.Origin, id chutejob.ID) {
-	if !t.Environment.LeaseValid {
-		t.Answer(from, chutecall.Refuse(chuteresult.NoOwner, "shard %d: this host's lease on it is not confirmed", t.State.Shard))
-		return
-	}
-	t.Answer(from, chutecall.Refuse(chuteresult.NotFound, "job: %q does not exist", id))
-}
-
 // answerRecording answers a call about a job whose first row is being written.
 func (t *transition) answerRecording(from chuteevent.Origin, id chutejob.ID) {
 	t.Answer(from, chutecall.Refuse(chuteresult.InProgress, "job %s: an earlier call is being recorded", id))
 }
 
-// acceptedJob returns the job with the id, and false if none was accepted.
-func (t *transition) acceptedJob(id chutejob.ID) (chutejob.Job, bool) {
-	j, ok := t.State.Job(id)
-	return j, ok && !j.Rejected()
-}
-
-func (t *transition) show(from chuteevent.Origin, id chutejob.ID) {
-	j, ok := t.acceptedJob(id)
-	if !ok {
-		t.answerUnknown(from, id)
-		return
-	}
-	t.Answer(from, chutecall.JobReply{Result: chuteresult.Result{Code: chuteresult.Done}, Job: j})
-}
-
 // explain answers with the causes that keep a job waiting.
 func (t *transition) explain(from chuteevent.Origin, id chutejob.ID) {
-	j, ok := t.acceptedJob(id)
-	if !ok {
-		t.answerUnknown(from, id)
-		return
-	}
-	t.Answer(from, chutecall.ExplainReply{Job: j, Causes: chuteadmission.Causes(t.Transition, j, t.limitCause(j))})
-}
-
-func (t *transition) list(from chuteevent.Origin) {
-	jobs := append(t.State.Live(), t.State.Ended()...)
-	jobs = slices.DeleteFunc(jobs, chutejob.Job.Rejected)
-	t.Answer(from, chutecall.JobsReply{Jobs: jobs[:min(len(jobs), maxListed)]})
-}
-
-// showUse answers with what the workspaces use of the shard.
-func (t *transition) showUse(from chuteevent.Origin) {
-	reply := chutecall.UseReply{Workspaces: make(map[string]chutecall.WorkspaceUse)}
-	for _, j := range t.State.Live() {
-		use := reply.Workspaces[j.Spec.Workspace]
-		if j.Phase == chutejob.PhaseWaiting {
-			use.Waiting++
-		} else {
-			use.InUse += j.Spec.Shape.Total()
-		}
-		reply.Workspaces[j.Spec.Workspace] = use
-	}
-	t.Answer(from, reply)
+	j, _ := t.State.Job(id)
+	chuteinquiry.Explain(t.Transition, from, id, t.state.limits.Cause(t.Transition, j))
 }
 
 // cancel validates a cancellation and records it. The call is answered once the cancellation is recorded.
@@ -144,7 +90,7 @@
 		t.cancelUnknown(from, id)
 		return
 	case j.Rejected():
-		t.answerUnknown(from, id)
+		chuteinquiry.AnswerUnknown(t.Transition, from, id)
 		return
 	case j.Phase == chutejob.PhaseEnded:
 		t.Answer(from, chutecall.Refuse(chuteresult.AlreadyEnded, "job %s has ended: %s", id, j.Result.Code))
@@ -162,7 +108,7 @@
 func (t *transition) cancelUnknown(from chuteevent.Origin, id chutejob.ID) {
 	switch {
 	case !t.Environment.LeaseValid:
-		t.answerUnknown(from, id)
+		chuteinquiry.AnswerUnknown(t.Transition, from, id)
 	case t.State.Recording(id):
 		t.answerRecording(from, id)
 	case !t.Environment.StoreUp:
--- a/chuteshard/pending.go
+++ b/chuteshard/pending.go
@@ -4,6 +4,7 @@
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chutegang"
+	"monsoonchute.example/monsoonchute/chuteinquiry"
 	"monsoonchute.example/monsoonchute/chutejob"
 	"monsoonchute.example/monsoonchute/chuteresult"
 	"monsoonchute.example/monsoonchute/chutetable"
@@ -18,7 +19,7 @@
 		t.Answer(p.Call, chutecall.JobReply{Result: chuteresult.New(chuteresult.Accepted, "job %s is recorded", p.Job.ID), Job: p.Job})
 	case chutegang.PendingRejection:
 		t.PutJob(p.Job)
-		t.answerUnknown(p.Call, p.Job.ID)
+		chuteinquiry.AnswerUnknown(t.Transition, p.Call, p.Job.ID)
 	case chutegang.PendingReserve:
 		t.HandleReserved(p)
 	case chutegang.PendingCancel:
@@ -69,9 +70,9 @@
 	case chutegang.PendingRecovery:
 		t.Emit(t.readJobs())
 	case chutegang.PendingLimitRead:
-		t.handleLimitFailed(p.Workspace)
+		t.state.limits = t.state.limits.HandleFailed(t.Transition, p.Workspace)
 	case chutegang.PendingLimitWrite:
-		t.handleLimitFailed(p.Ledger.Workspace)
+		t.state.limits = t.state.limits.HandleFailed(t.Transition, p.Ledger.Workspace)
 	case chutegang.PendingDelete: // the next deletion covers the same jobs
 	}
 }
--- a/chuteshard/plan.go
+++ b/chuteshard/plan.go
@@ -28,7 +28,7 @@
 		t.grant(g)
 	}
 	t.State.PlanDue = len(decision.Grants) > 0
-	t.syncLimits(decision.Held)
+	t.state.limits = t.state.limits.Sync(t.Transition, decision.Held)
 }
 
 // planView returns the input of a planning pass: the jobs that hold accelerators and the jobs that may start now.
@@ -42,7 +42,7 @@
 			view.Waiting = append(view.Waiting, j)
 		}
 	}
-	view.Rooms = t.limitRooms()
+	view.Rooms = t.state.limits.Rooms(t.Transition)
 	return view
 }
 
--- a/chuteshard/state.go
+++ b/chuteshard/state.go
@@ -4,10 +4,9 @@
 	"slices"
 	"time"
 
-	"monsoonchute.example/monsoonchute/chuteallotment"
-
 	"github.com/benbjohnson/immutable"
 
+	"monsoonchute.example/monsoonchute/chuteallowance"
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chutegang"
@@ -30,9 +29,9 @@
 	reportedUnpacked []string                                              // descriptions of the cells that were last reported as unpacked
 	plannedAt        time.Time
 	deletedAt        time.Time
-	limits           *immutable.SortedMap[string, chuteallotment.Record] // by workspace
-	checkedWorker    chutetopology.WorkerID                              // the worker that was checked last
-	checkedAt        time.Time                                           // when checkWorkers last checked a worker
+	limits           chuteallowance.State
+	checkedWorker    chutetopology.WorkerID // the worker that was checked last
+	checkedAt        time.Time              // when checkWorkers last checked a worker
 }
 
 // New returns the state of an owner that has just acquired the shard, and the effect that reads the shard's jobs.
@@ -40,7 +39,7 @@
 	s := State{
 		gangs: chutegang.New(shard, epoch, version, environment.Topology), acquiredAt: environment.Now, documentVersion: -1,
 		zonesOutSince: immutable.NewSortedMap[chutetopology.ZoneID, time.Time](nil),
-		limits:        immutable.NewSortedMap[string, chuteallotment.Record](nil),
+		limits:        chuteallowance.New(),
 	}
 	t := newTransition(s, environment)
 	t.Emit(t.readJobs())
--- a/chuteshard/step.go
+++ b/chuteshard/step.go
@@ -4,6 +4,7 @@
 	"monsoonchute.example/monsoonchute/chutecall"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chutegang"
+	"monsoonchute.example/monsoonchute/chuterecovery"
 )
 
 // Outcome is the result of handling one event.
@@ -73,7 +74,7 @@
 	t.State = t.State.WithoutPending(event.Operation())
 	if write, ok := p.(chutegang.PendingLimitWrite); ok {
 		if e, committed := event.(chuteevent.TableCommitted); committed {
-			t.handleLimitCommitted(write, e)
+			t.state.limits = t.state.limits.HandleCommitted(t.Transition, write, e)
 			return t.outcome()
 		}
 	}
@@ -96,8 +97,9 @@
 // handleRead handles the rows of a read: of the shard's jobs after a takeover, or of a workspace's limit.
 func (t *transition) handleRead(p chutegang.Pending, e chuteevent.TableRead) {
 	if read, ok := p.(chutegang.PendingLimitRead); ok {
-		t.handleLimitRead(read.Workspace, e.Rows)
+		t.state.limits = t.state.limits.HandleRead(t.Transition, read.Workspace, e.Rows)
 		return
 	}
-	t.recover(e.Rows)
+	t.state.recovered = true
+	chuterecovery.Recover(t.Transition, e.Rows)
 }
