Split chutescheduler: the writes of progress

Change: chuterecording decides which progress is written next, and what follows once the store has taken or rejected it. Its code is moved from chutescheduler, which keeps the starts of recorded runs. Nothing is decided otherwise.

The tests of chuteentry, chutescheduler and platform/store pass.

--- a/chutescheduler/rejection.go
+++ b/chuterecording/rejection.go
@@ -1,12 +1,12 @@
-package chutescheduler
+package chuterecording
 
 import (
 	"maps"
 
 	"monsoonchute.example/monsoonchute/chuteaction"
 	"monsoonchute.example/monsoonchute/chutegraph"
-	"monsoonchute.example/monsoonchute/chuteledger"
 	"monsoonchute.example/monsoonchute/chutepool"
+	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetask"
 )
 
@@ -17,49 +17,44 @@
 	rejectionsBeforeCheckpoints = 4
 )
 
-// HandleRejection handles that the store will never take the latest write. The jobs in it are written again, fewer at a time, until
-// the one whose rows it rejects stands alone. That one is set aside: the others go on without it.
-func (s State) HandleRejection(t *chuteaction.Transition, environment chuteledger.Environment) State {
-	u := s.transition(t, environment)
-	b := u.batch
-	u.batch, u.retried = batch{}, ""
-	for _, id := range b.jobs {
-		u.Dirty = u.Dirty.Set(id, true)
+// HandleRejection handles that the store will never take the write in flight. The jobs in it are written again, fewer at a time,
+// until the one whose rows it rejects stands alone. That one is set aside: the others go on without it.
+func (s State) HandleRejection(t *chuterunner.Transition) State {
+	jobs := s.jobs
+	s.inFlight, s.jobs, s.ends, s.retried = false, nil, nil, ""
+	for _, id := range jobs {
+		t.Dirty = t.Dirty.Set(id, true)
 	}
 	t.Count("rows-rejected", "write")
-	if len(b.jobs) == 0 {
+	if len(jobs) == 0 {
 		t.Warn(component, "the store rejects the leader's row", "")
-		return u.state()
+		return s
 	}
-	u.rejections = u.rejections.WithRejected(b.jobs, t.Now)
-	if len(b.jobs) == 1 {
-		u.setAside(b.jobs[0])
+	s.rejections = s.rejections.WithRejected(jobs, t.Now)
+	if j, ok := t.Job(jobs[0]); ok && len(jobs) == 1 {
+		s.setAside(t, j)
 	}
-	return u.state()
+	return s
 }
 
 // setAside handles that the store rejects the rows of a job alone. What it runs goes on, and what ends is not acknowledged until
 // that is recorded. Nothing of it starts meanwhile.
-func (t *transition) setAside(id chutegraph.JobID) {
-	j, ok := t.Job(id)
-	if !ok {
-		return
-	}
-	rejections := t.rejections.Rejections(id)
+func (s State) setAside(t *chuterunner.Transition, j chutetask.Job) {
+	rejections := s.rejections.Rejections(j.ID)
 	t.Count("rows-rejected", "job")
-	t.Warn(component, "the store rejects the progress of a job; it is set aside", id, "rejections", rejections,
-		"bytes", j.SizeBound(), "rows", len(t.rowsOf(j)), "phase", j.Phase)
-	t.SetAside = t.rejections.Aside()
+	t.Warn(component, "the store rejects the progress of a job; it is set aside", j.ID, "rejections", rejections,
+		"bytes", j.SizeBound(), "rows", len(s.rowsOf(j)), "phase", j.Phase)
+	t.SetAside = s.rejections.Aside()
 	t.Emit(chuteaction.SetGauge{Gauge: "jobs-set-aside", Value: float64(len(t.SetAside))})
-	t.withholdEnds()
-	t.releaseUnrecorded(j)
-	if j, ok = t.Job(id); ok {
+	withholdEnds(t)
+	releaseUnrecorded(t, j)
+	if j, ok := t.Job(j.ID); ok {
 		t.PutJob(withoutDetails(j, rejections))
 	}
 }
 
 // withholdEnds keeps the ended runs that are not recorded from being acknowledged: some may be of the job that was set aside.
-func (t *transition) withholdEnds() {
+func withholdEnds(t *chuterunner.Transition) {
 	withheld := maps.Clone(t.Withheld)
 	if withheld == nil {
 		withheld = make(map[chutetask.WorkerID]bool)
@@ -72,7 +67,7 @@
 }
 
 // releaseUnrecorded releases the runs of a job whose record was rejected. Their start orders have not left.
-func (t *transition) releaseUnrecorded(j chutetask.Job) {
+func releaseUnrecorded(t *chuterunner.Transition, j chutetask.Job) {
 	j.ForEachTask(func(id chutegraph.TaskID, task chutetask.Task) {
 		w, r, ok := t.Pool.FindRun(task.Worker, chutegraph.RunID{Task: id, Number: task.Run})
 		if ok && (r.Phase == chutepool.RunPlanned || r.Phase == chutepool.RunRecording) {
@@ -93,21 +88,22 @@
 	return j
 }
 
-// resumeRecorded lets the jobs go on that were set aside and whose progress has been recorded now.
-func (t *transition) resumeRecorded(jobs []chutegraph.JobID) {
-	t.rejections = t.rejections.WithRecorded(jobs)
-	if len(t.rejections.Aside()) == len(t.SetAside) {
-		return
+// withRecorded returns the state after the jobs were recorded. Those that were set aside go on.
+func (s State) withRecorded(t *chuterunner.Transition, jobs []chutegraph.JobID) State {
+	s.rejections = s.rejections.WithRecorded(jobs)
+	if len(s.rejections.Aside()) == len(t.SetAside) {
+		return s
 	}
 	for _, id := range jobs {
 		if t.SetAside[id] {
-			t.Log(component, "the progress of a job that was set aside is recorded", id, "row-bytes", t.rejections.MaxRowBytes(id))
+			t.Log(component, "the progress of a job that was set aside is recorded", id, "row-bytes", s.rejections.MaxRowBytes(id))
 		}
 	}
-	t.SetAside = t.rejections.Aside()
+	t.SetAside = s.rejections.Aside()
 	t.Emit(chuteaction.SetGauge{Gauge: "jobs-set-aside", Value: float64(len(t.SetAside))})
 	if len(t.SetAside) == 0 {
 		t.Withheld = nil
 	}
 	t.PlanDue = true
+	return s
 }
--- a/chutescheduler/job.go
+++ b/chutescheduler/job.go
@@ -156,9 +156,7 @@
 		return 0
 	}
 	t.unmerged = t.unmerged.Delete(j.ID)
-	if row.Parts > 0 {
-		t.parts = t.parts.Set(j.ID, row.Parts)
-	}
+	t.recording = t.recording.WithParts(j.ID, row.Parts)
 	cancelled := j.Cancelled
 	j = j.WithProgress(row.Progress)
 	if cancelled && !j.Phase.Ended() {
--- a/chutescheduler/state.go
+++ b/chutescheduler/state.go
@@ -14,7 +14,7 @@
 	"monsoonchute.example/monsoonchute/chutemembership"
 	"monsoonchute.example/monsoonchute/chutepacing"
 	"monsoonchute.example/monsoonchute/chuteplanner"
-	"monsoonchute.example/monsoonchute/chuterejection"
+	"monsoonchute.example/monsoonchute/chuterecording"
 	"monsoonchute.example/monsoonchute/chuterenewal"
 	"monsoonchute.example/monsoonchute/chuterunner"
 	"monsoonchute.example/monsoonchute/chutetakeover"
@@ -32,24 +32,21 @@
 
 // schedulerState is the part of State that chuteledger.State does not hold.
 type schedulerState struct {
-	batch          batch
+	recording      chuterecording.State
 	predecessor    chutetakeover.Predecessor                               // the scheduler that led before this one
 	progress       []chuteaction.Row                                       // rows to merge once all submissions are known
 	unmerged       *immutable.SortedMap[chutegraph.JobID, chuteaction.Row] // progress of jobs without a submission, or malformed
-	parts          *immutable.SortedMap[chutegraph.JobID, int]             // number of rows with tasks that the store has of large jobs
-	rejections     chuterejection.State
-	retried        chutegraph.JobID                               // a job that was set aside, to be written alone; empty for none
-	cancelledEarly *immutable.SortedMap[chutegraph.JobID, bool]   // cancelled jobs without a submission
-	hasHosts       bool                                           // the process of every host has been read
-	hasProgress    bool                                           // the progress of all jobs has been read
-	hasJobs        bool                                           // all submissions have been read
-	hasWorkers     bool                                           // all workers have been read
-	timed          *immutable.SortedMap[chutegraph.JobID, bool]   // live jobs whose occurrences start at set times
-	ticks          int                                            // ticks so far; they select the workers to check
-	pending        map[string]int                                 // pending jobs by queue; the map is never modified
-	backlog        chutebacklog.Report                            // on the unfinished jobs, at the latest count
-	countedAt      time.Time                                      // when the jobs were last counted
-	malformed      *immutable.SortedMap[chutetask.WorkerID, bool] // entries that name no worker, as logged
+	cancelledEarly *immutable.SortedMap[chutegraph.JobID, bool]            // cancelled jobs without a submission
+	hasHosts       bool                                                    // the process of every host has been read
+	hasProgress    bool                                                    // the progress of all jobs has been read
+	hasJobs        bool                                                    // all submissions have been read
+	hasWorkers     bool                                                    // all workers have been read
+	timed          *immutable.SortedMap[chutegraph.JobID, bool]            // live jobs whose occurrences start at set times
+	ticks          int                                                     // ticks so far; they select the workers to check
+	pending        map[string]int                                          // pending jobs by queue; the map is never modified
+	backlog        chutebacklog.Report                                     // on the unfinished jobs, at the latest count
+	countedAt      time.Time                                               // when the jobs were last counted
+	malformed      *immutable.SortedMap[chutetask.WorkerID, bool]          // entries that name no worker, as logged
 	planner        chuteplanner.Planner
 	progressToken  chuteaction.Token
 	jobsWatch      chuteaction.Token // subscription to the table of jobs
@@ -68,9 +65,8 @@
 		schedulerState: schedulerState{
 			predecessor: chutetakeover.New(predecessor, t.Now), handover: chutehandover.New(row.Handover),
 			planner:        chuteplanner.New(),
-			rejections:     chuterejection.New(),
+			recording:      chuterecording.New(),
 			timed:          immutable.NewSortedMap[chutegraph.JobID, bool](nil),
-			parts:          immutable.NewSortedMap[chutegraph.JobID, int](chutegraph.JobOrder{}),
 			cancelledEarly: immutable.NewSortedMap[chutegraph.JobID, bool](chutegraph.JobOrder{}),
 			unmerged:       immutable.NewSortedMap[chutegraph.JobID, chuteaction.Row](chutegraph.JobOrder{}),
 			malformed:      immutable.NewSortedMap[chutetask.WorkerID, bool](chutetask.WorkerOrder{}),
--- a/chutescheduler/tick.go
+++ b/chutescheduler/tick.go
@@ -40,19 +40,12 @@
 	u.handover = u.handover.Tick(u.Transition, concerning)
 	u.FinalLeases = u.handover.NotExtended()
 	u.countJobs()
-	u.retryAside()
+	u.recording = u.recording.WithTime(u.Now)
 	u.waves = u.waves.Tick(u.Transition)
 	u.planner = u.planner.Plan(u.Transition)
 	return u.state()
 }
 
-// retryAside chooses a job that was set aside for the next write, if one is due and none is in flight.
-func (t *transition) retryAside() {
-	if id, due := t.rejections.DueJob(t.Now); due && !t.batch.inFlight {
-		t.retried = id
-	}
-}
-
 // Advance runs a planning pass if something has changed since the latest one.
 func (s State) Advance(t *chuteaction.Transition, environment chuteledger.Environment) State {
 	u := s.transition(t, environment)
