Split chuteplanner: the order by shares moves to chutedemand

Change: InShareOrder and CompareGuaranteed are functions of demands, in chutedemand. Nothing is decided otherwise.

--- a/chuteplanner/demand.go
+++ b/chuteplanner/demand.go
@@ -17,17 +17,6 @@
 	rank   chuteurgency.Rank
 }
 
-// compareGuaranteed orders demands that a guarantee covers before the others.
-func compareGuaranteed(a, b chutedemand.Demand) int {
-	switch {
-	case a.Guaranteed && !b.Guaranteed:
-		return -1
-	case !a.Guaranteed && b.Guaranteed:
-		return 1
-	}
-	return 0
-}
-
 // demands returns the steps with tasks that wait for capacity, and those with tasks that wait for quarantine: first those
 // that a guarantee covers, then by priority and urgency.
 func (p *pass) demands() (ordinary, quarantined []chutedemand.Demand) {
@@ -53,7 +42,7 @@
 	}
 	compareStart := chuteurgency.StartOrder(ranks)
 	slices.SortStableFunc(list, func(a, b rankedDemand) int {
-		return cmp.Or(compareGuaranteed(a.demand, b.demand), chuteurgency.CompareClass(a.rank, b.rank), compareStart(a.rank, b.rank))
+		return cmp.Or(chutedemand.CompareGuaranteed(a.demand, b.demand), chuteurgency.CompareClass(a.rank, b.rank), compareStart(a.rank, b.rank))
 	})
 	demands := make([]chutedemand.Demand, len(list))
 	for i, r := range list {
--- a/chuteplanner/plan.go
+++ b/chuteplanner/plan.go
@@ -64,7 +64,7 @@
 	if len(demands) == 0 {
 		return nil
 	}
-	view := chuteplacement.View{Now: p.Now, Workers: chutecandidate.Usable(p.Transition.Transition, taken), Demands: p.inShareOrder(demands), Quotas: p.quotas.Snapshot()}
+	view := chuteplacement.View{Now: p.Now, Workers: chutecandidate.Usable(p.Transition.Transition, taken), Demands: chutedemand.InShareOrder(demands, p.use, p.weights), Quotas: p.quotas.Snapshot()}
 	if chuteplacement.NeedsRunGroups(view) {
 		occupancy := chuteoccupancy.New(p.Transition.Transition, p.guaranteed)
 		view.RunGroups = occupancy.RunGroups()
--- a/chuteplanner/quota.go
+++ b/chuteplanner/quota.go
@@ -89,38 +89,6 @@
 	return !p.quotas.Allows(r)
 }
 
-// inShareOrder returns the demands in the order in which capacity is given to them: with weights in the configuration, those of equal
-// rank by the shares of their workspaces, in parts. One task of a demand may use capacity that is reserved for others.
-func (p *pass) inShareOrder(demands []chutedemand.Demand) []chutedemand.Demand {
-	if p.weights == nil {
-		return demands
-	}
-	items := make([]chutequota.Item, len(demands))
-	for i, d := range demands {
-		items[i] = chutequota.Item{Workspace: d.Workspace, Service: d.Service, Each: d.Step.Request, Tasks: len(d.Indexes), Gang: d.Step.Gang}
-		if i > 0 {
-			items[i].Rank = items[i-1].Rank
-			if !sameRank(demands[i-1], d) {
-				items[i].Rank++
-			}
-		}
-	}
-	parts := chutequota.Order(p.use, p.weights, items)
-	ordered := make([]chutedemand.Demand, len(parts))
-	for i, part := range parts {
-		d := demands[part.Item]
-		d.Indexes = d.Indexes[part.From:part.To]
-		d.MayUseReserved = d.MayUseReserved && (part.From == 0 || d.Step.LongRunning)
-		ordered[i] = d
-	}
-	return ordered
-}
-
-// sameRank reports whether the shares of the workspaces decide between two demands.
-func sameRank(a, b chutedemand.Demand) bool {
-	return compareGuaranteed(a, b) == 0 && a.Priority == b.Priority && a.Class == b.Class
-}
-
 // reportUse reports what the workspaces use, and how many tasks of the demands go on waiting.
 func (p *pass) reportUse(lists ...[]chutedemand.Demand) {
 	if !p.use.Counted() || !p.usage.Due(p.Now) {
