chutestore: a commit that the table service rejects holds up no other

What callers would see: on the own interface a host writes nothing any more, and loses its lease, since one row is refused for good.

Change: after 400, 403, 413 or 422 the commits are sent one by one; one that is rejected alone fails after 0.1 s, as one that could not be sent does, and the core decides anew. A rejection counts as an answer for the state of the service.

Evidence: TestARowThatTheTableServiceNeverTakesHoldsUpNoOther had no outcome of any of three commits after 20 s, and passes in 0.1 s.

--- a/chutecaller/caller.go
+++ b/chutecaller/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"time"
 
@@ -45,6 +46,26 @@
 	c.client.CloseIdleConnections()
 }
 
+// StatusError reports a response with a status other than 200.
+type StatusError struct {
+	Service string
+	Status  int // HTTP status
+}
+
+// Error returns the name of the service and the status.
+func (e StatusError) Error() string {
+	return fmt.Sprintf("%s: status %d", e.Service, e.Status)
+}
+
+// Rejected reports whether the service says that it will never carry out the same request.
+func (e StatusError) Rejected() bool {
+	switch e.Status {
+	case fasthttp.StatusBadRequest, fasthttp.StatusForbidden, fasthttp.StatusRequestEntityTooLarge, fasthttp.StatusUnprocessableEntity:
+		return true
+	}
+	return false
+}
+
 // Post sends the body as JSON to the path and decodes the response into the target; a status other than 200 is an error.
 func (c Caller) Post(path string, body, target any) error {
 	encoded, err := json.Marshal(body)
@@ -70,7 +91,7 @@
 		return errors.WithStack(err)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
-		return errors.Errorf("%s: status %d", c.service, response.StatusCode())
+		return errors.WithStack(StatusError{Service: c.service, Status: response.StatusCode()})
 	}
 	return errors.WithStack(json.Unmarshal(response.Body(), target))
 }
--- a/chutestore/client.go
+++ b/chutestore/client.go
@@ -25,6 +25,8 @@
 	// minRetryDelay and maxRetryDelay limit the exponential delay between two attempts of a transaction.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = time.Second
+	// rejectionDelay is the delay before the core learns that a commit was rejected.
+	rejectionDelay = 100 * time.Millisecond
 )
 
 // Client executes store effects at the table service and delivers their results as events.
@@ -75,7 +77,7 @@
 func (c *Client) observe(ctx context.Context, call func() error) error {
 	sent := time.Now()
 	err := call()
-	if state, changed := c.breaker.record(err == nil, time.Since(sent)); changed {
+	if state, changed := c.breaker.record(err == nil || rejected(err), time.Since(sent)); changed {
 		c.log.Warn("store: state of the table service changed", "state", state, "error", errorText(err))
 		c.events.Put(ctx, chuteevent.StoreStateChanged{State: state})
 	}
--- a/chutestore/write.go
+++ b/chutestore/write.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
 
+	"monsoonchute.example/monsoonchute/chutecaller"
 	"monsoonchute.example/monsoonchute/chuteevent"
 	"monsoonchute.example/monsoonchute/chutetable"
 	"monsoonchute.example/monsoonchute/chutewire"
@@ -113,8 +115,14 @@
 	outcome, err := backoff.Retry(ctx, func() (Outcome, error) {
 		var outcome Outcome
 		err := c.observe(ctx, func() error { return c.caller.Post("/v1/transactions", transaction, &outcome) })
+		if rejected(err) {
+			err = backoff.Permanent(err)
+		}
 		return outcome, err
 	}, backoff.WithBackOff(newBackOff()), backoff.WithMaxElapsedTime(0))
+	if rejected(err) {
+		return c.handleRejection(ctx, commits, err)
+	}
 	if err != nil {
 		return false
 	}
@@ -126,6 +134,33 @@
 	return true
 }
 
+// rejected reports whether the table service will never carry out the transaction that ended with the error.
+func rejected(err error) bool {
+	var status chutecaller.StatusError
+	return errors.As(err, &status) && status.Rejected()
+}
+
+// handleRejection handles a transaction that the table service will never carry out. Its commits are sent one by one, so that one of
+// them holds up no other. It reports false if the context ended first.
+func (c *Client) handleRejection(ctx context.Context, commits []chuteevent.CommitTable, err error) bool {
+	if len(commits) > 1 {
+		for i := range commits {
+			if !c.commit(ctx, commits[i:i+1]) {
+				return false
+			}
+		}
+		return true
+	}
+	c.log.Error("store: the table service rejects a commit", "token", string(commits[0].Token), "error", errors.Cause(err).Error())
+	select { // the core may write the same rows again at once
+	case <-time.After(rejectionDelay):
+	case <-ctx.Done():
+		return false
+	}
+	c.failAll(ctx, commits)
+	return true
+}
+
 func newBackOff() backoff.BackOff {
 	policy := backoff.NewExponentialBackOff()
 	policy.InitialInterval = minRetryDelay
