chuteledger: ends that are withheld have a file of their own

They stood among the functions on jobs of which nothing has begun, with which they share nothing. The code is moved; nothing is decided otherwise.

--- a/chuteledger/unbegun.go
+++ b/chuteledger/unbegun.go
@@ -1,8 +1,6 @@
 package chuteledger
 
 import (
-	"maps"
-
 	"monsoonchute.example/monsoonchute/chutebacklog"
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutetask"
@@ -33,17 +31,6 @@
 	}
 }
 
-// WithholdEndsOf keeps the worker's ended runs from being acknowledged if one is of a job that is set aside: its end is not recorded.
-func (t *Transition) WithholdEndsOf(worker chutetask.WorkerID, job chutegraph.JobID) {
-	if !t.SetAside[job] || t.Withheld[worker] {
-		return
-	}
-	withheld := make(map[chutetask.WorkerID]bool, len(t.Withheld)+1)
-	maps.Copy(withheld, t.Withheld)
-	withheld[worker] = true
-	t.Withheld = withheld
-}
-
 // NothingBegun reports whether no task of the job has started, as far as is known.
 func (t *Transition) NothingBegun(j chutetask.Job) bool {
 	return j.Unbegun || j.Phase == chutetask.PhaseQueued
