chutestanding becomes chutestarvation

The package has the field's term for steps that go on waiting beside capacity that is kept for others.

--- a/chuteplanner/planner.go
+++ b/chuteplanner/planner.go
@@ -10,7 +10,7 @@
 	"monsoonchute.example/monsoonchute/chutegraph"
 	"monsoonchute.example/monsoonchute/chutequota"
 	"monsoonchute.example/monsoonchute/chuterunner"
-	"monsoonchute.example/monsoonchute/chutestanding"
+	"monsoonchute.example/monsoonchute/chutestarvation"
 	"monsoonchute.example/monsoonchute/chutetask"
 	"monsoonchute.example/monsoonchute/chuteusage"
 	"monsoonchute.example/monsoonchute/chutewait"
@@ -36,7 +36,7 @@
 	// quarantineDueSince is the time since when tasks of each step have waited for a quarantine.
 	quarantineDueSince *immutable.SortedMap[chutegraph.StepID, time.Time]
 	waits              chutewait.Report
-	standing           chutestanding.State
+	standing           chutestarvation.State
 	// heldSince is the time since when a quota has held back tasks of each step that still waits; never changed once stored.
 	heldSince map[chutegraph.StepID]time.Time
 	// reservedFor is the step for which the free part of each workspace's quota is reserved; never changed once stored.
--- a/chutestanding/state.go
+++ b/chutestarvation/state.go
@@ -1,4 +1,4 @@
-package chutestanding
+package chutestarvation
 
 import (
 	"time"
