chuteapproval: room is looked for once for demands of one shape

Change: a pass remembers which shapes of demands fit, and looks at 32 shapes at most; a demand of any other shape counts as one without room until the next pass.

--- a/chuteapproval/candidate.go
+++ b/chuteapproval/candidate.go
@@ -18,6 +18,8 @@
 	minNamed = 8
 	// namedPerNeeded is how many workers a request names for each that its step needs, since not all are approved.
 	namedPerNeeded = 4
+	// maxShapes is the number of shapes of demands for which a pass finds out whether there is room.
+	maxShapes = 32
 )
 
 // candidate is a worker that a request may name.
@@ -42,8 +44,30 @@
 	return list
 }
 
-// hasRoom reports whether a task of the demand, or its gang, fits on the free capacity of the workers.
+// shape is what decides whether a demand fits on the free capacity of the workers.
+type shape struct {
+	service, label string
+	reserved       chutecapacity.Resources
+	tasks          int // that must start at once
+	antiAffinity   int
+}
+
+// hasRoom reports whether a task of the demand, or its gang, fits on the free capacity of the workers. Demands of one shape are looked
+// at once.
 func (r *requester) hasRoom(d chutedemand.Demand) bool {
+	s := shape{
+		service: d.Service, label: d.Step.Label, reserved: d.Step.Reserved(), tasks: tasksToStart(d.Step), antiAffinity: d.Step.AntiAffinity,
+	}
+	fits, known := r.fits[s]
+	if !known && len(r.fits) < maxShapes {
+		fits = r.fitsNow(d)
+		r.fits[s] = fits
+	}
+	return fits
+}
+
+// fitsNow reports whether a task of the demand, or its gang, fits on the free capacity of the workers.
+func (r *requester) fitsNow(d chutedemand.Demand) bool {
 	missing := tasksToStart(d.Step)
 	for _, c := range r.candidates(d.Service) {
 		if c.worker.HasLabel(d.Step.Label) {
--- a/chuteapproval/request.go
+++ b/chuteapproval/request.go
@@ -20,6 +20,7 @@
 	*chuteledger.Transition
 	state   State
 	workers map[string][]candidate // usable workers by service, the one with the most free capacity first
+	fits    map[shape]bool         // whether demands of a shape fit on them
 }
 
 // request requests approval for the demands: first for those that could start at once, so that they do not wait for the
--- a/chuteapproval/state.go
+++ b/chuteapproval/state.go
@@ -46,7 +46,7 @@
 	if !s.service.mayRequest(t.Now) {
 		return s
 	}
-	r := &requester{Transition: t, state: s, workers: make(map[string][]candidate)}
+	r := &requester{Transition: t, state: s, workers: make(map[string][]candidate), fits: make(map[shape]bool)}
 	r.request(demands)
 	return r.state
 }
